--- /dev/null
+++ b/core/ccclock/clock.go
@@ -0,0 +1,62 @@
+// Package ccclock is the one source of time: a monotonic clock in milliseconds.
+package ccclock
+
+import (
+	"sync"
+	"time"
+)
+
+// Millis is a point on a process's monotonic clock, or a span of it, in milliseconds.
+// Points of different processes must not be compared.
+type Millis int64
+
+// Duration converts a span to the standard library's type.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Clock tells the time. Every method may be called from any goroutine and none blocks.
+type Clock interface {
+	// Now returns the present point of the monotonic clock.
+	Now() Millis
+}
+
+// System is the machine's monotonic clock, counted from the creation of the value.
+type System struct {
+	start time.Time
+}
+
+// NewSystem returns a clock that starts at 1, so that 0 can mean "never".
+func NewSystem() *System {
+	return &System{start: time.Now().Add(-time.Millisecond)}
+}
+
+// Now implements Clock.
+func (s *System) Now() Millis {
+	return Millis(time.Since(s.start).Milliseconds())
+}
+
+// Manual is a clock that moves only when told to.
+type Manual struct {
+	mu  sync.Mutex
+	now Millis
+}
+
+// NewManual returns a clock that stands at now.
+func NewManual(now Millis) *Manual {
+	return &Manual{now: now}
+}
+
+// Now implements Clock.
+func (c *Manual) Now() Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// Advance moves the clock forward by d.
+func (c *Manual) Advance(d Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+}
--- /dev/null
+++ b/core/ccledger/pool.go
@@ -0,0 +1,270 @@
+package ccledger
+
+import (
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of placement. None of them says that the work can never be placed.
+var (
+	// ErrFull reports that no worker has room now.
+	ErrFull = errors.New("no worker has room")
+	// ErrDuplicate reports that the task holds a claim already.
+	ErrDuplicate = errors.New("task holds a claim already")
+)
+
+// Config sets up a Pool.
+type Config struct {
+	// ReservePercent is the share of capacity that long and batch work can't take.
+	ReservePercent int64
+	// QuarantinePercent bounds the share of workers in quarantine.
+	QuarantinePercent int
+	// MaxFailures in a row put a worker into quarantine.
+	MaxFailures int
+	// QuarantineSpan is the first quarantine; it doubles up to maxQuarantineFactor times that.
+	QuarantineSpan ccclock.Millis
+	// TaskLease is how long a task runs on without a renewal.
+	TaskLease ccclock.Millis
+	// FirstFit takes the first worker with room in place of the best; for comparison.
+	FirstFit bool
+}
+
+const maxQuarantineFactor = 16
+
+// Pool is the ledger of every worker owned.
+type Pool struct {
+	cfg     Config
+	workers map[string]*entry
+	// order lists the workers, so that a scan touches memory in sequence.
+	order []*entry
+	tasks map[string]*Claim
+	// total and patient are the whole capacity, and what work that can wait holds of it.
+	total   ccwork.Size
+	patient ccwork.Size
+	used    map[string]ccwork.Size
+}
+
+// NewPool returns a ledger without workers.
+func NewPool(cfg Config) *Pool {
+	return &Pool{
+		cfg:     cfg,
+		workers: map[string]*entry{},
+		tasks:   map[string]*Claim{},
+		used:    map[string]ccwork.Size{},
+	}
+}
+
+// Add takes in a worker of a shard, or news of one. A new worker takes no task before its task
+// table was reconciled.
+func (p *Pool) Add(w Worker, shard string, now ccclock.Millis) {
+	if e := p.workers[w.ID]; e != nil {
+		p.total = p.total.Plus(w.Capacity).Minus(e.Capacity)
+		e.free = e.free.Plus(w.Capacity).Minus(e.Capacity)
+		e.Worker = w
+		return
+	}
+	e := &entry{Worker: w, shard: shard, free: w.Capacity, claims: map[string]*Claim{}, heardAt: now}
+	p.workers[w.ID] = e
+	p.order = append(p.order, e)
+	p.total = p.total.Plus(w.Capacity)
+}
+
+// Remove forgets a worker and its claims, because the shard went to another process or the VM is gone.
+func (p *Pool) Remove(id string) {
+	e := p.workers[id]
+	if e == nil {
+		return
+	}
+	for _, c := range e.claims {
+		p.drop(e, c)
+	}
+	delete(p.workers, id)
+	p.total = p.total.Minus(e.Capacity)
+	for i, o := range p.order {
+		if o == e {
+			p.order = append(p.order[:i], p.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// Request is a task that looks for a place.
+type Request struct {
+	Row
+	// Patient work can wait: it may not use the reserve.
+	Patient bool
+	// Avoid names a worker that must not be chosen; "" for none.
+	Avoid string
+}
+
+// Reserve finds the best place for a task and holds it until the given time. It fails with
+// ErrFull, ErrDuplicate, or ccwork.ErrImpossible.
+func (p *Pool) Reserve(r Request, now, until ccclock.Millis) (*Claim, error) {
+	if _, ok := p.tasks[r.Task]; ok {
+		return nil, ErrDuplicate
+	}
+	if r.Patient && !p.withinReserve(r.Size) {
+		return nil, errors.Wrap(ErrFull, "reserve is kept for urgent work")
+	}
+	e := p.best(&r, now)
+	if e == nil {
+		return nil, ErrFull
+	}
+	c := &Claim{Row: r.Row, Worker: e.ID, Shard: e.shard, Phase: Reserved, Since: now, Until: until}
+	c.Long = r.Long || r.Patient
+	p.hold(e, c)
+	return c, nil
+}
+
+// withinReserve reports whether patient work of the size leaves the reserve untouched.
+func (p *Pool) withinReserve(size ccwork.Size) bool {
+	limit := p.total.Times(100 - p.cfg.ReservePercent)
+	want := p.patient.Plus(size).Times(100)
+	return want.MilliCores <= limit.MilliCores && want.MemoryMB <= limit.MemoryMB && want.Slots <= limit.Slots
+}
+
+// best returns the fitting worker that the task leaves the least room on, or nil.
+func (p *Pool) best(r *Request, now ccclock.Millis) *entry {
+	var best *entry
+	bestScore := int64(-1)
+	for _, e := range p.order {
+		if !r.Size.Fits(&e.free) || !e.usable(now) || e.ID == r.Avoid {
+			continue
+		}
+		if p.cfg.FirstFit {
+			return e
+		}
+		score := e.score(&r.Size, r.Patient)
+		if score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// usable reports whether the worker may get a new task.
+func (e *entry) usable(now ccclock.Millis) bool {
+	if !e.ready || e.Leaving || e.unreachable {
+		return false
+	}
+	if e.health.until == 0 {
+		return true
+	}
+	// After its quarantine a worker gets one task at a time as a probe.
+	return now >= e.health.until && len(e.claims) == 0
+}
+
+const (
+	scoreScale     = 1000
+	companionBonus = 300
+)
+
+// score is higher the fuller the worker is in its scarcest resource after the task. Work that can
+// wait goes to workers that hold such work, urgent work to the others.
+func (e *entry) score(size *ccwork.Size, patient bool) int64 {
+	s := share(e.Capacity.MilliCores, e.free.MilliCores-size.MilliCores)
+	s = max(s, share(e.Capacity.MemoryMB, e.free.MemoryMB-size.MemoryMB))
+	s = max(s, share(e.Capacity.Slots, e.free.Slots-size.Slots))
+	if size.Accelerators == 0 && e.free.Accelerators > 0 {
+		// Work without need of accelerators leaves them to others.
+		s /= 2
+	}
+	if patient == (e.long > 0) {
+		s += companionBonus
+	}
+	return s
+}
+
+// share returns the used part of a capacity in thousandths.
+func share(capacity, free int64) int64 {
+	if capacity == 0 {
+		return 0
+	}
+	return (capacity - free) * scoreScale / capacity
+}
+
+// hold books a claim.
+func (p *Pool) hold(e *entry, c *Claim) {
+	p.tasks[c.Task] = c
+	e.claims[c.Task] = c
+	if c.Phase == Finished {
+		return
+	}
+	e.free = e.free.Minus(c.Size)
+	p.used[c.Team] = p.used[c.Team].Plus(c.Size)
+	if c.Long {
+		e.long++
+		p.patient = p.patient.Plus(c.Size)
+	}
+}
+
+// free gives back what a claim holds.
+func (p *Pool) free(e *entry, c *Claim) {
+	if c.Phase == Finished {
+		return
+	}
+	e.free = e.free.Plus(c.Size)
+	p.used[c.Team] = p.used[c.Team].Minus(c.Size)
+	if c.Long {
+		e.long--
+		p.patient = p.patient.Minus(c.Size)
+	}
+}
+
+// drop removes a claim.
+func (p *Pool) drop(e *entry, c *Claim) {
+	p.free(e, c)
+	delete(e.claims, c.Task)
+	delete(p.tasks, c.Task)
+}
+
+// Claim returns the claim of a task, or nil.
+func (p *Pool) Claim(task string) *Claim {
+	return p.tasks[task]
+}
+
+// Advance moves a claim to a phase. Until is the end of the phase, where it has one.
+func (p *Pool) Advance(task string, phase Phase, now, until ccclock.Millis) {
+	c := p.tasks[task]
+	if c == nil {
+		return
+	}
+	if phase == Finished {
+		p.free(p.workers[c.Worker], c)
+	}
+	c.Phase = phase
+	c.Since = now
+	c.Until = until
+}
+
+// Release gives back a claim whose task is known not to run.
+func (p *Pool) Release(task string) {
+	if c := p.tasks[task]; c != nil {
+		p.drop(p.workers[c.Worker], c)
+	}
+}
+
+// Expire releases the reservations whose time ran out.
+func (p *Pool) Expire(now ccclock.Millis) {
+	for task, c := range p.tasks {
+		if c.Phase == Reserved && now >= c.Until {
+			p.Release(task)
+		}
+	}
+}
+
+// Used returns what a team's tasks hold here.
+func (p *Pool) Used(team string) ccwork.Size {
+	return p.used[team]
+}
+
+// Largest returns the largest capacity in each part over all workers.
+func (p *Pool) Largest() ccwork.Size {
+	var l ccwork.Size
+	for _, e := range p.order {
+		l = l.Max(e.Capacity)
+	}
+	return l
+}
--- /dev/null
+++ b/core/ccledger/reconcile.go
@@ -0,0 +1,207 @@
+package ccledger
+
+import (
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+)
+
+// Reconcile makes the ledger of one worker agree with its task table, which was asked for at
+// askedAt. A claim that was admitted before that and is not in the table has ended. A claim in
+// doubt counts as never started once its start can't arrive any more. Tasks that the ledger does
+// not know are taken in. The worker may get tasks from then on.
+func (p *Pool) Reconcile(id string, rows []Row, askedAt, now ccclock.Millis) {
+	e := p.workers[id]
+	if e == nil {
+		return
+	}
+	e.heardAt = now
+	e.unreachable = false
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		seen[row.Task] = true
+		p.takeIn(e, row, now)
+	}
+	for task, c := range e.claims {
+		if !seen[task] && c.goneBefore(askedAt) {
+			p.drop(e, c)
+		}
+	}
+	e.ready = true
+}
+
+// goneBefore reports whether a table asked for at askedAt, without the task, proves its end.
+func (c *Claim) goneBefore(askedAt ccclock.Millis) bool {
+	switch c.Phase {
+	case Admitted, Finished:
+		return c.Since < askedAt
+	case Doubtful:
+		return c.Until < askedAt
+	}
+	return false
+}
+
+// takeIn books one row of a table.
+func (p *Pool) takeIn(e *entry, row Row, now ccclock.Millis) {
+	c := p.tasks[row.Task]
+	if c != nil && c.Worker != e.ID {
+		// The other claim is the newer one; this row is an old end that waits to be forgotten.
+		return
+	}
+	if c == nil {
+		c = &Claim{Row: row, Worker: e.ID, Shard: e.shard, Phase: Admitted, Since: now}
+		if row.State.Ended() {
+			c.Phase = Finished
+		}
+		p.hold(e, c)
+		return
+	}
+	if c.Phase == Sending {
+		return
+	}
+	if row.State.Ended() && c.Phase != Finished {
+		p.Advance(c.Task, Finished, now, 0)
+		p.Outcome(e.ID, row.State == ccwork.Succeeded, now)
+	}
+	if c.Phase == Doubtful {
+		p.Advance(c.Task, Admitted, now, 0)
+	}
+	c.State = row.State
+	c.Result = row.Result
+}
+
+// Unreachable notes that a worker did not answer. Its tasks count as running until their leases
+// must have lapsed; then their claims are dropped and returned, and the task table has to be read
+// before the worker gets anything again.
+func (p *Pool) Unreachable(id string, now ccclock.Millis) []Claim {
+	e := p.workers[id]
+	if e == nil {
+		return nil
+	}
+	e.unreachable = true
+	if now < e.heardAt+p.cfg.TaskLease {
+		return nil
+	}
+	e.ready = false
+	var lapsed []Claim
+	for _, c := range e.claims {
+		if c.Phase == Sending || c.Phase == Doubtful && now < c.Until+p.cfg.TaskLease {
+			continue
+		}
+		if c.Phase != Finished && now < c.Since+p.cfg.TaskLease {
+			continue
+		}
+		lapsed = append(lapsed, *c)
+		p.drop(e, c)
+	}
+	return lapsed
+}
+
+// Outcome counts a task's end, or a failed start, towards the worker's health. A worker that fails
+// everything goes into quarantine, unless too many others are there already.
+func (p *Pool) Outcome(id string, ok bool, now ccclock.Millis) {
+	e := p.workers[id]
+	if e == nil {
+		return
+	}
+	if ok {
+		e.health = health{}
+		return
+	}
+	e.health.failures++
+	if e.health.failures < p.cfg.MaxFailures || now < e.health.until {
+		return
+	}
+	if e.health.until == 0 && p.quarantined() >= len(p.order)*p.cfg.QuarantinePercent/100 {
+		return
+	}
+	e.health.span = min(max(e.health.span*2, p.cfg.QuarantineSpan), p.cfg.QuarantineSpan*maxQuarantineFactor)
+	e.health.until = now + e.health.span
+}
+
+// quarantined counts the workers in quarantine or on probation.
+func (p *Pool) quarantined() int {
+	n := 0
+	for _, e := range p.order {
+		if e.health.until != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// WorkerState is one worker in a state dump.
+type WorkerState struct {
+	Worker
+	Shard       string
+	Free        ccwork.Size
+	Ready       bool
+	Unreachable bool
+	Quarantined bool
+	Tasks       int
+}
+
+// Workers returns the state of every worker.
+func (p *Pool) Workers() []WorkerState {
+	out := make([]WorkerState, 0, len(p.order))
+	for _, e := range p.order {
+		out = append(out, WorkerState{
+			Worker: e.Worker, Shard: e.shard, Free: e.free, Ready: e.ready,
+			Unreachable: e.unreachable, Quarantined: e.health.until != 0, Tasks: len(e.claims),
+		})
+	}
+	return out
+}
+
+// Claims returns the claims for which keep returns true.
+func (p *Pool) Claims(keep func(*Claim) bool) []Claim {
+	var out []Claim
+	for _, c := range p.tasks {
+		if !keep(c) {
+			continue
+		}
+		cc := *c
+		if e := p.workers[c.Worker]; e.unreachable && c.Phase != Finished {
+			cc.State = ccwork.Uncertain
+		}
+		out = append(out, cc)
+	}
+	return out
+}
+
+// ShardReady reports whether every reachable worker of a shard was reconciled, and every other one
+// has been silent for longer than a task lease.
+func (p *Pool) ShardReady(shard string, now ccclock.Millis) bool {
+	for _, e := range p.order {
+		if e.shard != shard || e.ready {
+			continue
+		}
+		if now < e.heardAt+p.cfg.TaskLease {
+			return false
+		}
+	}
+	return true
+}
+
+// Room sums up the free capacity of the workers that may get tasks.
+type Room struct {
+	// Free is the sum of the free parts.
+	Free ccwork.Size
+	// Total is the capacity of these workers.
+	Total ccwork.Size
+	// Largest is the largest capacity in each part.
+	Largest ccwork.Size
+}
+
+// Room returns the present room.
+func (p *Pool) Room(now ccclock.Millis) Room {
+	var r Room
+	for _, e := range p.order {
+		r.Largest = r.Largest.Max(e.Capacity)
+		if !e.usable(now) {
+			continue
+		}
+		r.Free = r.Free.Plus(e.free)
+		r.Total = r.Total.Plus(e.Capacity)
+	}
+	return r
+}
