--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,197 @@
+// Command demo runs a whole session on loopback and judges it: requests, a batch job, a gang and a
+// non-idempotent order through seven entry processes, one of which is killed on the way.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"coriandercross/core/ccjob"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/cccaller"
+	"coriandercross/io/ccharness"
+	"coriandercross/io/ccsettings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the options of the demo.
+type options struct {
+	Program string `long:"program" description:"built coriandercross" default:"bin/coriandercross"`
+	Standin string `long:"standin" description:"built standin" default:"bin/standin"`
+	Cell    string `long:"cell" description:"configuration" default:"examples/agency/cell.yaml"`
+}
+
+const (
+	entries      = 7
+	workers      = 16
+	callers      = 8
+	batchTasks   = 40
+	gangTasks    = 12
+	orders       = 10
+	readyTimeout = 60 * time.Second
+	jobWaitMs    = 60_000
+	calmBefore   = 3 * time.Second
+	calmAfter    = 6 * time.Second
+)
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(1)
+	}
+	ok, err := run(&o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+	}
+	if err != nil || !ok {
+		os.Exit(1)
+	}
+}
+
+// session is a running demo.
+type session struct {
+	cluster *ccharness.Cluster
+	callers *ccharness.Callers
+	killed  *ccharness.Entry
+	jobs    map[string]int
+}
+
+// run runs the session and reports whether nothing was lost, doubled or overcommitted.
+func run(o *options) (bool, error) {
+	doc, faults, err := ccsettings.LoadDocument(o.Cell)
+	if err != nil || len(faults) > 0 {
+		return false, errors.Newf("%s: %v %v", o.Cell, faults, err)
+	}
+	dir, err := os.MkdirTemp("", "coriandercross-demo-")
+	if err != nil {
+		return false, errors.Wrap(err, "making a folder")
+	}
+	fmt.Println("starting", entries, "entry processes and", workers, "workers")
+	c, err := ccharness.Start(ccharness.Config{
+		Dir: dir, Program: o.Program, Standin: o.Standin, Entries: entries, Workers: workers, WorkersPerRack: 2,
+		Domains: []ccharness.Domain{
+			{Region: "osrednja", Name: "osrednja-a"}, {Region: "osrednja", Name: "osrednja-b"}, {Region: "stajerska", Name: "stajerska-a"},
+		},
+		Capacity: ccwork.Size{MilliCores: 16_000, MemoryMB: 64_000, Slots: 8, Connections: 64},
+		Document: doc, VMListLagMs: 2_000,
+	})
+	defer c.Stop()
+	if err != nil {
+		return false, err
+	}
+	if err := c.Ready(readyTimeout); err != nil {
+		return false, errors.Wrapf(err, "logs are in %s", dir)
+	}
+	s := &session{cluster: c, callers: c.NewCallers(), jobs: map[string]int{}}
+	if err := s.play(); err != nil {
+		return false, errors.Wrapf(err, "logs are in %s", dir)
+	}
+	ok, err := s.judge()
+	if ok && err == nil {
+		return true, os.RemoveAll(dir)
+	}
+	return false, errors.Wrapf(errors.CombineErrors(errors.New("session failed"), err), "logs are in %s", dir)
+}
+
+// up returns the entry processes that were not killed; a balancer would know them too.
+func (s *session) up() []*ccharness.Entry {
+	var out []*ccharness.Entry
+	for _, e := range s.cluster.Entries {
+		if e != s.killed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// play sends the work and kills an entry process on the way.
+func (s *session) play() error {
+	stop := s.callers.Flow(callers, s.up, "workshops", "surface-check", "check", func(id string) string { return "RunMs=30&Echo=" + id })
+	defer func() { stop() }()
+	time.Sleep(calmBefore)
+	if err := s.submit("batch", "inspection", batchTasks, 400); err != nil {
+		return err
+	}
+	if err := s.submit("gang", "panel", gangTasks, 1_500); err != nil {
+		return err
+	}
+	victim := s.cluster.Entries[0]
+	fmt.Println("killing", victim.Name)
+	s.killed = victim
+	victim.Kill()
+	for i := range orders {
+		id := fmt.Sprintf("order-%d", i)
+		up := s.up()
+		s.callers.Send(up[i%len(up)], "workshops", "certificate-charge", id, "RunMs=20&Echo="+id)
+		// A nervous caller repeats the order through another process.
+		s.callers.Send(up[(i+1)%len(up)], "workshops", "certificate-charge", id, "RunMs=20&Echo="+id)
+	}
+	time.Sleep(calmAfter)
+	stop()
+	stop = func() {}
+	return s.waitForJobs()
+}
+
+// submit sends a job, and again under the same ID until a process has accepted it.
+func (s *session) submit(id, kind string, tasks int, runMs int) error {
+	body := &cccaller.JobBody{ID: id, Kind: kind}
+	for i := range tasks {
+		body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: fmt.Sprintf("RunMs=%d&Echo=%s-%d", runMs, id, i)})
+	}
+	s.jobs[id] = tasks
+	e := s.up()[0]
+	return ccharness.Eventually(readyTimeout, "job was not accepted", func() bool {
+		_, err := cccaller.NewClient(e.Settings.Listen.Callers).Submit("cooperatives", body)
+		return err == nil
+	})
+}
+
+// waitForJobs waits for the end of the jobs.
+func (s *session) waitForJobs() error {
+	client := cccaller.NewClient(s.up()[0].Settings.Listen.Callers)
+	for id := range s.jobs {
+		j, err := client.Job("cooperatives", id, jobWaitMs)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("job %s: %s, %d of %d tasks succeeded\n", id, j.State, j.Succeeded, j.Tasks)
+		if j.State != ccjob.Succeeded {
+			return errors.Newf("job %s is %s", id, j.State)
+		}
+	}
+	return nil
+}
+
+// judge compares the callers' answers with the workers' records, and prints the verdict.
+func (s *session) judge() (bool, error) {
+	v, err := s.cluster.Judge()
+	if err != nil {
+		return false, err
+	}
+	answers := s.callers.Answers()
+	t := ccharness.Account("workshops", answers, &v, func(id string) string { return "done " + id })
+	runs, succeeded := v.Runs(), v.Succeeded()
+	lost := len(t.Wrong) + len(t.Untrue)
+	accepted := t.Sent
+	for id, tasks := range s.jobs {
+		accepted += tasks
+		for i := range tasks {
+			if !succeeded[fmt.Sprintf("cooperatives/%s#%d", id, i)] {
+				lost++
+			}
+			t.Ran++
+		}
+	}
+	doubled := len(v.Doubled)
+	for i := range orders {
+		if runs[fmt.Sprintf("workshops/order-%d", i)] > 1 {
+			doubled++
+		}
+	}
+	fmt.Printf("DEMO Accepted=%d Ran=%d NotRun=%d Unknown=%d Lost=%d Doubled=%d Overcommitted=%d\n",
+		accepted, t.Ran, t.NotRun, t.Unknown, lost, doubled, len(v.Overcommitted))
+	return lost+doubled+len(v.Overcommitted) == 0, nil
+}
--- a/core/ccledger/pool.go
+++ b/core/ccledger/pool.go
@@ -144,9 +144,32 @@
 	return best
 }
 
+// Open sets whether the workers of a shard may get tasks, as the authority over the shard comes
+// and goes.
+func (p *Pool) Open(shard string, open bool) {
+	for _, e := range p.order {
+		if e.shard == shard {
+			e.open = open
+		}
+	}
+}
+
+// Busy reports whether a start on a worker of the shard is in flight, or may still arrive.
+func (p *Pool) Busy(shard string, now ccclock.Millis) bool {
+	for _, c := range p.tasks {
+		if c.Shard != shard {
+			continue
+		}
+		if c.Phase == Sending || c.Phase == Reserved || c.Phase == Doubtful && now < c.Until {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the worker may get a new task.
 func (e *entry) usable(now ccclock.Millis) bool {
-	if !e.ready || e.Leaving || e.unreachable {
+	if !e.ready || !e.open || e.Leaving || e.unreachable {
 		return false
 	}
 	if e.health.until == 0 {
@@ -239,6 +262,14 @@
 	c.Until = until
 }
 
+// Address returns a worker's address, or "" when it is not in the ledger.
+func (p *Pool) Address(worker string) string {
+	if e := p.workers[worker]; e != nil {
+		return e.Address
+	}
+	return ""
+}
+
 // Release gives back a claim whose task is known not to run.
 func (p *Pool) Release(task string) {
 	if c := p.tasks[task]; c != nil {
--- a/core/ccledger/worker.go
+++ b/core/ccledger/worker.go
@@ -68,6 +68,8 @@
 	claims map[string]*Claim
 	// ready is true once the task table was read under the present ownership.
 	ready bool
+	// open is true while the process has authority over the shard.
+	open bool
 	// heardAt is when the worker last answered.
 	heardAt ccclock.Millis
 	// unreachable is true while the worker does not answer.
--- /dev/null
+++ b/io/cccmds/job.go
@@ -0,0 +1,112 @@
+package cccmds
+
+import (
+	"fmt"
+	"time"
+
+	"coriandercross/core/ccjob"
+	"coriandercross/io/cccaller"
+
+	"github.com/cockroachdb/errors"
+)
+
+// toCaller holds the options of every command about a job.
+type toCaller struct {
+	Server string `long:"server" description:"callers' IP:PORT of any process" default:"127.0.0.1:7100"`
+	Team   string `long:"team" description:"team that the job is of" required:"yes"`
+}
+
+// client returns a client of the process.
+func (o *toCaller) client() *cccaller.Client {
+	return cccaller.NewClient(o.Server)
+}
+
+// submitCommand sends a job.
+type submitCommand struct {
+	toCaller
+	Kind string `long:"kind" description:"kind of work" required:"yes"`
+	ID   string `long:"id" description:"ID of the job, for repeats" required:"yes"`
+	Args struct {
+		Payloads []string `positional-arg-name:"PAYLOAD" description:"payload of a task" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *submitCommand) run(e *env) error {
+	body := &cccaller.JobBody{ID: c.ID, Kind: c.Kind}
+	for _, p := range c.Args.Payloads {
+		body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: p})
+	}
+	reply, err := c.client().Submit(c.Team, body)
+	if errors.Is(err, cccaller.ErrInDoubt) {
+		return errors.Mark(err, ErrUnknownEffect)
+	}
+	if err != nil {
+		return err
+	}
+	printJob(e, reply)
+	return nil
+}
+
+// printJob prints a job on one line.
+func printJob(e *env, j *cccaller.JobReply) {
+	_, _ = fmt.Fprintf(e.out, "%s %s: %d of %d tasks succeeded %s\n", j.ID, j.State, j.Succeeded, j.Tasks, j.Reason)
+}
+
+// statusCommand prints a job.
+type statusCommand struct {
+	toCaller
+	WaitMs int64 `long:"wait" description:"longest wait for the job's end, in milliseconds" default:"0"`
+	Args   struct {
+		ID string `positional-arg-name:"ID" description:"ID of the job"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// progressMs is the wait between two lines of progress.
+const progressMs = 1_000
+
+// run implements runner.
+func (c *statusCommand) run(e *env) error {
+	client := c.client()
+	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
+	for {
+		left := max(time.Until(deadline).Milliseconds(), 0)
+		reply, err := client.Job(c.Team, c.Args.ID, min(left, progressMs))
+		if err != nil {
+			return err
+		}
+		if reply.State.Ended() || left == 0 {
+			printJob(e, reply)
+			return jobError(reply, c.WaitMs > 0)
+		}
+		if isTerminal(e.errs) {
+			_, _ = fmt.Fprintf(e.errs, "\r%d of %d tasks", reply.Succeeded, reply.Tasks)
+		}
+	}
+}
+
+// jobError turns the state of a job that was waited for into an error.
+func jobError(j *cccaller.JobReply, waited bool) error {
+	if waited && j.State != ccjob.Succeeded {
+		return errors.Newf("job %s is %s", j.ID, j.State)
+	}
+	return nil
+}
+
+// cancelCommand withdraws a job.
+type cancelCommand struct {
+	toCaller
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"ID of the job"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *cancelCommand) run(e *env) error {
+	reply, err := c.client().Cancel(c.Team, c.Args.ID)
+	if err != nil {
+		return err
+	}
+	printJob(e, reply)
+	return nil
+}
--- /dev/null
+++ b/io/cccmds/operator.go
@@ -0,0 +1,336 @@
+package cccmds
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+
+	"coriandercross/core/ccteam"
+	"coriandercross/io/ccoperator"
+	"coriandercross/io/ccsettings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// toOperator is the option of every command that asks a process.
+type toOperator struct {
+	Server string `long:"server" description:"operators' IP:PORT of any process" default:"127.0.0.1:7300"`
+}
+
+// client returns a client of the process.
+func (o *toOperator) client() *ccoperator.Client {
+	return ccoperator.NewClient(o.Server)
+}
+
+// checkCommand checks files.
+type checkCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"settings or configuration" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *checkCommand) run(e *env) error {
+	var all []ccsettings.Fault
+	for _, file := range c.Args.Files {
+		faults, err := checkFile(file)
+		if err != nil {
+			return err
+		}
+		if len(faults) == 0 {
+			_, _ = fmt.Fprintf(e.out, "%s: ok\n", file)
+		}
+		all = append(all, faults...)
+	}
+	if len(all) > 0 {
+		return printFaults(e, all)
+	}
+	return nil
+}
+
+// checkFile returns the faults of one file of either sort.
+func checkFile(file string) ([]ccsettings.Fault, error) {
+	if ccsettings.IsDocument(file) {
+		_, faults, err := ccsettings.LoadDocument(file)
+		return faults, err
+	}
+	_, faults, err := ccsettings.Load(file)
+	return faults, err
+}
+
+// applyCommand puts a configuration in force.
+type applyCommand struct {
+	toOperator
+	Base   int64  `long:"base" description:"revision that the edit was made on; -1 for the one in force" default:"-1"`
+	By     string `long:"by" description:"name of the operator; the login name when empty"`
+	Wait   bool   `long:"wait" description:"wait until all living processes have it in force"`
+	WaitMs int64  `long:"wait-ms" description:"longest wait" default:"10000"`
+	Args   struct {
+		File string `positional-arg-name:"FILE" description:"configuration"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *applyCommand) run(e *env) error {
+	doc, faults, err := ccsettings.LoadDocument(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return printFaults(e, faults)
+	}
+	client := c.client()
+	base := uint64(max(c.Base, 0))
+	if c.Base < 0 {
+		current, err := client.Config()
+		if err != nil {
+			return err
+		}
+		base = current.Revision
+	}
+	by := c.By
+	if by == "" {
+		by = operatorName()
+	}
+	reply, err := client.Apply(&ccoperator.ApplyBody{Base: base, By: by, Document: doc})
+	if errors.Is(err, ccteam.ErrConflict) {
+		printDifference(e, client, doc)
+	}
+	if errors.Is(err, ccoperator.ErrInDoubt) {
+		return errors.Mark(err, ErrUnknownEffect)
+	}
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(e.out, "revision %d accepted\n", reply.Revision)
+	if c.Wait {
+		return c.waitFor(e, client, reply.Revision)
+	}
+	return nil
+}
+
+// printDifference shows what another edit and this one do not share.
+func printDifference(e *env, client *ccoperator.Client, doc ccteam.Document) {
+	current, err := client.Config()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(e.out, "revision %d is in force; your file differs by:\n", current.Revision)
+	_ = writeDifference(e.out, current.Document, doc)
+}
+
+// revisionPoll is the time between two looks at the processes.
+const revisionPoll = 100 * time.Millisecond
+
+// waitFor waits until every living process has a revision in force.
+func (c *applyCommand) waitFor(e *env, client *ccoperator.Client, revision uint64) error {
+	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
+	for {
+		reply, err := client.Revisions()
+		if err != nil {
+			return err
+		}
+		var behind []string
+		for _, m := range reply.Members {
+			if m.Revision < revision {
+				behind = append(behind, fmt.Sprintf("%s has %d", m.ID, m.Revision))
+			}
+		}
+		if len(behind) == 0 {
+			_, _ = fmt.Fprintf(e.out, "revision %d in force at %d processes\n", revision, len(reply.Members))
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Newf("revision %d is accepted but not yet in force everywhere: %s", revision, strings.Join(behind, ", "))
+		}
+		time.Sleep(revisionPoll)
+	}
+}
+
+// getCommand prints the configuration in force.
+type getCommand struct {
+	toOperator
+}
+
+// run implements runner.
+func (c *getCommand) run(e *env) error {
+	current, err := c.client().Config()
+	if err != nil {
+		return err
+	}
+	data, err := yaml.Marshal(current.Document)
+	if err != nil {
+		return errors.Wrap(err, "encoding the configuration")
+	}
+	_, err = fmt.Fprintf(e.out, "# revision %d\n%s", current.Revision, data)
+	return errors.Wrap(err, "printing the configuration")
+}
+
+// diffCommand compares a file with the configuration in force.
+type diffCommand struct {
+	toOperator
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"configuration"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *diffCommand) run(e *env) error {
+	doc, faults, err := ccsettings.LoadDocument(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return printFaults(e, faults)
+	}
+	current, err := c.client().Config()
+	if err != nil {
+		return err
+	}
+	return writeDifference(e.out, current.Document, doc)
+}
+
+// writeDifference prints the lines that only one of two documents has.
+func writeDifference(out io.Writer, from, to ccteam.Document) error {
+	a, err := yaml.Marshal(from)
+	if err != nil {
+		return errors.Wrap(err, "encoding the configuration")
+	}
+	b, err := yaml.Marshal(to)
+	if err != nil {
+		return errors.Wrap(err, "encoding the configuration")
+	}
+	var text bytes.Buffer
+	for _, line := range diffLines(splitLines(a), splitLines(b)) {
+		text.WriteString(line + "\n")
+	}
+	_, err = out.Write(text.Bytes())
+	return errors.Wrap(err, "printing the difference")
+}
+
+// splitLines splits a text into lines.
+func splitLines(data []byte) []string {
+	return strings.Split(strings.TrimRight(string(data), "\n"), "\n")
+}
+
+// diffLines returns the lines to take away and to add, by a longest common subsequence.
+func diffLines(a, b []string) []string {
+	common := make([][]int, len(a)+1)
+	for i := range common {
+		common[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			common[i][j] = max(common[i+1][j], common[i][j+1])
+			if a[i] == b[j] {
+				common[i][j] = common[i+1][j+1] + 1
+			}
+		}
+	}
+	var out []string
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			i++
+			j++
+		case j == len(b) || i < len(a) && common[i+1][j] >= common[i][j+1]:
+			out = append(out, "- "+a[i])
+			i++
+		default:
+			out = append(out, "+ "+b[j])
+			j++
+		}
+	}
+	return out
+}
+
+// historyCommand lists the last edits.
+type historyCommand struct {
+	toOperator
+}
+
+// run implements runner.
+func (c *historyCommand) run(e *env) error {
+	reply, err := c.client().History()
+	if err != nil {
+		return err
+	}
+	for _, edit := range reply.Edits {
+		_, _ = fmt.Fprintf(e.out, "%d\t%s\t%s\n", edit.Revision, edit.At.Format(time.RFC3339), edit.By)
+	}
+	return nil
+}
+
+// drainCommand begins the planned stop of a process.
+type drainCommand struct {
+	toOperator
+}
+
+// run implements runner.
+func (c *drainCommand) run(e *env) error {
+	if err := c.client().Drain(); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(e.out, "draining")
+	return nil
+}
+
+// dumpCommand prints the state of a process.
+type dumpCommand struct {
+	JSON bool `long:"json" description:"print everything, for machines"`
+	Args struct {
+		Address string `positional-arg-name:"ADDR" description:"operators' IP:PORT of the process"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// run implements runner.
+func (c *dumpCommand) run(e *env) error {
+	client := ccoperator.NewClient(c.Args.Address)
+	if c.JSON {
+		return client.DumpRaw(e.out)
+	}
+	d, err := client.Dump()
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(e.out, "process %s in %s, %s; revision %d; draining %v\n", d.ID, d.Region, d.FailureDomain, d.Revision, d.Draining)
+	_, _ = fmt.Fprintf(e.out, "requests: %d in flight, %d waiting, mean run %d ms\n", d.InFlight, d.Waiting, d.ServiceMs)
+	for _, m := range d.Members {
+		_, _ = fmt.Fprintf(e.out, "member %s at %s in %s: revision %d, %d of %d slots free, %d waiting\n", m.ID, m.Address, m.FailureDomain, m.Digest.Revision, m.Digest.FreeSlots, m.Digest.Slots, m.Digest.Waiting)
+	}
+	for _, s := range d.Shards {
+		_, _ = fmt.Fprintf(e.out, "shard %s: owner %s, heir %s, epoch %d: %s\n", s.Shard, s.Record.Owner, s.Record.Heir, s.Record.Epoch, s.State)
+	}
+	for _, w := range d.Workers {
+		_, _ = fmt.Fprintf(e.out, "worker %s: %d tasks, free %+v, ready %v, unreachable %v, quarantined %v\n", w.ID, w.Tasks, w.Free, w.Ready, w.Unreachable, w.Quarantined)
+	}
+	for name, b := range d.Buckets {
+		_, _ = fmt.Fprintf(e.out, "bucket %s: %+v\n", name, b)
+	}
+	return nil
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// run implements runner.
+func (c *versionCommand) run(e *env) error {
+	_, err := fmt.Fprintf(e.out, "coriandercross %s %s\n", versionText, runtime.Version())
+	return errors.Wrap(err, "printing the version")
+}
+
+// isTerminal reports whether a writer is a terminal.
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/io/cccmds/serve.go
@@ -0,0 +1,211 @@
+package cccmds
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/io/cccaller"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/cclog"
+	"coriandercross/io/ccnode"
+	"coriandercross/io/ccoperator"
+	"coriandercross/io/ccsettings"
+	"coriandercross/io/ccstore"
+	"coriandercross/io/ccvmlist"
+	"coriandercross/io/ccworker"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// serveCommand runs the process of an entry VM.
+type serveCommand struct {
+	Args struct {
+		Settings string `positional-arg-name:"SETTINGS" description:"file of settings"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+const (
+	dialTimeout        = 500 * time.Millisecond
+	controlTimeout     = 2 * time.Second
+	startTimeout       = 2 * time.Second
+	syncTimeout        = 2 * time.Second
+	readHeaderTimeout  = 5 * time.Second
+	idleTimeout        = 2 * time.Minute
+	maxHeaderBytes     = 16 << 10
+	closeTimeout       = 2 * time.Second
+	fellowConnections  = 32
+	workerConnections  = 64
+	bytesPerKB         = 1024
+	millisecondsFactor = time.Millisecond
+)
+
+// run implements runner.
+func (c *serveCommand) run(e *env) error {
+	s, faults, err := ccsettings.Load(c.Args.Settings)
+	if err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return printFaults(e, faults)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := newProcess(&s, e)
+	if err != nil {
+		return err
+	}
+	return p.serve(ctx)
+}
+
+// process is everything that serve runs.
+type process struct {
+	settings *ccsettings.Settings
+	log      *log.Logger
+	node     *ccnode.Node
+	fellows  *ccfellow.Client
+	callers  *http.Server
+	operator *http.Server
+	drain    chan struct{}
+}
+
+// newProcess builds the process without opening a socket.
+func newProcess(s *ccsettings.Settings, e *env) (*process, error) {
+	logs := cclog.Config{Out: e.errs, Level: s.Log.Level, Format: s.Log.Format, Layers: s.Log.Layers, VM: s.VM}
+	nodeLog, err := cclog.New(logs, "node")
+	if err != nil {
+		return nil, err
+	}
+	callerLog, err := cclog.New(logs, "caller")
+	if err != nil {
+		return nil, err
+	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	metrics := ccnode.NewMetrics(reg)
+	p := &process{settings: s, log: nodeLog, drain: make(chan struct{}, 1)}
+	p.fellows = ccfellow.NewClient(ccfellow.ClientConfig{
+		DialTimeout: dialTimeout, ControlTimeout: controlTimeout, Connections: fellowConnections, OnBytes: metrics.FellowBytes,
+	})
+	p.node = ccnode.New(nodeConfig(s, p.fellows, metrics, nodeLog))
+	p.callers = newServer(cccaller.Handler(cccaller.Config{Backend: p.node, MaxBody: s.Limits.MaxBodyKB * bytesPerKB, Log: callerLog}))
+	p.operator = newServer(ccoperator.Handler(ccoperator.Config{
+		Backend: p.node, Metrics: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), Drain: p.beginDrain,
+	}))
+	return p, nil
+}
+
+// nodeConfig joins the settings with the peers.
+func nodeConfig(s *ccsettings.Settings, fellows *ccfellow.Client, m *ccnode.Metrics, l *log.Logger) ccnode.Config {
+	clock := ccclock.NewSystem()
+	store := ccstore.NewClient(ccstore.Config{
+		Address: s.Store, Timeout: time.Duration(s.Timing.StoreMs) * millisecondsFactor,
+		WatchTimeout: time.Duration(s.Timing.WatchMs) * millisecondsFactor, OnCall: m.StoreCall,
+	})
+	workers := ccworker.NewClient(ccworker.Config{
+		Clock: clock, Connections: workerConnections, StartTimeout: startTimeout, SyncTimeout: syncTimeout,
+		MaxAnswer: s.Limits.MaxAnswerKB * bytesPerKB,
+	})
+	return ccnode.Config{
+		VM: s.VM, Incarnation: time.Now().UnixMilli(), Region: s.Region, FailureDomain: s.FailureDomain,
+		FellowAddress: s.Listen.Fellows, Seeds: s.Seeds, Timing: s.Timing, Limits: s.Limits, Routing: s.Routing,
+		Clock: clock, Log: l, Metrics: m, Store: store, Workers: workers,
+		VMs:     ccvmlist.NewClient(s.VMList, time.Duration(s.Timing.StoreMs)*millisecondsFactor),
+		Fellows: fellows,
+	}
+}
+
+// newServer returns an HTTP server with limits on headers and time.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// beginDrain begins a planned stop.
+func (p *process) beginDrain() {
+	select {
+	case p.drain <- struct{}{}:
+	default:
+	}
+}
+
+// serve opens the sockets and works until ctx ends or a drain is asked for; then it stops as planned.
+func (p *process) serve(ctx context.Context) error {
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	p.log.Info("serving", "ID", p.node.ID(), "Callers", p.settings.Listen.Callers, "Fellows", p.settings.Listen.Fellows, "Operators", p.settings.Listen.Operators)
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, len(listeners))
+	go func() { failed <- ccfellow.Serve(work, listeners[0], p.node) }()
+	go func() { failed <- p.callers.Serve(listeners[1]) }()
+	go func() { failed <- p.operator.Serve(listeners[2]) }()
+	done := make(chan struct{})
+	go func() { p.node.Serve(work); close(done) }()
+	select {
+	case <-ctx.Done():
+	case <-p.drain:
+	case err := <-failed:
+		return errors.Wrap(err, "serving")
+	}
+	left := p.node.Drain(context.Background())
+	p.close()
+	cancel()
+	<-done
+	if left > 0 {
+		return errors.Newf("stopped with %d requests in progress", left)
+	}
+	return nil
+}
+
+// listen opens the sockets for fellows, callers and operators.
+func (p *process) listen() ([]net.Listener, error) {
+	l := p.settings.Listen
+	var out []net.Listener
+	for _, address := range []string{l.Fellows, l.Callers, l.Operators} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listening on %s", address)
+		}
+		out = append(out, listener)
+	}
+	return out, nil
+}
+
+// close lets answers in progress end and closes the sockets.
+func (p *process) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = p.callers.Shutdown(ctx)
+	_ = p.operator.Shutdown(ctx)
+	p.fellows.Close()
+}
+
+// versionText is the version of the program.
+const versionText = "0.1.0"
+
+// printFaults prints the faults of files.
+func printFaults(e *env, faults []ccsettings.Fault) error {
+	for _, f := range faults {
+		_, _ = e.errs.Write([]byte(f.String() + "\n"))
+	}
+	return errors.Wrapf(ccsettings.ErrInvalid, "%d faults", len(faults))
+}
+
+// operatorName returns who runs the command.
+func operatorName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "operator"
+}
--- /dev/null
+++ b/io/ccharness/cluster.go
@@ -0,0 +1,416 @@
+// Package ccharness runs whole systems of plain processes on loopback, for the demo and the proofs:
+// the stand-ins of the platform, entry processes and workers. It judges a session by the workers'
+// records and the callers' own, never by the counters of the product.
+package ccharness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"coriandercross/core/ccteam"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccnode"
+	"coriandercross/io/ccoperator"
+	"coriandercross/io/ccsettings"
+	"coriandercross/io/ccstandin"
+	"coriandercross/io/ccvmlist"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// ErrNotReady reports a system that did not come up in time.
+var ErrNotReady = errors.New("system did not become ready")
+
+// Config sets up a Cluster.
+type Config struct {
+	// Dir receives settings, logs and records.
+	Dir string
+	// Program and Standin are the built programs.
+	Program string
+	Standin string
+	// Entries and Workers are numbers of processes, spread over Domains.
+	Entries int
+	Workers int
+	// WorkersPerRack is the size of a rack.
+	WorkersPerRack int
+	Domains        []Domain
+	Capacity       ccwork.Size
+	// Settings alters the settings of an entry process; it may be nil.
+	Settings func(*ccsettings.Settings)
+	// CheckStarts makes the workers refuse stale starts.
+	CheckStarts bool
+	// VMListLagMs is the lag of the VM list.
+	VMListLagMs int64
+	Document    ccteam.Document
+}
+
+// Domain is a failure domain.
+type Domain struct {
+	Region string
+	Name   string
+}
+
+// Process is one plain process.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	// KilledAtMs is when the process was killed, in Unix milliseconds; 0 when it was not.
+	KilledAtMs int64
+}
+
+// Entry is an entry process with its addresses.
+type Entry struct {
+	*Process
+	Settings ccsettings.Settings
+	file     string
+}
+
+// Worker is a worker process with its record.
+type Worker struct {
+	*Process
+	VM     ccvmlist.VM
+	Record string
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	cfg     Config
+	Store   *Process
+	VMs     *Process
+	Entries []*Entry
+	Workers []*Worker
+
+	storeAddress string
+	vmsAddress   string
+}
+
+// Start starts every process. The caller must call Stop, also after an error.
+func Start(cfg Config) (*Cluster, error) {
+	c := &Cluster{cfg: cfg, storeAddress: freeAddress(), vmsAddress: freeAddress()}
+	c.plan()
+	if err := c.startPlatform(); err != nil {
+		return c, err
+	}
+	for _, w := range c.Workers {
+		if err := c.startWorker(w); err != nil {
+			return c, err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := c.StartEntry(e); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// freeAddress returns an address on loopback that was free a moment ago.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(fmt.Sprintf("no free port on loopback: %v", err))
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// plan lays out entries and workers over the failure domains.
+func (c *Cluster) plan() {
+	for i := range c.cfg.Entries {
+		c.Entries = append(c.Entries, c.NewEntry(fmt.Sprintf("entry-%d", i+1), c.cfg.Domains[i%len(c.cfg.Domains)]))
+	}
+	for i := range c.cfg.Workers {
+		d := c.cfg.Domains[i%len(c.cfg.Domains)]
+		id := fmt.Sprintf("worker-%02d", i+1)
+		rack := fmt.Sprintf("rack-%d", i/len(c.cfg.Domains)/c.cfg.WorkersPerRack+1)
+		c.Workers = append(c.Workers, &Worker{
+			Process: &Process{Name: id},
+			VM: ccvmlist.VM{
+				ID: id, Role: ccvmlist.Worker, Address: freeAddress(), Region: d.Region,
+				FailureDomain: d.Name, Rack: rack, Capacity: c.cfg.Capacity,
+			},
+			Record: filepath.Join(c.cfg.Dir, id+".record"),
+		})
+	}
+}
+
+// NewEntry plans an entry process on a new VM without starting it.
+func (c *Cluster) NewEntry(vm string, d Domain) *Entry {
+	s := ccsettings.Default()
+	s.VM = vm
+	s.Region = d.Region
+	s.FailureDomain = d.Name
+	s.Listen = ccsettings.Listen{Callers: freeAddress(), Fellows: freeAddress(), Operators: freeAddress()}
+	s.Store = c.storeAddress
+	s.VMList = c.vmsAddress
+	if c.cfg.Settings != nil {
+		c.cfg.Settings(&s)
+	}
+	return &Entry{Process: &Process{Name: vm}, Settings: s, file: filepath.Join(c.cfg.Dir, vm+".yaml")}
+}
+
+// List returns the VMs as the platform would list them now.
+func (c *Cluster) List() []ccvmlist.VM {
+	var out []ccvmlist.VM
+	for _, e := range c.Entries {
+		out = append(out, ccvmlist.VM{
+			ID: e.Settings.VM, Role: ccvmlist.Entry, Address: e.Settings.Listen.Fellows,
+			Region: e.Settings.Region, FailureDomain: e.Settings.FailureDomain,
+		})
+	}
+	for _, w := range c.Workers {
+		out = append(out, w.VM)
+	}
+	return out
+}
+
+// startPlatform starts the store and the VM list.
+func (c *Cluster) startPlatform() error {
+	data, err := json.Marshal(ccvmlist.List{VMs: c.List()})
+	if err != nil {
+		return errors.Wrap(err, "encoding the VM list")
+	}
+	file := filepath.Join(c.cfg.Dir, "vms.json")
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return errors.Wrap(err, "writing the VM list")
+	}
+	c.Store = &Process{Name: "store"}
+	if err := c.run(c.Store, c.cfg.Standin, "store", "--listen", c.storeAddress); err != nil {
+		return err
+	}
+	c.VMs = &Process{Name: "vms"}
+	return c.run(c.VMs, c.cfg.Standin, "vms", "--listen", c.vmsAddress, "--file", file, "--lag-ms", fmt.Sprint(c.cfg.VMListLagMs))
+}
+
+// startWorker starts a worker.
+func (c *Cluster) startWorker(w *Worker) error {
+	s := w.VM.Capacity
+	args := []string{
+		"worker", "--listen", w.VM.Address, "--id", w.VM.ID, "--record", w.Record,
+		"--milli-cores", fmt.Sprint(s.MilliCores), "--memory-mb", fmt.Sprint(s.MemoryMB), "--slots", fmt.Sprint(s.Slots),
+		"--connections", fmt.Sprint(s.Connections), "--accelerators", fmt.Sprint(s.Accelerators),
+	}
+	if c.cfg.CheckStarts {
+		args = append(args, "--check")
+	}
+	return c.run(w.Process, c.cfg.Standin, args...)
+}
+
+// StartEntry starts an entry process, for the first time or again.
+func (c *Cluster) StartEntry(e *Entry) error {
+	data, err := yaml.Marshal(e.Settings)
+	if err != nil {
+		return errors.Wrap(err, "encoding settings")
+	}
+	if err := os.WriteFile(e.file, data, 0o644); err != nil {
+		return errors.Wrap(err, "writing settings")
+	}
+	return c.run(e.Process, c.cfg.Program, "serve", e.file)
+}
+
+// run starts a process whose output goes to a log file.
+func (c *Cluster) run(p *Process, program string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(c.cfg.Dir, p.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "opening a log")
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "starting %s", p.Name)
+	}
+	p.cmd = cmd
+	p.log = log
+	p.KilledAtMs = 0
+	p.done = make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process, by its id.
+func (p *Process) Signal(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signalling %s", p.Name)
+}
+
+// Kill ends the process at once, and waits for its end.
+func (p *Process) Kill() {
+	if p.cmd == nil || p.Ended() {
+		return
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	p.KilledAtMs = time.Now().UnixMilli()
+	_ = p.log.Close()
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits for the process's own end, and returns its exit code, or -1 after a timeout.
+func (p *Process) Wait(timeout time.Duration) int {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(timeout):
+		return -1
+	}
+}
+
+// Stop kills every process.
+func (c *Cluster) Stop() {
+	for _, e := range c.Entries {
+		e.Kill()
+	}
+	for _, w := range c.Workers {
+		w.Kill()
+	}
+	for _, p := range []*Process{c.Store, c.VMs} {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
+
+// Eventually calls ready until it returns true. It fails with ErrNotReady after the timeout, which
+// only bounds a hang: no verdict rests on how fast the machine is.
+func Eventually(timeout time.Duration, what string, ready func() bool) error {
+	deadline := time.Now().Add(timeout)
+	for !ready() {
+		if time.Now().After(deadline) {
+			return errors.Wrap(ErrNotReady, what)
+		}
+		time.Sleep(eventuallyPoll)
+	}
+	return nil
+}
+
+const eventuallyPoll = 50 * time.Millisecond
+
+// Ready waits until the processes own all workers between them, and applies the configuration.
+func (c *Cluster) Ready(timeout time.Duration) error {
+	if err := c.apply(timeout); err != nil {
+		return err
+	}
+	return Eventually(timeout, "workers have no ready owner", func() bool { return c.readyWorkers() == len(c.Workers) })
+}
+
+// apply puts the configuration in force.
+func (c *Cluster) apply(timeout time.Duration) error {
+	body := &ccoperator.ApplyBody{By: "harness", Document: c.cfg.Document}
+	return Eventually(timeout, "configuration was not accepted", func() bool {
+		_, err := c.Operator(0).Apply(body)
+		return err == nil || c.revision() > 0
+	})
+}
+
+// revision returns the revision in force at the first process.
+func (c *Cluster) revision() uint64 {
+	reply, _ := c.Operator(0).Config()
+	return reply.Revision
+}
+
+// Operator returns an operators' client of an entry process.
+func (c *Cluster) Operator(i int) *ccoperator.Client {
+	return ccoperator.NewClient(c.Entries[i].Settings.Listen.Operators)
+}
+
+// Dumps returns the state of every entry process that answers.
+func (c *Cluster) Dumps() []ccnode.Dump {
+	var out []ccnode.Dump
+	for i, e := range c.Entries {
+		if e.cmd == nil || e.Ended() {
+			continue
+		}
+		if d, err := c.Operator(i).Dump(); err == nil {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// readyWorkers returns the number of workers that some process may start tasks on, and whose
+// configuration is in force.
+func (c *Cluster) readyWorkers() int {
+	n := 0
+	for _, d := range c.Dumps() {
+		if d.Revision == 0 {
+			return 0
+		}
+		for _, w := range d.Workers {
+			if w.Ready && !w.Unreachable {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// SetStoreFaults replaces the faults of the store.
+func (c *Cluster) SetStoreFaults(f ccstandin.StoreFaults) error {
+	return put("http://"+c.storeAddress+"/faults", f)
+}
+
+// SetWorkerFaults replaces the faults of a worker.
+func (c *Cluster) SetWorkerFaults(w *Worker, f ccstandin.WorkerFaults) error {
+	return put("http://"+w.VM.Address+"/faults", f)
+}
+
+// SetVMs replaces the list of VMs; it shows after the lag.
+func (c *Cluster) SetVMs(vms []ccvmlist.VM) error {
+	return put("http://"+c.vmsAddress+ccvmlist.Path, ccvmlist.List{VMs: vms})
+}
+
+// StoreCounts returns the calls that the store has counted.
+func (c *Cluster) StoreCounts() (ccstandin.StoreCounts, error) {
+	var out ccstandin.StoreCounts
+	resp, err := http.Get("http://" + c.storeAddress + "/counts")
+	if err != nil {
+		return out, errors.Wrap(err, "reading the counts")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "decoding the counts")
+}
+
+// put sends a JSON body.
+func put(url string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encoding a body")
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "building a request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "sending a request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status %d from %s", resp.StatusCode, url)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cchttp/reply.go
@@ -0,0 +1,173 @@
+// Package cchttp holds what the HTTP interfaces share: typed handlers, and errors in one format.
+package cchttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"coriandercross/core/ccjob"
+	"coriandercross/core/ccteam"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBadRequest reports a request that breaks the interface's rules.
+var ErrBadRequest = errors.New("request is malformed")
+
+// ErrTooLarge reports a body over its limit.
+var ErrTooLarge = errors.New("body is over its limit")
+
+// Error is the body of every reply that is not a success.
+type Error struct {
+	// Error names the error; names are stable.
+	Error string
+	// Message is for people.
+	Message string
+	// Outcome says whether the work may have run.
+	Outcome ccwork.Outcome
+	// RetryAfterMs is the time after which a retry can help; 0 when none will.
+	RetryAfterMs int64 `json:",omitempty"`
+}
+
+// rule maps an error to its reply.
+type rule struct {
+	err          error
+	name         string
+	status       int
+	outcome      ccwork.Outcome
+	retryAfterMs int64
+}
+
+const (
+	retrySoonMs  = 200
+	retryLaterMs = 1_000
+)
+
+// rules are searched in order. An error in doubt goes before the ones it wraps.
+var rules = []rule{
+	{ccstore.ErrInDoubt, "InDoubt", http.StatusGatewayTimeout, ccwork.Unknown, retryLaterMs},
+	{ErrBadRequest, "BadRequest", http.StatusBadRequest, ccwork.NotRun, 0},
+	{ErrTooLarge, "TooLarge", http.StatusRequestEntityTooLarge, ccwork.NotRun, 0},
+	{ccjob.ErrBadJob, "BadJob", http.StatusBadRequest, ccwork.NotRun, 0},
+	{ccjob.ErrDifferent, "Different", http.StatusConflict, ccwork.NotRun, 0},
+	{ccjob.ErrNoJob, "NoJob", http.StatusNotFound, ccwork.NotRun, 0},
+	{ccteam.ErrInvalid, "Invalid", http.StatusUnprocessableEntity, ccwork.NotRun, 0},
+	{ccteam.ErrConflict, "Conflict", http.StatusConflict, ccwork.NotRun, 0},
+	{ccwork.ErrUnknownKind, "UnknownKind", http.StatusNotFound, ccwork.NotRun, 0},
+	{ccwork.ErrImpossible, "Impossible", http.StatusUnprocessableEntity, ccwork.NotRun, 0},
+	{ccwork.ErrQuota, "Quota", http.StatusTooManyRequests, ccwork.NotRun, retryLaterMs},
+	{ccwork.ErrOverload, "Overload", http.StatusTooManyRequests, ccwork.NotRun, retryLaterMs},
+	{ccwork.ErrDeadline, "Deadline", http.StatusServiceUnavailable, ccwork.NotRun, retryLaterMs},
+	{ccwork.ErrDraining, "Draining", http.StatusServiceUnavailable, ccwork.NotRun, retrySoonMs},
+	{ccstore.ErrTooLarge, "Store", http.StatusServiceUnavailable, ccwork.NotRun, retryLaterMs},
+	{ccstore.ErrUnavailable, "Store", http.StatusServiceUnavailable, ccwork.NotRun, retryLaterMs},
+}
+
+// Fail writes an error.
+func Fail(w http.ResponseWriter, err error) {
+	for _, r := range rules {
+		if errors.Is(err, r.err) {
+			write(w, r.status, Error{Error: r.name, Message: err.Error(), Outcome: r.outcome, RetryAfterMs: r.retryAfterMs})
+			return
+		}
+	}
+	name := ccwork.ReasonOf(err)
+	write(w, http.StatusServiceUnavailable, Error{Error: name, Message: err.Error(), Outcome: ccwork.NotRun, RetryAfterMs: retryLaterMs})
+}
+
+// FailResult writes the outcome of a request that has no answer.
+func FailResult(w http.ResponseWriter, r ccwork.Result) {
+	e := Error{Error: r.Reason, Outcome: r.Outcome, RetryAfterMs: r.RetryAfterMs}
+	reason := ccwork.ErrorOf(r.Reason)
+	status := http.StatusServiceUnavailable
+	for _, rule := range rules {
+		if reason != nil && errors.Is(reason, rule.err) {
+			status = rule.status
+			e.RetryAfterMs = rule.retryAfterMs
+		}
+	}
+	if reason != nil {
+		e.Message = reason.Error()
+	}
+	if e.RetryAfterMs == 0 && status == http.StatusServiceUnavailable {
+		e.RetryAfterMs = retrySoonMs
+	}
+	if r.Outcome == ccwork.Unknown {
+		status = http.StatusGatewayTimeout
+		e.RetryAfterMs = max(r.RetryAfterMs, retryLaterMs)
+	}
+	write(w, status, e)
+}
+
+// write writes an error with its headers.
+func write(w http.ResponseWriter, status int, e Error) {
+	w.Header().Set("Outcome", string(e.Outcome))
+	if e.RetryAfterMs > 0 {
+		const msPerSecond = 1_000
+		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMs+msPerSecond-1)/msPerSecond, 10))
+	}
+	JSON(w, status, e)
+}
+
+// JSON writes a value as the whole reply.
+func JSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	// The status is out already; a caller that has gone can't be told of a failure.
+	_ = enc.Encode(v)
+}
+
+// Checker is a request body that checks itself.
+type Checker interface {
+	Check() error
+}
+
+// Handle turns a typed function into a handler that decodes a strict JSON body of at most limit
+// bytes and encodes the reply.
+func Handle[In Checker, Out any](limit int64, newIn func() In, f func(r *http.Request, in In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		in := newIn()
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(in); err != nil {
+			Fail(w, bodyError(err))
+			return
+		}
+		if err := in.Check(); err != nil {
+			Fail(w, err)
+			return
+		}
+		reply(w, r, in, f)
+	}
+}
+
+// Get turns a typed function into a handler without a body.
+func Get[Out any](f func(r *http.Request) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		reply(w, r, struct{}{}, func(r *http.Request, _ struct{}) (Out, error) { return f(r) })
+	}
+}
+
+// reply calls a typed function and writes what it returns.
+func reply[In, Out any](w http.ResponseWriter, r *http.Request, in In, f func(*http.Request, In) (Out, error)) {
+	out, err := f(r, in)
+	if err != nil {
+		Fail(w, err)
+		return
+	}
+	JSON(w, http.StatusOK, out)
+}
+
+// bodyError names the fault of a body that can't be decoded.
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errors.Wrapf(ErrTooLarge, "limit is %d bytes", tooLarge.Limit)
+	}
+	return errors.Mark(errors.Wrap(err, "decoding the body"), ErrBadRequest)
+}
--- /dev/null
+++ b/io/ccnode/configuration.go
@@ -0,0 +1,271 @@
+package ccnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccteam"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ConfigKey is the key of the store that holds the configuration.
+const ConfigKey = "Config"
+
+// maxHistory bounds the edits that are remembered.
+const maxHistory = 20
+
+// Edit is one accepted change of the configuration.
+type Edit struct {
+	Revision uint64
+	// At is in Unix milliseconds of the accepting process's wall clock.
+	At int64
+	By string
+	// Token is unique to the edit; it tells whose write took effect when a reply was lost.
+	Token    string
+	Document ccteam.Document
+}
+
+// StoredConfig is the configuration as the store keeps it, the newest edit last.
+type StoredConfig struct {
+	Edits []Edit
+}
+
+// Newest returns the edit in force, and false when there is none.
+func (s *StoredConfig) Newest() (Edit, bool) {
+	if len(s.Edits) == 0 {
+		return Edit{}, false
+	}
+	return s.Edits[len(s.Edits)-1], true
+}
+
+// observeConfig takes in the store's configuration.
+func (n *Node) observeConfig(v ccstore.Value, _ ccclock.Millis) {
+	var stored StoredConfig
+	if err := ccstore.Decode(v, &stored); err != nil {
+		n.cfg.Log.Error("configuration in the store can't be used", "Err", err)
+		return
+	}
+	if e, ok := stored.Newest(); ok {
+		_ = n.post(func() { n.adoptConfig(e.Revision, e.Document, "store") })
+	}
+}
+
+// adoptConfig puts a configuration in force, unless an equal or newer one is. It belongs to the
+// control loop.
+func (n *Node) adoptConfig(revision uint64, doc ccteam.Document, from string) {
+	if revision <= n.c.revision {
+		return
+	}
+	n.c.revision = revision
+	n.c.doc = &doc
+	n.cfg.Metrics.configRevision.Set(float64(revision))
+	n.cfg.Log.Info("configuration in force", "Revision", revision, "From", from)
+}
+
+// fetchConfig asks a fellow that tells a newer revision for it. It belongs to the control loop and
+// does not block.
+func (n *Node) fetchConfig(ctx context.Context) {
+	if n.c.fetching {
+		return
+	}
+	for _, m := range n.c.members.Alive(n.now()) {
+		if m.Digest.Revision <= n.c.revision {
+			continue
+		}
+		n.c.fetching = true
+		in := &ccfellow.ConfigRequest{Above: n.c.revision}
+		go func() {
+			reply, err := n.cfg.Fellows.Config(context.WithoutCancel(ctx), m.Address, in)
+			_ = n.post(func() {
+				n.c.fetching = false
+				if err == nil && reply.Revision > 0 {
+					n.adoptConfig(reply.Revision, reply.Document, m.ID)
+				}
+			})
+		}()
+		return
+	}
+}
+
+// Config implements ccfellow.Handler.
+func (n *Node) Config(_ context.Context, in *ccfellow.ConfigRequest) (*ccfellow.ConfigReply, error) {
+	out := &ccfellow.ConfigReply{}
+	err := n.do(func() {
+		if n.c.revision > in.Above {
+			out.Revision = n.c.revision
+			out.Document = *n.c.doc
+		}
+	})
+	return out, err
+}
+
+// Configuration returns the configuration in force here; revision 0 means none.
+func (n *Node) Configuration() (doc ccteam.Document, revision uint64) {
+	_ = n.do(func() {
+		revision = n.c.revision
+		if n.c.doc != nil {
+			doc = *n.c.doc
+		}
+	})
+	return doc, revision
+}
+
+// History returns the last edits from the store, the newest last. It blocks on the store and fails
+// with ccstore.ErrUnavailable.
+func (n *Node) History(ctx context.Context) ([]Edit, error) {
+	_, stored, err := n.readConfig(ctx)
+	return stored.Edits, err
+}
+
+// readConfig reads the configuration from the store.
+func (n *Node) readConfig(ctx context.Context) (ccstore.Value, StoredConfig, error) {
+	var stored StoredConfig
+	v, err := n.cfg.Store.Get(ctx, ConfigKey)
+	if err != nil {
+		return v, stored, err
+	}
+	return v, stored, ccstore.Decode(v, &stored)
+}
+
+// applyTries bounds the writes of one edit.
+const applyTries = 4
+
+// Apply accepts an edit that was made on a base revision. It returns the new revision once the store
+// has it. It blocks on the store and fails with ccteam.ErrInvalid, ccteam.ErrConflict,
+// ccstore.ErrUnavailable, or ccstore.ErrInDoubt when the edit may take effect.
+func (n *Node) Apply(ctx context.Context, doc ccteam.Document, base uint64, by string) (uint64, error) {
+	if faults := doc.Check(); len(faults) > 0 {
+		return 0, errors.Wrapf(ccteam.ErrInvalid, "%v", faults)
+	}
+	token := n.nextClaim()
+	doubt := false
+	var err error
+	for range applyTries {
+		var revision uint64
+		revision, err = n.tryApply(ctx, doc, base, by, token)
+		switch {
+		case err == nil:
+			_ = n.do(func() { n.adoptConfig(revision, doc, "operator") })
+			return revision, nil
+		case errors.Is(err, ccteam.ErrConflict):
+			return 0, err
+		case errors.Is(err, ccstore.ErrInDoubt):
+			doubt = true
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Mark(err, ccstore.ErrInDoubt)
+		case <-time.After(applyDelay):
+		}
+	}
+	if doubt {
+		err = errors.Mark(err, ccstore.ErrInDoubt)
+	}
+	return 0, err
+}
+
+// applyDelay is the wait between two writes of one edit.
+const applyDelay = 200 * time.Millisecond
+
+// tryApply writes an edit once, unless it finds it written already.
+func (n *Node) tryApply(ctx context.Context, doc ccteam.Document, base uint64, by, token string) (uint64, error) {
+	v, stored, err := n.readConfig(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range stored.Edits {
+		if e.Token == token {
+			return e.Revision, nil
+		}
+	}
+	newest, _ := stored.Newest()
+	if newest.Revision != base {
+		return 0, errors.Wrapf(ccteam.ErrConflict, "the edit was made on revision %d, in force is %d by %s", base, newest.Revision, newest.By)
+	}
+	e := Edit{Revision: base + 1, At: time.Now().UnixMilli(), By: by, Token: token, Document: doc}
+	stored.Edits = append(stored.Edits, e)
+	if len(stored.Edits) > maxHistory {
+		stored.Edits = stored.Edits[len(stored.Edits)-maxHistory:]
+	}
+	data, err := json.Marshal(&stored)
+	if err != nil {
+		return 0, errors.Wrap(err, "encoding the configuration")
+	}
+	_, err = n.cfg.Store.Put(ctx, ConfigKey, ccstore.Value{Version: v.Version, Data: data})
+	if errors.Is(err, ccstore.ErrConflict) {
+		// Somebody wrote in between: the next try finds out whether it was another edit.
+		return 0, errors.Mark(err, ccstore.ErrUnavailable)
+	}
+	return e.Revision, err
+}
+
+// MemberRevision is the configuration in force at one process.
+type MemberRevision struct {
+	ID       string
+	Revision uint64
+}
+
+// Revisions returns the revision in force at each living process, as known here.
+func (n *Node) Revisions() []MemberRevision {
+	var out []MemberRevision
+	_ = n.do(func() {
+		for _, m := range n.owners(n.now()) {
+			out = append(out, MemberRevision{ID: m.ID, Revision: m.Digest.Revision})
+		}
+	})
+	return out
+}
+
+// overQuota reports whether a team's tasks would use more than this process's share of its quota,
+// which is as large as its share of the slots. It belongs to the control loop.
+func (n *Node) overQuota(team string, size ccwork.Size, now ccclock.Millis) bool {
+	if n.c.doc == nil {
+		return true
+	}
+	quota := n.c.doc.LimitsOf(team).Quota
+	if quota == (ccwork.Size{}) {
+		return false
+	}
+	own, all := int64(0), int64(0)
+	for _, m := range n.owners(now) {
+		all += m.Digest.Slots
+		if m.ID == n.id {
+			own = m.Digest.Slots
+		}
+	}
+	want := n.c.pool.Used(team).Plus(size)
+	return overShare(want.MilliCores, quota.MilliCores, own, all) ||
+		overShare(want.MemoryMB, quota.MemoryMB, own, all) ||
+		overShare(want.Accelerators, quota.Accelerators, own, all) ||
+		overShare(want.Slots, quota.Slots, own, all)
+}
+
+// overShare reports whether want is over own/all of a quota; a quota of 0 is unbounded.
+func overShare(want, quota, own, all int64) bool {
+	return quota > 0 && want*all > quota*own
+}
+
+// impossible names the resource of which no listed worker of the region has enough, or returns "".
+// It belongs to the control loop.
+func (n *Node) impossible(size ccwork.Size) string {
+	var largest ccwork.Size
+	for i := range n.c.vms {
+		if n.c.vms[i].Region == n.cfg.Region {
+			largest = largest.Max(n.c.vms[i].Capacity)
+		}
+	}
+	if largest == (ccwork.Size{}) {
+		return ""
+	}
+	if part := size.TooLarge(largest); part != "" {
+		return fmt.Sprintf("%s: the largest worker has %+v", part, largest)
+	}
+	return ""
+}
--- /dev/null
+++ b/io/ccnode/drain.go
@@ -0,0 +1,75 @@
+package ccnode
+
+import (
+	"context"
+	"time"
+)
+
+// drainPoll is the time between two looks at what is left.
+const drainPoll = 50 * time.Millisecond
+
+// Drain is a planned stop: the process takes no new work, hands over its shards and finishes the
+// requests in progress. It blocks until nothing is left or the drain limit has passed, and returns
+// how many requests were left.
+func (n *Node) Drain(ctx context.Context) int64 {
+	_ = n.do(func() { n.c.draining = true })
+	n.cfg.Log.Info("draining", "InFlight", n.inFlight.Load())
+	// The last round of gossip tells the others at once, so that they stop sending.
+	n.gossip(ctx)
+	deadline := time.After(time.Duration(n.cfg.Timing.DrainMs) * time.Millisecond)
+	for {
+		select {
+		case <-ctx.Done():
+			return n.inFlight.Load()
+		case <-deadline:
+			left := n.inFlight.Load()
+			n.cfg.Log.Warn("drain limit passed", "InFlight", left, "Shards", n.heldShards())
+			return left
+		case <-time.After(drainPoll):
+		}
+		if n.inFlight.Load() == 0 && (n.heldShards() == 0 || n.alone()) {
+			n.cfg.Log.Info("drained")
+			return 0
+		}
+	}
+}
+
+// heldShards returns the number of shards whose record names this process.
+func (n *Node) heldShards() int {
+	held := 0
+	_ = n.do(func() { held = len(n.c.keeper.Owned()) })
+	return held
+}
+
+// alone reports whether no other process of the region could take over.
+func (n *Node) alone() bool {
+	others := 0
+	_ = n.do(func() {
+		for _, c := range n.candidates(n.now()) {
+			if !c.Leaving {
+				others++
+			}
+		}
+	})
+	return others == 0
+}
+
+// Ready reports whether the balancer should send new work: the process has a configuration, knows
+// an owner of workers, and does not drain.
+func (n *Node) Ready() bool {
+	ready := false
+	_ = n.do(func() {
+		if n.c.draining || n.c.doc == nil {
+			return
+		}
+		for _, m := range n.owners(n.now()) {
+			ready = ready || m.Digest.Slots > 0
+		}
+	})
+	return ready
+}
+
+// InFlight returns the number of requests without an answer.
+func (n *Node) InFlight() int64 {
+	return n.inFlight.Load()
+}
--- /dev/null
+++ b/io/ccnode/gossip.go
@@ -0,0 +1,134 @@
+package ccnode
+
+import (
+	"context"
+	"slices"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccmember"
+	"coriandercross/core/ccshard"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccvmlist"
+)
+
+// gossipCall is one message of a round.
+type gossipCall struct {
+	address string
+	// heir is the ID of the fellow when promises are asked of it.
+	heir string
+	in   *ccfellow.Gossip
+	sent ccclock.Millis
+}
+
+// gossip does one round: liveness and load to some fellows, and asks to each heir.
+func (n *Node) gossip(ctx context.Context) {
+	var calls []gossipCall
+	if n.do(func() { calls = n.gossipCalls() }) != nil {
+		return
+	}
+	for _, call := range calls {
+		go n.gossipWith(ctx, call)
+	}
+}
+
+// gossipCalls builds the messages of a round. It belongs to the control loop.
+func (n *Node) gossipCalls() []gossipCall {
+	now := n.now()
+	n.c.members.Advance(n.digest(now))
+	entries := n.c.members.Entries(now)
+	asks := n.c.keeper.Asks()
+	heirs := make([]string, 0, len(asks))
+	for heir := range asks {
+		heirs = append(heirs, heir)
+	}
+	var calls []gossipCall
+	for _, m := range n.c.members.Targets(heirs, now) {
+		in := &ccfellow.Gossip{From: n.id, Entries: entries, Claims: asks[m.ID]}
+		calls = append(calls, gossipCall{address: m.Address, heir: m.ID, in: in, sent: now})
+		delete(asks, m.ID)
+	}
+	// An heir under suspicion is asked all the same: it may be alive and silent to others.
+	for heir, claims := range asks {
+		if m, ok := n.c.members.Lookup(heir); ok {
+			in := &ccfellow.Gossip{From: n.id, Entries: entries, Claims: claims}
+			calls = append(calls, gossipCall{address: m.Address, heir: heir, in: in, sent: now})
+		}
+	}
+	return append(calls, n.introductions(entries, now)...)
+}
+
+// introductions are messages to fellows that are listed but unknown, one in each round. It belongs
+// to the control loop.
+func (n *Node) introductions(entries []ccmember.Member, now ccclock.Millis) []gossipCall {
+	known := []string{n.cfg.FellowAddress}
+	for _, m := range n.c.members.Alive(now) {
+		known = append(known, m.Address)
+	}
+	var strangers []string
+	for _, address := range append(n.listedFellows(), n.cfg.Seeds...) {
+		if !slices.Contains(known, address) && !slices.Contains(strangers, address) {
+			strangers = append(strangers, address)
+		}
+	}
+	if len(strangers) == 0 {
+		return nil
+	}
+	address := strangers[n.c.rand.IntN(len(strangers))]
+	return []gossipCall{{address: address, in: &ccfellow.Gossip{From: n.id, Entries: entries}, sent: now}}
+}
+
+// listedFellows returns the addresses of the entry VMs on the VM list. It belongs to the control loop.
+func (n *Node) listedFellows() []string {
+	var out []string
+	for _, vm := range n.c.vms {
+		if vm.Role == ccvmlist.Entry && vm.ID != n.cfg.VM {
+			out = append(out, vm.Address)
+		}
+	}
+	return out
+}
+
+// gossipWith sends one message and takes in the reply.
+func (n *Node) gossipWith(ctx context.Context, call gossipCall) {
+	reply, err := n.cfg.Fellows.Gossip(ctx, call.address, call.in)
+	if err != nil {
+		n.cfg.Log.Debug("no answer to gossip", "Address", call.address, "Err", err)
+		return
+	}
+	_ = n.post(func() {
+		n.c.members.Merge(reply.Entries, n.now())
+		// The reply may come from a newer process at the heir's address; its grants are its own.
+		n.c.keeper.Promised(reply.From, reply.Claims, call.sent)
+		n.fetchConfig(ctx)
+	})
+}
+
+// Gossip implements ccfellow.Handler.
+func (n *Node) Gossip(ctx context.Context, in *ccfellow.Gossip) (*ccfellow.Gossip, error) {
+	out := &ccfellow.Gossip{From: n.id}
+	err := n.do(func() {
+		now := n.now()
+		n.c.members.Merge(in.Entries, now)
+		out.Entries = n.replyEntries(in.Entries, now)
+		out.Claims = n.grantClaims(in.From, in.Claims, now)
+		n.fetchConfig(ctx)
+	})
+	return out, err
+}
+
+// grantClaims promises not to take over shards. A draining process promises too: it takes nothing.
+func (n *Node) grantClaims(owner string, asks []ccshard.Claim, now ccclock.Millis) []ccshard.Claim {
+	return n.c.keeper.Grant(owner, asks, now)
+}
+
+// replyEntries returns this process and the members of which it knows a newer round than the sender.
+func (n *Node) replyEntries(theirs []ccmember.Member, now ccclock.Millis) []ccmember.Member {
+	rounds := map[string]uint64{}
+	for _, m := range theirs {
+		rounds[m.ID] = m.Round
+	}
+	return slices.DeleteFunc(n.c.members.Entries(now), func(m ccmember.Member) bool {
+		round, ok := rounds[m.ID]
+		return ok && round >= m.Round
+	})
+}
--- /dev/null
+++ b/io/ccnode/jobs.go
@@ -0,0 +1,153 @@
+package ccnode
+
+import (
+	"context"
+	"time"
+
+	"coriandercross/core/ccjob"
+	"coriandercross/core/ccmember"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// JobRequest is a job as its caller sends it.
+type JobRequest struct {
+	ID       string
+	Team     string
+	Kind     string
+	Payloads [][]byte
+}
+
+// SubmitJob accepts a job: once it returns without error the job is in the store and will not be
+// lost. A repeat of the same ID returns the first job. It blocks on the store and fails with
+// ccwork.ErrUnknownKind, ccwork.ErrImpossible, ccjob.ErrBadJob, ccjob.ErrDifferent,
+// ccwork.ErrDraining, ccstore.ErrUnavailable, or ccstore.ErrInDoubt when the job may be accepted.
+func (n *Node) SubmitJob(ctx context.Context, req JobRequest) (*ccjob.Job, error) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	job, err := n.buildJob(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := job.Check(); err != nil {
+		return nil, err
+	}
+	name := n.bucketOf(job.Key())
+	var out ccjob.Job
+	err = n.jobs.Do(ctx, n.jobKey(name), func(b *ccjob.Book) error {
+		stored, err := b.Submit(job)
+		if err == nil {
+			out = *stored
+		}
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.cfg.Metrics.jobsAccepted.WithLabelValues(req.Team, req.Kind).Inc()
+	n.cfg.Log.Info("job accepted", "Team", req.Team, "Kind", req.Kind, "Job", req.ID, "Tasks", len(req.Payloads), "Bucket", name)
+	n.pokeOwner(name)
+	return &out, nil
+}
+
+// buildJob looks up the policy of a job.
+func (n *Node) buildJob(req JobRequest) (*ccjob.Job, error) {
+	j := &ccjob.Job{ID: req.ID, Team: req.Team, Kind: req.Kind, State: ccjob.Accepted, AcceptedAt: time.Now().UnixMilli()}
+	var refusal error
+	err := n.do(func() { refusal = n.fillJob(j) })
+	if err != nil {
+		return nil, ccwork.ErrDraining
+	}
+	for _, p := range req.Payloads {
+		j.Tasks = append(j.Tasks, ccjob.Task{Payload: p})
+	}
+	return j, refusal
+}
+
+// fillJob puts a kind's policy into a job. It belongs to the control loop.
+func (n *Node) fillJob(j *ccjob.Job) error {
+	if n.c.doc == nil {
+		return errors.Mark(errors.New("no configuration is known yet"), ccwork.ErrNoOwner)
+	}
+	kind, err := n.c.doc.Kind(j.Team, j.Kind)
+	if err != nil {
+		return err
+	}
+	if kind.Class == ccwork.Interactive {
+		return errors.Wrapf(ccwork.ErrUnknownKind, "kind %q is sent as a request", j.Kind)
+	}
+	if part := n.impossible(kind.Size); part != "" {
+		return errors.Wrap(ccwork.ErrImpossible, part)
+	}
+	j.Class = kind.Class
+	j.Size = kind.Size
+	j.Long = kind.Long || kind.Class == ccwork.Service
+	j.Urgency = kind.Urgency
+	j.MaxFailures = kind.MaxFailures
+	return nil
+}
+
+// pokeOwner tells the owner of a bucket that its record changed. A lost message costs only time.
+func (n *Node) pokeOwner(name string) {
+	_ = n.post(func() {
+		owner := n.c.keeper.Record(name).Owner
+		if owner == n.id {
+			n.pokeHere(name)
+			return
+		}
+		m, ok := n.c.members.Lookup(owner)
+		if !ok {
+			return
+		}
+		go n.poke(m, name)
+	})
+}
+
+// poke sends one poke.
+func (n *Node) poke(m ccmember.Member, name string) {
+	if err := n.cfg.Fellows.Poke(context.Background(), m.Address, &ccfellow.Poke{Bucket: name}); err != nil {
+		n.cfg.Log.Debug("owner of the jobs not told", "Bucket", name, "Owner", m.ID, "Err", err)
+	}
+}
+
+// Job returns a job as the store has it. It blocks on the store and fails with ccjob.ErrNoJob or
+// ccstore.ErrUnavailable.
+func (n *Node) Job(ctx context.Context, team, id string) (*ccjob.Job, error) {
+	key := ccjob.Key(team, id)
+	v, err := n.cfg.Store.Get(ctx, n.jobKey(n.bucketOf(key)))
+	if err != nil {
+		return nil, err
+	}
+	var book ccjob.Book
+	if err := ccstore.Decode(v, &book); err != nil {
+		return nil, err
+	}
+	j := book.Jobs[key]
+	if j == nil {
+		return nil, errors.Wrapf(ccjob.ErrNoJob, "%q", id)
+	}
+	return j, nil
+}
+
+// CancelJob withdraws a job: once it returns without error nothing more of it will be started,
+// and what runs is stopped. It blocks on the store and fails with ccjob.ErrNoJob or the store's errors.
+func (n *Node) CancelJob(ctx context.Context, team, id string) (*ccjob.Job, error) {
+	key := ccjob.Key(team, id)
+	name := n.bucketOf(key)
+	var out ccjob.Job
+	err := n.jobs.Do(ctx, n.jobKey(name), func(b *ccjob.Book) error {
+		j, err := b.Cancel(key, time.Now().UnixMilli())
+		if err == nil {
+			out = *j
+		}
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.pokeOwner(name)
+	return &out, nil
+}
--- /dev/null
+++ b/io/ccnode/metrics.go
@@ -0,0 +1,104 @@
+package ccnode
+
+import (
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are what a process tells of itself. Names end in their units.
+type Metrics struct {
+	requests         *prometheus.CounterVec
+	requestSeconds   *prometheus.HistogramVec
+	waitSeconds      *prometheus.HistogramVec
+	retries          *prometheus.CounterVec
+	crossRegionBytes *prometheus.CounterVec
+	jobsAccepted     *prometheus.CounterVec
+	storeCalls       *prometheus.CounterVec
+	fellowBytes      *prometheus.CounterVec
+	configRevision   prometheus.Gauge
+	waiting          prometheus.Gauge
+	workers          prometheus.Gauge
+	slots            prometheus.Gauge
+	freeSlots        prometheus.Gauge
+	shards           prometheus.Gauge
+	members          prometheus.Gauge
+}
+
+const namespace = "coriandercross"
+
+// waitBuckets span from the fastest start to beyond the urgent deadline, in seconds.
+var waitBuckets = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2.3, 5, 10, 30}
+
+// NewMetrics registers the metrics of a process.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+		reg.MustRegister(v)
+		return v
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+		reg.MustRegister(g)
+		return g
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: waitBuckets}, labels)
+		reg.MustRegister(v)
+		return v
+	}
+	return &Metrics{
+		requests:         counter("requests_total", "Requests by outcome.", "team", "kind", "outcome", "reason"),
+		requestSeconds:   histogram("request_seconds", "Time from arrival to answer.", "team", "kind"),
+		waitSeconds:      histogram("wait_seconds", "Time in the owner's queue.", "team", "kind"),
+		retries:          counter("retries_total", "Second and later tries.", "team"),
+		crossRegionBytes: counter("cross_region_bytes_total", "Bytes of bodies sent to another region.", "team"),
+		jobsAccepted:     counter("jobs_accepted_total", "Jobs accepted.", "team", "kind"),
+		storeCalls:       counter("store_calls_total", "Calls to the store by kind and success.", "call", "ok"),
+		fellowBytes:      counter("fellow_bytes_total", "Bytes to and from fellows.", "purpose"),
+		configRevision:   gauge("config_revision", "Revision of the configuration in force."),
+		waiting:          gauge("waiting_requests", "Requests in the queue."),
+		workers:          gauge("owned_workers", "Workers owned."),
+		slots:            gauge("usable_slots", "Slots of the usable workers owned."),
+		freeSlots:        gauge("free_slots", "Free slots of the usable workers owned."),
+		shards:           gauge("owned_shards", "Shards whose record names this process."),
+		members:          gauge("living_members", "Living processes known, this one included."),
+	}
+}
+
+// request counts the end of a request.
+func (m *Metrics) request(team, kind string, r ccwork.Result, took ccclock.Millis) {
+	m.requests.WithLabelValues(team, kind, string(r.Outcome), r.Reason).Inc()
+	m.requestSeconds.WithLabelValues(team, kind).Observe(took.Duration().Seconds())
+}
+
+// StoreCall counts a call to the store; it fits ccstore.Config.
+func (m *Metrics) StoreCall(kind string, err error) {
+	ok := "true"
+	if err != nil {
+		ok = "false"
+	}
+	m.storeCalls.WithLabelValues(kind, ok).Inc()
+}
+
+// FellowBytes counts bytes to and from fellows; it fits ccfellow.ClientConfig.
+func (m *Metrics) FellowBytes(_ string, control bool, n int) {
+	purpose := "traffic"
+	if control {
+		purpose = "control"
+	}
+	m.fellowBytes.WithLabelValues(purpose).Add(float64(n))
+}
+
+// observeMetrics sets the gauges. It belongs to the control loop.
+func (n *Node) observeMetrics(now ccclock.Millis) {
+	room := n.c.pool.Room(now)
+	m := n.cfg.Metrics
+	m.waiting.Set(float64(n.c.queue.Len()))
+	m.workers.Set(float64(len(n.c.pool.Workers())))
+	m.slots.Set(float64(room.Total.Slots))
+	m.freeSlots.Set(float64(room.Free.Slots))
+	m.shards.Set(float64(len(n.c.keeper.Owned())))
+	m.members.Set(float64(len(n.c.members.Alive(now)) + 1))
+}
--- /dev/null
+++ b/io/ccnode/node.go
@@ -0,0 +1,265 @@
+// Package ccnode is the process of an entry VM: it joins the decisions of the core with the peers.
+// One goroutine, the control loop, owns all state that decisions rest on; other goroutines carry
+// traffic and hand their news to it.
+package ccnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccintent"
+	"coriandercross/core/ccjob"
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccmember"
+	"coriandercross/core/ccqueue"
+	"coriandercross/core/ccretry"
+	"coriandercross/core/ccroute"
+	"coriandercross/core/ccshard"
+	"coriandercross/core/ccteam"
+	"coriandercross/io/ccstore"
+	"coriandercross/io/ccvmlist"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Node is one process of the system.
+type Node struct {
+	cfg     Config
+	id      string
+	calls   chan func()
+	stopped chan struct{}
+	jobs    *ccstore.Batcher[ccjob.Book]
+	intents *ccstore.Batcher[ccintent.Book]
+	// inFlight counts the requests of callers and fellows that have no answer yet.
+	inFlight atomic.Int64
+	claimSeq atomic.Int64
+	wg       sync.WaitGroup
+
+	// c belongs to the control loop.
+	c control
+}
+
+// control is the state owned by the control loop.
+type control struct {
+	keeper   *ccshard.Keeper
+	members  *ccmember.Table
+	pool     *ccledger.Pool
+	queue    *ccqueue.Queue
+	router   *ccroute.Router
+	budget   *ccretry.Budget
+	rand     *rand.Rand
+	doc      *ccteam.Document
+	revision uint64
+	// vms is the newest list; listedAt is when each VM was last on one.
+	vms      []ccvmlist.VM
+	vmsRead  bool
+	listedAt map[string]ccclock.Millis
+	syncing  map[string]bool
+	stop     map[string][]string
+	forget   map[string][]string
+	drivers  map[string]*bucket
+	senders  map[string]senderFloor
+	grants   map[string]func(*ccledger.Claim)
+	requests map[string]bool
+	// serviceMs is the smoothed run time of interactive requests.
+	serviceMs float64
+	draining  bool
+	// fetching is true while a fellow is asked for its configuration.
+	fetching bool
+	// writing is true while a call for the shard table is in flight; after a failure none is made
+	// before storeNotBefore.
+	writing        bool
+	storeFailures  int
+	storeNotBefore ccclock.Millis
+	table          ccshard.Table
+}
+
+// senderFloor is the oldest message of a bucket's driver that is still accepted.
+type senderFloor struct {
+	epoch uint64
+	seq   uint64
+}
+
+// New returns a node that does nothing yet.
+func New(cfg Config) *Node {
+	id := ccmember.NewID(cfg.VM, cfg.Incarnation)
+	r := rand.New(rand.NewPCG(uint64(cfg.Incarnation), hash(id)))
+	t := cfg.Timing
+	n := &Node{
+		cfg:     cfg,
+		id:      id,
+		calls:   make(chan func(), callBuffer),
+		stopped: make(chan struct{}),
+	}
+	batch := ccstore.BatcherConfig{Client: cfg.Store, Interval: time.Duration(t.CommitMs) * time.Millisecond, Tries: commitTries}
+	n.jobs = ccstore.NewBatcher[ccjob.Book](batch)
+	n.intents = ccstore.NewBatcher[ccintent.Book](batch)
+	n.c = control{
+		keeper: ccshard.NewKeeper(ccshard.Config{
+			Self: id, Window: ccclock.Millis(t.WindowMs), Promise: ccclock.Millis(t.PromiseMs),
+			Drift: ccclock.Millis(t.DriftMs), MaxMoves: 1,
+		}),
+		members: ccmember.NewTable(ccmember.Config{
+			Self: ccmember.Member{
+				ID: id, VM: cfg.VM, Incarnation: cfg.Incarnation, Address: cfg.FellowAddress,
+				Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+			},
+			Suspect: ccclock.Millis(t.SuspectMs), Forget: ccclock.Millis(t.SuspectMs) * forgetFactor,
+			Fanout: cfg.Limits.Fanout, MaxEntries: maxGossipEntries, Rand: r,
+		}),
+		pool: ccledger.NewPool(ccledger.Config{
+			ReservePercent: cfg.Limits.ReservePercent, QuarantinePercent: cfg.Limits.QuarantinePercent,
+			MaxFailures: cfg.Limits.QuarantineFailures, QuarantineSpan: ccclock.Millis(cfg.Limits.QuarantineMs),
+			TaskLease: ccclock.Millis(t.TaskLeaseMs + t.FlightMs),
+		}),
+		queue: ccqueue.New(),
+		router: ccroute.New(ccroute.Config{
+			Region: cfg.Region, Policy: cfg.Routing, CrossRegionMs: cfg.Limits.CrossRegionMs, Rand: r,
+		}),
+		budget:    ccretry.NewBudget(),
+		rand:      r,
+		listedAt:  map[string]ccclock.Millis{},
+		syncing:   map[string]bool{},
+		stop:      map[string][]string{},
+		forget:    map[string][]string{},
+		drivers:   map[string]*bucket{},
+		senders:   map[string]senderFloor{},
+		grants:    map[string]func(*ccledger.Claim){},
+		requests:  map[string]bool{},
+		serviceMs: initialServiceMs,
+	}
+	return n
+}
+
+const (
+	callBuffer       = 4_096
+	commitTries      = 5
+	forgetFactor     = 30
+	maxGossipEntries = 24
+	initialServiceMs = 50
+	tickInterval     = 50 * time.Millisecond
+)
+
+// ID returns the name of this incarnation of the process.
+func (n *Node) ID() string {
+	return n.id
+}
+
+// Serve works until ctx ends. It returns once every goroutine of the node has ended.
+func (n *Node) Serve(ctx context.Context) {
+	n.wg.Go(func() { n.loop(ctx) })
+	n.wg.Go(func() { n.cfg.Store.Follow(ctx, n.cfg.Clock, n.shardKey(), n.observeShards) })
+	n.wg.Go(func() { n.cfg.Store.Follow(ctx, n.cfg.Clock, ConfigKey, n.observeConfig) })
+	n.wg.Go(func() { n.every(ctx, n.cfg.Timing.VMListMs, n.readVMs) })
+	n.wg.Go(func() { n.every(ctx, n.cfg.Timing.GossipMs, n.gossip) })
+	n.wg.Go(func() { n.every(ctx, n.cfg.Timing.SyncMs, n.syncWorkers) })
+	n.wg.Wait()
+}
+
+// loop is the control loop.
+func (n *Node) loop(ctx context.Context) {
+	defer close(n.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.calls:
+			f()
+		case <-ticker.C:
+			n.tick(ctx)
+		}
+	}
+}
+
+// every calls f in intervals until ctx ends.
+func (n *Node) every(ctx context.Context, ms int64, f func(context.Context)) {
+	ticker := time.NewTicker(time.Duration(ms) * time.Millisecond)
+	defer ticker.Stop()
+	f(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
+// ErrStopped reports that the control loop has ended.
+var ErrStopped = errors.New("process is stopped")
+
+// do runs f in the control loop and waits for its end. It fails with ErrStopped.
+func (n *Node) do(f func()) error {
+	done := make(chan struct{})
+	if err := n.post(func() { f(); close(done) }); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+// post hands f to the control loop without waiting for its end. It fails with ErrStopped.
+func (n *Node) post(f func()) error {
+	select {
+	case n.calls <- f:
+		return nil
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+// now returns the present time.
+func (n *Node) now() ccclock.Millis {
+	return n.cfg.Clock.Now()
+}
+
+// tick does what is due by the passing of time. It belongs to the control loop.
+func (n *Node) tick(ctx context.Context) {
+	now := n.now()
+	n.tendShards(ctx, now)
+	n.tendBuckets(ctx, now)
+	n.c.pool.Expire(now)
+	n.dispatch(now)
+	n.observeMetrics(now)
+}
+
+// digest returns this process's load. It belongs to the control loop.
+func (n *Node) digest(now ccclock.Millis) ccmember.Digest {
+	room := n.c.pool.Room(now)
+	return ccmember.Digest{
+		Revision: n.c.revision, Waiting: int64(n.c.queue.Len()),
+		Slots: room.Total.Slots, FreeSlots: room.Free.Slots, ServiceMs: int64(n.c.serviceMs),
+		FreeMilliCores: room.Free.MilliCores, FreeMemoryMB: room.Free.MemoryMB,
+		LargestMilliCores: room.Largest.MilliCores, LargestMemoryMB: room.Largest.MemoryMB,
+		LargestAccelerators: room.Largest.Accelerators, Leaving: n.c.draining,
+	}
+}
+
+// owners returns this process and its living fellows, as candidates for work. It belongs to the
+// control loop.
+func (n *Node) owners(now ccclock.Millis) []ccmember.Member {
+	self := n.c.members.Self()
+	self.Digest = n.digest(now)
+	return append(n.c.members.Alive(now), self)
+}
+
+// hash is FNV-1a over a text.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h ^= uint64(s[i])
+		h *= 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/io/ccnode/placement.go
@@ -0,0 +1,402 @@
+package ccnode
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccjob"
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccmember"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccworker"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// tasksPerRound bounds the tasks that a driver starts in one round.
+	tasksPerRound = 512
+	// tasksPerCall bounds the tasks of one message.
+	tasksPerCall = 128
+	// reservationMs is how long an owner holds room for a gang.
+	reservationMs = ccclock.Millis(3_000)
+	// placeTimeout bounds the call that places tasks.
+	placeTimeout = 4 * time.Second
+)
+
+// placeOrders starts the tasks that the driver of a bucket wants started.
+func (n *Node) placeOrders(ctx context.Context, b *bucket) {
+	var orders []ccjob.Order
+	var owners []ccmember.Member
+	_ = n.do(func() {
+		now := n.now()
+		if _, err := n.c.keeper.Authority(b.name, now); err != nil {
+			return
+		}
+		orders = b.driver.Next(tasksPerRound, now)
+		owners = n.jobOwners(now)
+	})
+	for _, o := range orders {
+		if o.Gang {
+			n.placeGang(ctx, b, o, owners)
+		} else {
+			n.placeBatch(ctx, b, o, owners)
+		}
+	}
+}
+
+// jobOwners returns the owners of the region, those with most free slots first. It belongs to the
+// control loop.
+func (n *Node) jobOwners(now ccclock.Millis) []ccmember.Member {
+	owners := slices.DeleteFunc(n.owners(now), func(m ccmember.Member) bool {
+		return m.Region != n.cfg.Region || m.Digest.Leaving || m.Digest.Slots == 0
+	})
+	slices.SortStableFunc(owners, func(a, b ccmember.Member) int {
+		return int(b.Digest.FreeSlots - a.Digest.FreeSlots)
+	})
+	return owners
+}
+
+// request builds the message that asks for tasks of an order.
+func (b *bucket) request(o ccjob.Order, tasks []ccjob.OrderTask, reserve bool) *ccfellow.PlaceRequest {
+	in := &ccfellow.PlaceRequest{
+		Sender: b.sender(), Team: o.Job.Team, Kind: o.Job.Kind, Size: o.Job.Size,
+		Long: o.Job.Long, Reserve: reserve,
+	}
+	for _, t := range tasks {
+		in.Tasks = append(in.Tasks, ccfellow.PlaceTask{Task: t.ID, Payload: t.Payload, Avoid: t.Avoid})
+	}
+	return in
+}
+
+// placeBatch offers the tasks of an order to the owners in turn until all are placed.
+func (n *Node) placeBatch(ctx context.Context, b *bucket, o ccjob.Order, owners []ccmember.Member) {
+	rest := o.Tasks
+	reason := ccwork.ReasonOf(ccwork.ErrNoOwner)
+	impossible := len(owners) > 0
+	for _, m := range owners {
+		if len(rest) == 0 {
+			break
+		}
+		if o.Job.Size.TooLarge(m.Digest.Largest()) != "" {
+			continue
+		}
+		impossible = false
+		var refused []ccjob.OrderTask
+		for chunk := range slices.Chunk(rest, tasksPerCall) {
+			reply := n.callPlace(ctx, m, b.request(o, chunk, false))
+			left, why := n.takePlacements(b, chunk, reply)
+			refused = append(refused, left...)
+			if why != "" {
+				reason = why
+			}
+		}
+		rest = refused
+	}
+	if impossible && n.tooLargeForAll(o.Job.Size) {
+		reason = ccwork.ReasonOf(ccwork.ErrImpossible)
+	}
+	n.refuse(b, rest, reason)
+}
+
+// tooLargeForAll reports whether no worker of the region, as listed, could ever hold a size.
+func (n *Node) tooLargeForAll(size ccwork.Size) bool {
+	too := false
+	_ = n.do(func() { too = n.impossible(size) != "" })
+	return too
+}
+
+// refuse tells the driver that tasks were not started.
+func (n *Node) refuse(b *bucket, tasks []ccjob.OrderTask, reason string) {
+	if len(tasks) == 0 {
+		return
+	}
+	_ = n.do(func() {
+		for _, t := range tasks {
+			b.driver.NotPlaced(t.ID, reason, n.now())
+		}
+	})
+}
+
+// callPlace asks an owner to place tasks. Without a reply every task is in doubt, unless the
+// message was certainly not delivered.
+func (n *Node) callPlace(ctx context.Context, m ccmember.Member, in *ccfellow.PlaceRequest) *ccfellow.PlaceReply {
+	var out *ccfellow.PlaceReply
+	var err error
+	if m.ID == n.id {
+		out, err = n.Place(ctx, in)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+		defer cancel()
+		out, err = n.cfg.Fellows.Place(ctx, m.Address, in)
+	}
+	if err == nil {
+		return out
+	}
+	outcome := ccwork.Unknown
+	if errors.Is(err, ccfellow.ErrUnreachable) {
+		outcome = ccwork.NotRun
+	}
+	n.cfg.Log.Warn("no reply to a placement", "Bucket", in.Bucket, "Owner", m.ID, "Outcome", outcome, "Err", err)
+	out = &ccfellow.PlaceReply{}
+	for _, t := range in.Tasks {
+		out.Placements = append(out.Placements, ccfellow.Placement{Task: t.Task, Outcome: outcome, Reason: ccwork.ReasonOf(ccwork.ErrNoOwner)})
+	}
+	return out
+}
+
+// takePlacements hands an owner's reply to the driver. It returns the tasks that were not started,
+// which the driver still counts as on their way, and the reason of the last.
+func (n *Node) takePlacements(b *bucket, tasks []ccjob.OrderTask, reply *ccfellow.PlaceReply) (left []ccjob.OrderTask, reason string) {
+	byID := make(map[string]ccfellow.Placement, len(reply.Placements))
+	for _, p := range reply.Placements {
+		byID[p.Task] = p
+	}
+	_ = n.do(func() {
+		now := n.now()
+		for _, t := range tasks {
+			p, ok := byID[t.ID]
+			switch {
+			case !ok || p.Outcome == ccwork.Unknown:
+				b.driver.Doubt(t.ID, now)
+			case p.Outcome == ccwork.Ran:
+				b.driver.Placed(t.ID, p.Worker, p.Shard, now)
+			default:
+				left = append(left, t)
+				reason = p.Reason
+			}
+		}
+	})
+	return left, reason
+}
+
+// placeGang holds room for every task of a gang, and starts them all; without room for all it
+// gives back what it held and tries again later.
+func (n *Node) placeGang(ctx context.Context, b *bucket, o ccjob.Order, owners []ccmember.Member) {
+	if len(owners) > 0 && n.tooLargeForAll(o.Job.Size) {
+		n.refuse(b, o.Tasks, ccwork.ReasonOf(ccwork.ErrImpossible))
+		return
+	}
+	rest := o.Tasks
+	held := map[string][]ccjob.OrderTask{}
+	for _, m := range owners {
+		if len(rest) == 0 {
+			break
+		}
+		reply := n.callPlace(ctx, m, b.request(o, rest, true))
+		var got []ccjob.OrderTask
+		got, rest = split(rest, reply)
+		held[m.ID] = got
+	}
+	if len(rest) > 0 {
+		// Also owners whose reply was lost may hold room: all are told to release everything.
+		n.releaseGang(b, o, owners)
+		n.refuse(b, o.Tasks, ccwork.ReasonOf(ccledger.ErrFull))
+		return
+	}
+	n.startGang(ctx, b, o, owners, held)
+}
+
+// split parts tasks by whether an owner holds room for them.
+func split(tasks []ccjob.OrderTask, reply *ccfellow.PlaceReply) (got, rest []ccjob.OrderTask) {
+	ok := map[string]bool{}
+	for _, p := range reply.Placements {
+		ok[p.Task] = p.Outcome == ccwork.Ran
+	}
+	for _, t := range tasks {
+		if ok[t.ID] {
+			got = append(got, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	return got, rest
+}
+
+// releaseGang makes the next reports tell every owner to give back the room held for a gang.
+func (n *Node) releaseGang(b *bucket, o ccjob.Order, owners []ccmember.Member) {
+	_ = n.do(func() {
+		for _, m := range owners {
+			for _, t := range o.Tasks {
+				b.release[m.ID] = append(b.release[m.ID], t.ID)
+			}
+		}
+	})
+}
+
+// startGang starts the tasks of a gang on all owners at once. If one is refused after all, the
+// driver stops the others.
+func (n *Node) startGang(ctx context.Context, b *bucket, o ccjob.Order, owners []ccmember.Member, held map[string][]ccjob.OrderTask) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var refused []ccjob.OrderTask
+	for _, m := range owners {
+		tasks := held[m.ID]
+		if len(tasks) == 0 {
+			continue
+		}
+		wg.Go(func() {
+			reply := n.callPlace(ctx, m, b.request(o, tasks, false))
+			left, _ := n.takePlacements(b, tasks, reply)
+			mu.Lock()
+			defer mu.Unlock()
+			refused = append(refused, left...)
+		})
+	}
+	wg.Wait()
+	n.refuse(b, refused, ccwork.ReasonOf(ccwork.ErrRefused))
+	if len(refused) > 0 {
+		_ = n.do(func() { b.driver.Abort(o.Key, n.now()) })
+	}
+}
+
+// Place implements ccfellow.Handler: it starts tasks of a job on workers of this process, or holds
+// room for them.
+func (n *Node) Place(ctx context.Context, in *ccfellow.PlaceRequest) (*ccfellow.PlaceReply, error) {
+	out := &ccfellow.PlaceReply{}
+	var starts []*startCall
+	err := n.do(func() { out.Placements, starts = n.claimRoom(in, n.now()) })
+	if err != nil {
+		return nil, err
+	}
+	var wg sync.WaitGroup
+	for _, s := range starts {
+		wg.Go(func() { n.start(ctx, s) })
+	}
+	wg.Wait()
+	for _, s := range starts {
+		out.Placements = append(out.Placements, s.placements...)
+	}
+	return out, nil
+}
+
+// startCall is the tasks that one worker is asked to start.
+type startCall struct {
+	grant      ccworker.Grant
+	shard      string
+	tasks      []ccworker.StartTask
+	placements []ccfellow.Placement
+}
+
+// claimRoom claims room for the tasks of a message. It returns the tasks that are settled already
+// and the starts to be sent. It belongs to the control loop.
+func (n *Node) claimRoom(in *ccfellow.PlaceRequest, now ccclock.Millis) ([]ccfellow.Placement, []*startCall) {
+	var settled []ccfellow.Placement
+	byWorker := map[string]*startCall{}
+	var starts []*startCall
+	for _, t := range in.Tasks {
+		c, p := n.claimTask(in, t, now)
+		if c == nil {
+			settled = append(settled, p)
+			continue
+		}
+		s := byWorker[c.Worker]
+		if s == nil {
+			s = &startCall{grant: n.grantOf(c, now), shard: c.Shard}
+			byWorker[c.Worker] = s
+			starts = append(starts, s)
+		}
+		s.tasks = append(s.tasks, ccworker.StartTask{
+			Task: t.Task, Team: in.Team, Kind: in.Kind, Long: c.Long, Size: in.Size, Payload: t.Payload,
+		})
+	}
+	return settled, starts
+}
+
+// claimTask claims room for one task. It returns nil and the outcome when there is nothing to send.
+// It belongs to the control loop.
+func (n *Node) claimTask(in *ccfellow.PlaceRequest, t ccfellow.PlaceTask, now ccclock.Millis) (*ccledger.Claim, ccfellow.Placement) {
+	p := ccfellow.Placement{Task: t.Task, Outcome: ccwork.NotRun}
+	if !n.accepts(in.Sender) || n.c.draining {
+		p.Reason = ccwork.ReasonOf(ccwork.ErrFenced)
+		return nil, p
+	}
+	c := n.c.pool.Claim(t.Task)
+	if c != nil && c.Phase != ccledger.Reserved {
+		// A repeat of a message: the task table will tell.
+		p.Outcome = ccwork.Unknown
+		return nil, p
+	}
+	if c == nil {
+		var err error
+		c, err = n.reserve(in, t, now)
+		if err != nil {
+			p.Reason = ccwork.ReasonOf(err)
+			return nil, p
+		}
+	}
+	if _, err := n.c.keeper.Authority(c.Shard, now); err != nil {
+		n.c.pool.Release(t.Task)
+		p.Reason = ccwork.ReasonOf(ccwork.ErrFenced)
+		return nil, p
+	}
+	if in.Reserve {
+		p.Outcome = ccwork.Ran
+		return nil, p
+	}
+	n.c.pool.Advance(t.Task, ccledger.Sending, now, 0)
+	return c, p
+}
+
+// reserve finds room for one task. It belongs to the control loop.
+func (n *Node) reserve(in *ccfellow.PlaceRequest, t ccfellow.PlaceTask, now ccclock.Millis) (*ccledger.Claim, error) {
+	if n.overQuota(in.Team, in.Size, now) {
+		return nil, ccwork.ErrQuota
+	}
+	return n.c.pool.Reserve(ccledger.Request{
+		Row: ccledger.Row{
+			Task: t.Task, Team: in.Team, Kind: in.Kind, Long: in.Long, Size: in.Size, State: ccwork.Running,
+		},
+		Patient: !in.Urgent,
+		Avoid:   t.Avoid,
+	}, now, now+reservationMs)
+}
+
+// start sends one start to a worker and books its outcome.
+func (n *Node) start(ctx context.Context, s *startCall) {
+	refused, err := n.cfg.Workers.Start(ctx, s.grant, s.tasks)
+	none := errors.Is(err, ccwork.ErrFenced) || errors.Is(err, ccwork.ErrRefused)
+	_ = n.do(func() {
+		now := n.now()
+		for _, t := range s.tasks {
+			p := ccfellow.Placement{Task: t.Task, Worker: s.grant.Worker, Shard: s.shard}
+			why, no := refused[t.Task]
+			switch {
+			case none || no:
+				p.Outcome = ccwork.NotRun
+				p.Reason = why
+				n.c.pool.Release(t.Task)
+			case err != nil:
+				p.Outcome = ccwork.Unknown
+				n.c.pool.Advance(t.Task, ccledger.Doubtful, now, s.grant.Until+ccclock.Millis(n.cfg.Timing.FlightMs))
+			default:
+				p.Outcome = ccwork.Ran
+				n.c.pool.Advance(t.Task, ccledger.Admitted, now, 0)
+			}
+			s.placements = append(s.placements, p)
+		}
+		if err != nil && !errors.Is(err, ccwork.ErrFenced) {
+			n.cfg.Log.Warn("start failed", "Worker", s.grant.Worker, "Epoch", s.grant.Epoch, "Tasks", len(s.tasks), "Err", err)
+			n.c.pool.Outcome(s.grant.Worker, false, now)
+		}
+	})
+}
+
+// releaseReserved gives back room held for a gang. It belongs to the control loop.
+func (n *Node) releaseReserved(task string) {
+	if c := n.c.pool.Claim(task); c != nil && c.Phase == ccledger.Reserved {
+		n.c.pool.Release(task)
+	}
+}
+
+// tasksOf returns the claims of a bucket's tasks. It belongs to the control loop.
+func (n *Node) tasksOf(name string) []ccledger.Claim {
+	return n.c.pool.Claims(func(c *ccledger.Claim) bool {
+		key, _, _, ok := ccjob.ParseTaskID(c.Task)
+		return ok && n.bucketOf(key) == name && c.Phase != ccledger.Reserved
+	})
+}
--- /dev/null
+++ b/io/ccnode/shards.go
@@ -0,0 +1,270 @@
+package ccnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccmember"
+	"coriandercross/core/ccretry"
+	"coriandercross/core/ccshard"
+	"coriandercross/io/ccstore"
+	"coriandercross/io/ccvmlist"
+	"coriandercross/io/ccworker"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Prefixes of the names of shards.
+const (
+	rackPrefix   = "rack:"
+	bucketPrefix = "jobs:"
+)
+
+// shardKey is the key of the store that holds the shards of this process's region.
+func (n *Node) shardKey() string {
+	return "Shards/" + n.cfg.Region
+}
+
+// observeShards takes in a version of the shard table.
+func (n *Node) observeShards(v ccstore.Value, sent ccclock.Millis) {
+	_ = n.post(func() { n.takeShards(v, sent) })
+}
+
+// takeShards takes in a version of the shard table. It belongs to the control loop.
+func (n *Node) takeShards(v ccstore.Value, sent ccclock.Millis) {
+	t := ccshard.Table{Version: v.Version}
+	err := ccstore.Decode(v, &t)
+	if err == nil {
+		err = t.Check()
+	}
+	if err != nil {
+		n.cfg.Log.Error("shard table can't be used", "Err", err)
+		return
+	}
+	n.c.keeper.Observe(t, sent, n.now())
+	if t.Version >= n.c.table.Version {
+		n.c.table = t
+	}
+}
+
+// tendShards plans and writes changes of ownership, and follows them with the ledger. It belongs
+// to the control loop.
+func (n *Node) tendShards(ctx context.Context, now ccclock.Millis) {
+	n.followAuthority(now)
+	if n.c.writing || !n.c.vmsRead || now < n.c.storeNotBefore {
+		return
+	}
+	changes := n.c.keeper.Plan(n.view(now), now)
+	if len(changes) > 0 {
+		n.writeShards(ctx, changes)
+		return
+	}
+	if n.c.keeper.NeedsRead(now) {
+		n.readShards(ctx)
+	}
+}
+
+// view is what a plan rests on.
+func (n *Node) view(now ccclock.Millis) ccshard.View {
+	return ccshard.View{
+		Shards:     n.wantedShards(),
+		Candidates: n.candidates(now),
+		Gone:       func(id string) bool { return n.gone(id, now) },
+		Busy:       func(shard string) bool { return n.busy(shard, now) },
+		Draining:   n.c.draining,
+	}
+}
+
+// candidates returns the living processes of the region, this one included.
+func (n *Node) candidates(now ccclock.Millis) []ccshard.Candidate {
+	out := []ccshard.Candidate{{ID: n.id, FailureDomain: n.cfg.FailureDomain, Leaving: n.c.draining}}
+	for _, m := range n.c.members.Alive(now) {
+		if m.Region != n.cfg.Region {
+			continue
+		}
+		out = append(out, ccshard.Candidate{ID: m.ID, FailureDomain: m.FailureDomain, Leaving: m.Digest.Leaving || n.vmLeaving(m.VM)})
+	}
+	return out
+}
+
+// vmLeaving reports whether the VM list calls a VM leaving.
+func (n *Node) vmLeaving(id string) bool {
+	return slices.ContainsFunc(n.c.vms, func(vm ccvmlist.VM) bool { return vm.ID == id && vm.Leaving })
+}
+
+// gone reports evidence that a process no longer exists: a newer one holds its VM's address, or the
+// VM has been off the list for longer than the list lags.
+func (n *Node) gone(id string, now ccclock.Millis) bool {
+	if n.c.members.Superseded(id) {
+		return true
+	}
+	vm, _, ok := ccmember.ParseID(id)
+	if !ok {
+		return false
+	}
+	listed, known := n.c.listedAt[vm]
+	return known && now > listed+ccclock.Millis(n.cfg.Timing.VMListLagMs)
+}
+
+// busy reports whether something of this process would outlast the hand-over of a shard.
+func (n *Node) busy(shard string, now ccclock.Millis) bool {
+	if b := n.c.drivers[shard]; b != nil {
+		return b.inRound
+	}
+	return n.c.pool.Busy(shard, now)
+}
+
+// rackShards returns the shards of workers in the region.
+func (n *Node) rackShards() []string {
+	seen := map[string]bool{}
+	for _, vm := range n.c.vms {
+		if vm.Role == ccvmlist.Worker && vm.Region == n.cfg.Region {
+			seen[rackPrefix+vm.FailureDomain+"/"+vm.Rack] = true
+		}
+	}
+	out := make([]string, 0, len(seen))
+	for name := range seen {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// wantedShards returns every shard of the region.
+func (n *Node) wantedShards() []string {
+	out := n.rackShards()
+	for i := range n.cfg.Limits.JobBuckets {
+		out = append(out, bucketName(i))
+	}
+	return out
+}
+
+// bucketName names a bucket of jobs as a shard.
+func bucketName(i int) string {
+	return fmt.Sprintf("%s%02d", bucketPrefix, i)
+}
+
+// followAuthority adds the workers of shards that this process may act for to the ledger, opens and
+// closes them as the authority goes, and removes those of shards that another process owns. It
+// belongs to the control loop.
+func (n *Node) followAuthority(now ccclock.Millis) {
+	for _, vm := range n.c.vms {
+		if vm.Role != ccvmlist.Worker || vm.Region != n.cfg.Region {
+			continue
+		}
+		shard := rackPrefix + vm.FailureDomain + "/" + vm.Rack
+		_, err := n.c.keeper.Authority(shard, now)
+		switch {
+		case err == nil:
+			w := vm.LedgerWorker()
+			w.Capacity.Connections = ccworker.UsableConnections(w.Capacity.Connections)
+			n.c.pool.Add(w, shard, now)
+		case errors.Is(err, ccshard.ErrNotOwner):
+			n.removeWorker(vm.ID)
+		}
+	}
+	for _, w := range n.c.pool.Workers() {
+		_, err := n.c.keeper.Authority(w.Shard, now)
+		n.c.pool.Open(w.Shard, err == nil)
+		listed := n.c.listedAt[w.ID]
+		if errors.Is(err, ccshard.ErrNotOwner) || w.Unreachable && w.Tasks == 0 && now > listed+ccclock.Millis(n.cfg.Timing.VMListLagMs) {
+			n.removeWorker(w.ID)
+		}
+	}
+}
+
+// removeWorker forgets a worker.
+func (n *Node) removeWorker(id string) {
+	n.c.pool.Remove(id)
+	n.cfg.Workers.Forget(id)
+	delete(n.c.stop, id)
+	delete(n.c.forget, id)
+}
+
+// writeShards writes changes of ownership. It belongs to the control loop and does not block.
+func (n *Node) writeShards(ctx context.Context, changes []ccshard.Change) {
+	next := n.c.table.Apply(changes)
+	data, err := json.Marshal(&next)
+	if err != nil {
+		n.cfg.Log.Error("shard table can't be encoded", "Err", err)
+		return
+	}
+	n.c.writing = true
+	sent := n.now()
+	go func() {
+		version, err := n.cfg.Store.Put(ctx, n.shardKey(), ccstore.Value{Version: next.Version, Data: data})
+		_ = n.post(func() { n.wroteShards(ctx, ccstore.Value{Version: version, Data: data}, sent, changes, err) })
+	}()
+}
+
+// wroteShards takes in the end of a write. It belongs to the control loop.
+func (n *Node) wroteShards(ctx context.Context, v ccstore.Value, sent ccclock.Millis, changes []ccshard.Change, err error) {
+	n.c.writing = false
+	switch {
+	case err == nil:
+		for _, c := range changes {
+			n.cfg.Log.Info("shard record written", "Shard", c.Shard, "Owner", c.Record.Owner, "Heir", c.Record.Heir, "Epoch", c.Record.Epoch)
+		}
+		n.takeShards(v, sent)
+		return
+	case errors.Is(err, ccstore.ErrInDoubt):
+		n.c.keeper.Doubtful()
+	case !errors.Is(err, ccstore.ErrConflict):
+		n.c.keeper.Failed()
+	}
+	n.cfg.Log.Debug("shard records not written", "Err", err)
+	n.readShards(ctx)
+}
+
+// storeRetry spaces the calls for the shard table while the store fails.
+var storeRetry = ccretry.Backoff{Base: 100, Max: 1_000}
+
+// readShards reads the shard table. It belongs to the control loop and does not block.
+func (n *Node) readShards(ctx context.Context) {
+	n.c.writing = true
+	sent := n.now()
+	go func() {
+		v, err := n.cfg.Store.Get(ctx, n.shardKey())
+		_ = n.post(func() {
+			n.c.writing = false
+			if err != nil {
+				n.c.storeFailures++
+				n.c.storeNotBefore = n.now() + storeRetry.Delay(n.c.storeFailures, n.c.rand)
+				return
+			}
+			n.c.storeFailures = 0
+			n.takeShards(v, sent)
+		})
+	}()
+}
+
+// readVMs reads the VM list.
+func (n *Node) readVMs(ctx context.Context) {
+	l, err := n.cfg.VMs.Read(ctx)
+	if err != nil {
+		n.cfg.Log.Debug("VM list not read", "Err", err)
+		return
+	}
+	_ = n.post(func() { n.takeVMs(l) })
+}
+
+// takeVMs takes in a VM list. It belongs to the control loop.
+func (n *Node) takeVMs(l ccvmlist.List) {
+	now := n.now()
+	n.c.vms = l.VMs
+	n.c.vmsRead = true
+	for _, vm := range l.VMs {
+		n.c.listedAt[vm.ID] = now
+	}
+	// A VM that a record names but that was never listed counts as listed until now.
+	for _, rec := range n.c.table.Records {
+		for _, id := range []string{rec.Owner, rec.Heir} {
+			if vm, _, ok := ccmember.ParseID(id); ok && n.c.listedAt[vm] == 0 {
+				n.c.listedAt[vm] = now
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/ccoperator/server.go
@@ -0,0 +1,158 @@
+// Package ccoperator answers operators over HTTP: configuration, state dumps, drains and metrics.
+package ccoperator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"coriandercross/core/ccteam"
+	"coriandercross/io/cchttp"
+	"coriandercross/io/ccnode"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+)
+
+// Backend is what operators act on; ccnode.Node implements it.
+type Backend interface {
+	Configuration() (ccteam.Document, uint64)
+	History(ctx context.Context) ([]ccnode.Edit, error)
+	Apply(ctx context.Context, doc ccteam.Document, base uint64, by string) (uint64, error)
+	Revisions() []ccnode.MemberRevision
+	Dump() ccnode.Dump
+}
+
+// Config sets up the interface.
+type Config struct {
+	Backend Backend
+	// Metrics serves the metrics.
+	Metrics http.Handler
+	// Drain begins a planned stop and returns at once.
+	Drain func()
+}
+
+// Paths of the interface.
+const (
+	configPath    = "/v1/config"
+	historyPath   = "/v1/config/history"
+	revisionsPath = "/v1/config/revisions"
+	dumpPath      = "/v1/dump"
+	drainPath     = "/v1/drain"
+)
+
+// maxConfigBody bounds a configuration, in bytes.
+const maxConfigBody = 1 << 20
+
+// Handler returns the HTTP interface for operators.
+func Handler(cfg Config) http.Handler {
+	s := &server{cfg: cfg}
+	r := mux.NewRouter()
+	r.HandleFunc(configPath, cchttp.Get(s.config)).Methods(http.MethodGet)
+	r.HandleFunc(configPath, cchttp.Handle(maxConfigBody, newApplyBody, s.apply)).Methods(http.MethodPut)
+	r.HandleFunc(historyPath, cchttp.Get(s.history)).Methods(http.MethodGet)
+	r.HandleFunc(revisionsPath, cchttp.Get(s.revisions)).Methods(http.MethodGet)
+	r.HandleFunc(dumpPath, cchttp.Get(s.dump)).Methods(http.MethodGet)
+	r.HandleFunc(drainPath, cchttp.Get(s.drain)).Methods(http.MethodPost)
+	r.Handle("/metrics", cfg.Metrics).Methods(http.MethodGet)
+	return r
+}
+
+// server answers operators.
+type server struct {
+	cfg Config
+}
+
+// ConfigReply is the configuration in force at one process.
+type ConfigReply struct {
+	Revision uint64
+	Document ccteam.Document
+}
+
+// config returns the configuration in force.
+func (s *server) config(*http.Request) (ConfigReply, error) {
+	doc, revision := s.cfg.Backend.Configuration()
+	return ConfigReply{Revision: revision, Document: doc}, nil
+}
+
+// ApplyBody is an edit of the configuration.
+type ApplyBody struct {
+	// Base is the revision that the edit was made on; 0 when there was none.
+	Base uint64
+	// By names the operator.
+	By       string
+	Document ccteam.Document
+}
+
+// newApplyBody returns an empty edit to decode into.
+func newApplyBody() *ApplyBody {
+	return &ApplyBody{}
+}
+
+// Check implements cchttp.Checker.
+func (b *ApplyBody) Check() error {
+	if b.By == "" {
+		return errors.Wrap(cchttp.ErrBadRequest, "By must be set")
+	}
+	return nil
+}
+
+// ApplyReply is an accepted edit.
+type ApplyReply struct {
+	Revision uint64
+}
+
+// apply accepts an edit.
+func (s *server) apply(r *http.Request, in *ApplyBody) (ApplyReply, error) {
+	revision, err := s.cfg.Backend.Apply(r.Context(), in.Document, in.Base, in.By)
+	return ApplyReply{Revision: revision}, err
+}
+
+// HistoryEntry is one past edit.
+type HistoryEntry struct {
+	Revision uint64
+	At       time.Time
+	By       string
+	Document ccteam.Document
+}
+
+// HistoryReply is the past edits, the newest last.
+type HistoryReply struct {
+	Edits []HistoryEntry
+}
+
+// history returns the past edits.
+func (s *server) history(r *http.Request) (HistoryReply, error) {
+	edits, err := s.cfg.Backend.History(r.Context())
+	var out HistoryReply
+	for _, e := range edits {
+		out.Edits = append(out.Edits, HistoryEntry{Revision: e.Revision, At: time.UnixMilli(e.At).UTC(), By: e.By, Document: e.Document})
+	}
+	return out, err
+}
+
+// RevisionsReply is the revision in force at each living process.
+type RevisionsReply struct {
+	Members []ccnode.MemberRevision
+}
+
+// revisions returns the revision in force at each living process.
+func (s *server) revisions(*http.Request) (RevisionsReply, error) {
+	return RevisionsReply{Members: s.cfg.Backend.Revisions()}, nil
+}
+
+// dump returns the state of the process.
+func (s *server) dump(*http.Request) (ccnode.Dump, error) {
+	return s.cfg.Backend.Dump(), nil
+}
+
+// DrainReply tells that a planned stop has begun.
+type DrainReply struct {
+	Draining bool
+}
+
+// drain begins a planned stop.
+func (s *server) drain(*http.Request) (DrainReply, error) {
+	s.cfg.Drain()
+	return DrainReply{Draining: true}, nil
+}
--- /dev/null
+++ b/io/ccsettings/settings.go
@@ -0,0 +1,235 @@
+// Package ccsettings reads the YAML files of operators: the settings of a process, and the
+// configuration of the cell. Both are strict: every fault is told at once, with its line.
+package ccsettings
+
+import (
+	"net"
+	"os"
+	"reflect"
+
+	"coriandercross/core/ccroute"
+	"coriandercross/core/ccteam"
+	"coriandercross/io/ccnode"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// ErrInvalid reports a file with at least one fault.
+var ErrInvalid = errors.New("file is invalid")
+
+// Settings are the settings of one process.
+type Settings struct {
+	// VM is the platform's name of the VM that the process runs on.
+	VM            string `yaml:"VM"`
+	Region        string `yaml:"Region"`
+	FailureDomain string `yaml:"FailureDomain"`
+	Listen        Listen `yaml:"Listen"`
+	// Store and VMList are the IP and port of the platform's services.
+	Store  string `yaml:"Store"`
+	VMList string `yaml:"VMList"`
+	// Seeds are the IPs and ports of fellows to ask first; the VM list shows the others.
+	Seeds   []string       `yaml:"Seeds,omitempty"`
+	Routing ccroute.Policy `yaml:"Routing,omitempty"`
+	Timing  ccnode.Timing  `yaml:"Timing,omitempty"`
+	Limits  ccnode.Limits  `yaml:"Limits,omitempty"`
+	Log     Log            `yaml:"Log,omitempty"`
+}
+
+// Listen holds the IPs and ports that the process listens on.
+type Listen struct {
+	Callers   string `yaml:"Callers"`
+	Fellows   string `yaml:"Fellows"`
+	Operators string `yaml:"Operators"`
+}
+
+// Log selects what is logged.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `yaml:"Level,omitempty"`
+	// Format is text, json or logfmt.
+	Format string `yaml:"Format,omitempty"`
+	// Layers override the level of single layers: node, store, caller, operator.
+	Layers map[string]string `yaml:"Layers,omitempty"`
+}
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File string
+	// Line counts from 1; 0 means that the fault has no place of its own.
+	Line    int
+	Path    string
+	Problem string
+}
+
+// Default returns the settings used where a file says nothing.
+func Default() Settings {
+	return Settings{
+		Routing: ccroute.TwoChoices,
+		Timing:  ccnode.DefaultTiming(),
+		Limits:  ccnode.DefaultLimits(),
+		Log:     Log{Level: "info", Format: "logfmt"},
+	}
+}
+
+// Load reads the settings of a process. It returns every fault, and an error only when the file
+// can't be read.
+func Load(file string) (Settings, []Fault, error) {
+	s := Default()
+	tree, faults, err := load(file, &s)
+	if err != nil || len(faults) > 0 {
+		return s, faults, err
+	}
+	for _, f := range s.check() {
+		faults = append(faults, Fault{File: file, Line: tree.line(f.Path), Path: f.Path, Problem: f.Problem})
+	}
+	return s, faults, nil
+}
+
+// LoadDocument reads a configuration of the cell. It returns every fault, and an error only when
+// the file can't be read.
+func LoadDocument(file string) (ccteam.Document, []Fault, error) {
+	var d ccteam.Document
+	tree, faults, err := load(file, &d)
+	if err != nil || len(faults) > 0 {
+		return d, faults, err
+	}
+	for _, f := range d.Check() {
+		faults = append(faults, Fault{File: file, Line: tree.line(f.Path), Path: f.Path, Problem: f.Problem})
+	}
+	return d, faults, nil
+}
+
+// load decodes a file strictly.
+func load(file string, into any) (*tree, []Fault, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "reading a file")
+	}
+	t, err := parse(data)
+	if err != nil {
+		return nil, []Fault{{File: file, Line: errorLine(err), Problem: firstLine(err)}}, nil
+	}
+	faults := t.unknownKeys(reflect.TypeOf(into).Elem())
+	if err := yaml.Unmarshal(data, into); err != nil {
+		faults = append(faults, Fault{Line: errorLine(err), Problem: firstLine(err)})
+	}
+	for i := range faults {
+		faults[i].File = file
+	}
+	return t, faults, nil
+}
+
+// IsDocument reports whether a file looks like a configuration of the cell rather than settings.
+func IsDocument(file string) bool {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return false
+	}
+	var keys map[string]any
+	if yaml.Unmarshal(data, &keys) != nil {
+		return false
+	}
+	_, templates := keys["Templates"]
+	_, teams := keys["Teams"]
+	return templates || teams
+}
+
+// check returns the faults of decoded settings.
+func (s *Settings) check() []ccteam.Fault {
+	var c checker
+	c.required("VM", s.VM)
+	c.required("Region", s.Region)
+	c.required("FailureDomain", s.FailureDomain)
+	c.address("Listen.Callers", s.Listen.Callers)
+	c.address("Listen.Fellows", s.Listen.Fellows)
+	c.address("Listen.Operators", s.Listen.Operators)
+	c.address("Store", s.Store)
+	c.address("VMList", s.VMList)
+	for _, seed := range s.Seeds {
+		c.address("Seeds", seed)
+	}
+	c.oneOf("Routing", string(s.Routing), string(ccroute.TwoChoices), string(ccroute.LeastWait), string(ccroute.Random))
+	c.oneOf("Log.Level", s.Log.Level, levels...)
+	c.oneOf("Log.Format", s.Log.Format, "text", "json", "logfmt")
+	for layer, level := range s.Log.Layers {
+		c.oneOf("Log.Layers", layer, "node", "store", "caller", "operator")
+		c.oneOf("Log.Layers."+layer, level, levels...)
+	}
+	c.positive("Timing", reflect.ValueOf(s.Timing))
+	c.positive("Limits", reflect.ValueOf(s.Limits))
+	c.relations(&s.Timing, &s.Limits)
+	return c.faults
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// checker gathers faults.
+type checker struct {
+	faults []ccteam.Fault
+}
+
+// add notes one fault.
+func (c *checker) add(path, problem string) {
+	c.faults = append(c.faults, ccteam.Fault{Path: path, Problem: problem})
+}
+
+// required checks that a text is set.
+func (c *checker) required(path, value string) {
+	if value == "" {
+		c.add(path, "must be set")
+	}
+}
+
+// address checks that a text is an IP and a port.
+func (c *checker) address(path, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		c.add(path, quote(value)+" is not accepted; use IP:PORT")
+	}
+}
+
+// oneOf checks that a text is one of some.
+func (c *checker) oneOf(path, value string, accepted ...string) {
+	for _, a := range accepted {
+		if value == a {
+			return
+		}
+	}
+	c.add(path, quote(value)+" is not accepted; use one of "+join(accepted))
+}
+
+// positive checks that every number of a struct is above 0. ReservePercent and the like may be 0.
+func (c *checker) positive(path string, v reflect.Value) {
+	for i := range v.NumField() {
+		name := v.Type().Field(i).Name
+		n := v.Field(i).Int()
+		if n < 0 || n == 0 && name != "ReservePercent" && name != "QuarantinePercent" && name != "PromiseMs" {
+			c.add(path+"."+name, "must be above 0")
+		}
+		if n > 100 && (name == "ReservePercent" || name == "QuarantinePercent") {
+			c.add(path+"."+name, "must be 0 to 100")
+		}
+	}
+}
+
+// relations checks spans against each other.
+func (c *checker) relations(t *ccnode.Timing, l *ccnode.Limits) {
+	if t.WindowMs <= t.FlightMs+t.DriftMs {
+		c.add("Timing.WindowMs", "must be above FlightMs + DriftMs, or no start is ever allowed")
+	}
+	if t.PromiseMs > 0 && t.PromiseMs <= t.GossipMs+t.FlightMs+t.DriftMs {
+		c.add("Timing.PromiseMs", "must be above GossipMs + FlightMs + DriftMs, or promises lapse between rounds")
+	}
+	if t.TaskLeaseMs <= 2*t.SyncMs {
+		c.add("Timing.TaskLeaseMs", "must be above twice SyncMs, or leases lapse between renewals")
+	}
+	if t.SuspectMs <= 2*t.GossipMs {
+		c.add("Timing.SuspectMs", "must be above twice GossipMs, or every late round is a suspicion")
+	}
+	if l.JobBuckets > maxBuckets || l.IntentBuckets > maxBuckets {
+		c.add("Limits", "JobBuckets and IntentBuckets must be at most 1024")
+	}
+}
+
+const maxBuckets = 1024
--- /dev/null
+++ b/io/ccsettings/tree.go
@@ -0,0 +1,201 @@
+package ccsettings
+
+import (
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// tree is a parsed file that knows the line of each key.
+type tree struct {
+	root  ast.Node
+	lines map[string]int
+}
+
+// parse reads YAML text.
+func parse(data []byte) (*tree, error) {
+	f, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "parsing YAML")
+	}
+	t := &tree{lines: map[string]int{}}
+	if len(f.Docs) > 0 {
+		t.root = f.Docs[0].Body
+	}
+	t.index("", t.root)
+	return t, nil
+}
+
+// index notes the line of each key below a node.
+func (t *tree) index(path string, node ast.Node) {
+	for _, kv := range pairs(node) {
+		p := joinPath(path, keyOf(kv))
+		t.lines[p] = kv.Key.GetToken().Position.Line
+		t.index(p, kv.Value)
+	}
+}
+
+// pairs returns the keys and values of a mapping.
+func pairs(node ast.Node) []*ast.MappingValueNode {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}
+	}
+	return nil
+}
+
+// keyOf returns the text of a key.
+func keyOf(kv *ast.MappingValueNode) string {
+	return kv.Key.GetToken().Value
+}
+
+// joinPath appends a key to a path.
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// line returns the line of a path, or of the nearest path above it that the file has.
+func (t *tree) line(path string) int {
+	for path != "" {
+		if n, ok := t.lines[path]; ok {
+			return n
+		}
+		cut := strings.LastIndexByte(path, '.')
+		path = path[:max(cut, 0)]
+	}
+	return 0
+}
+
+// unknownKeys returns a fault for each key that a type does not have.
+func (t *tree) unknownKeys(typ reflect.Type) []Fault {
+	var faults []Fault
+	t.walk("", t.root, typ, &faults)
+	return faults
+}
+
+// walk compares a mapping with a type.
+func (t *tree) walk(path string, node ast.Node, typ reflect.Type, faults *[]Fault) {
+	for _, kv := range pairs(node) {
+		key := keyOf(kv)
+		p := joinPath(path, key)
+		switch typ.Kind() {
+		case reflect.Map:
+			t.walk(p, kv.Value, typ.Elem(), faults)
+		case reflect.Struct:
+			f, ok := fieldOf(typ, key)
+			if !ok {
+				problem := fmt.Sprintf("unknown key; the nearest known one is %q", nearest(key, keysOf(typ)))
+				*faults = append(*faults, Fault{Line: t.lines[p], Path: p, Problem: problem})
+				continue
+			}
+			t.walk(p, kv.Value, f, faults)
+		}
+	}
+}
+
+// fieldOf returns the type of a struct's key.
+func fieldOf(typ reflect.Type, key string) (reflect.Type, bool) {
+	for i := range typ.NumField() {
+		if nameOf(typ.Field(i)) == key {
+			return typ.Field(i).Type, true
+		}
+	}
+	return nil, false
+}
+
+// keysOf returns the keys of a struct.
+func keysOf(typ reflect.Type) []string {
+	out := make([]string, typ.NumField())
+	for i := range out {
+		out[i] = nameOf(typ.Field(i))
+	}
+	return out
+}
+
+// nameOf returns the key of a struct's field.
+func nameOf(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+// nearest returns the name with the least edit distance to a key.
+func nearest(key string, names []string) string {
+	return slices.MinFunc(names, func(a, b string) int {
+		return distance(strings.ToLower(key), strings.ToLower(a)) - distance(strings.ToLower(key), strings.ToLower(b))
+	})
+}
+
+// distance is the Levenshtein distance.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			last, row[j+1] = row[j+1], min(row[j+1]+1, row[j]+1, last+cost)
+		}
+	}
+	return row[len(b)]
+}
+
+var linePattern = regexp.MustCompile(`\[(\d+):\d+\]`)
+
+// errorLine returns the line that an error of the YAML library names, or 0.
+func errorLine(err error) int {
+	m := linePattern.FindStringSubmatch(err.Error())
+	if m == nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(m[1])
+	return n
+}
+
+// firstLine returns the first line of an error.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
+// String returns the fault on one line, as compilers do.
+func (f Fault) String() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d", f.Line)
+	}
+	b.WriteString(": ")
+	if f.Path != "" {
+		b.WriteString(f.Path + ": ")
+	}
+	b.WriteString(f.Problem)
+	return b.String()
+}
+
+// quote quotes a text for a fault.
+func quote(s string) string {
+	return strconv.Quote(s)
+}
+
+// join lists texts for a fault.
+func join(s []string) string {
+	return strings.Join(s, ", ")
+}
--- /dev/null
+++ b/io/ccstandin/vmlist.go
@@ -0,0 +1,65 @@
+package ccstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"coriandercross/io/ccvmlist"
+)
+
+// VMList is a list of VMs that shows each change only after a lag.
+type VMList struct {
+	mu  sync.Mutex
+	lag time.Duration
+	now []change
+}
+
+// change is a list and the time from which it is shown.
+type change struct {
+	at   time.Time
+	list ccvmlist.List
+}
+
+// NewVMList returns a list that shows the first VMs at once, and every change after lag.
+func NewVMList(first []ccvmlist.VM, lag time.Duration) *VMList {
+	return &VMList{lag: lag, now: []change{{list: ccvmlist.List{VMs: first}}}}
+}
+
+// Set replaces the list.
+func (l *VMList) Set(vms []ccvmlist.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.now = append(l.now, change{at: time.Now().Add(l.lag), list: ccvmlist.List{VMs: vms}})
+}
+
+// Latest returns the list with all changes, shown or not.
+func (l *VMList) Latest() []ccvmlist.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now[len(l.now)-1].list.VMs
+}
+
+// Handler returns the list's HTTP interface.
+func (l *VMList) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+ccvmlist.Path, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(l.shown())
+	})
+	m.HandleFunc("PUT "+ccvmlist.Path, func(w http.ResponseWriter, r *http.Request) {
+		decodeInto(w, r, func(list ccvmlist.List) { l.Set(list.VMs) })
+	})
+	return m
+}
+
+// shown returns the newest list whose lag has passed.
+func (l *VMList) shown() ccvmlist.List {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.now) > 1 && !l.now[1].at.After(now) {
+		l.now = l.now[1:]
+	}
+	return l.now[0].list
+}
--- /dev/null
+++ b/io/ccvmlist/client.go
@@ -0,0 +1,112 @@
+// Package ccvmlist reads the platform's list of VMs, which lags behind. It is the only package that
+// knows the list's wire.
+package ccvmlist
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccwork"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of the VM list.
+var (
+	// ErrUnavailable reports that the list could not be read.
+	ErrUnavailable = errors.New("VM list is unavailable")
+	// ErrBadList reports a list that breaks the format.
+	ErrBadList = errors.New("VM list is malformed")
+)
+
+// Path is where the list is served.
+const Path = "/v1/vms"
+
+// Role says what a VM is for.
+type Role string
+
+const (
+	// Entry VMs run a process of this system.
+	Entry Role = "Entry"
+	// Worker VMs run tasks.
+	Worker Role = "Worker"
+)
+
+// VM is one VM of the list.
+type VM struct {
+	ID            string
+	Role          Role
+	Address       string
+	Region        string
+	FailureDomain string
+	Rack          string
+	// Leaving is true once the platform has planned the VM's stop.
+	Leaving  bool        `json:",omitempty"`
+	Capacity ccwork.Size `json:",omitzero"`
+}
+
+// List is the whole list.
+type List struct {
+	VMs []VM
+}
+
+// Check returns ErrBadList for a VM without identity, or of unknown role.
+func (l *List) Check() error {
+	for i := range l.VMs {
+		vm := &l.VMs[i]
+		if vm.ID == "" || vm.Address == "" || vm.Region == "" || vm.FailureDomain == "" {
+			return errors.Wrapf(ErrBadList, "VM %d lacks ID, Address, Region or FailureDomain", i)
+		}
+		if vm.Role != Entry && vm.Role != Worker {
+			return errors.Wrapf(ErrBadList, "VM %q has role %q", vm.ID, vm.Role)
+		}
+		if vm.Capacity.Check() != nil {
+			return errors.Wrapf(ErrBadList, "VM %q has a bad capacity", vm.ID)
+		}
+	}
+	return nil
+}
+
+// LedgerWorker converts a worker to the ledger's type.
+func (v *VM) LedgerWorker() ccledger.Worker {
+	return ccledger.Worker{
+		ID: v.ID, Address: v.Address, Region: v.Region, FailureDomain: v.FailureDomain,
+		Rack: v.Rack, Capacity: v.Capacity, Leaving: v.Leaving,
+	}
+}
+
+// Client reads the list. It may be used from any goroutine.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// NewClient returns a client of the list at an IP and port.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{address: address, http: &http.Client{Timeout: timeout}}
+}
+
+// Read returns the list. It blocks until the reply, the timeout or the end of ctx, and fails with
+// ErrUnavailable or ErrBadList.
+func (c *Client) Read(ctx context.Context) (List, error) {
+	var l List
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+Path, nil)
+	if err != nil {
+		return l, errors.Wrap(err, "building a request for the VM list")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return l, errors.Mark(errors.Wrap(err, "reading the VM list"), ErrUnavailable)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return l, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		return l, errors.Mark(errors.Wrap(err, "decoding the VM list"), ErrBadList)
+	}
+	return l, l.Check()
+}
--- /dev/null
+++ b/io/ccworker/client.go
@@ -0,0 +1,315 @@
+package ccworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccwork"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Config sets up a Client.
+type Config struct {
+	Clock ccclock.Clock
+	// Connections is the most connections to one worker.
+	Connections int
+	// StartTimeout bounds the call that starts tasks, SyncTimeout the one that reads a table.
+	StartTimeout time.Duration
+	SyncTimeout  time.Duration
+	// MaxAnswer bounds an answer, in bytes.
+	MaxAnswer int64
+}
+
+// Client calls workers. Its methods may be called from any goroutine, and block until the reply,
+// the timeout, or the end of ctx.
+type Client struct {
+	cfg Config
+	// traffic carries starts and answers; control has connections of its own, so that a large
+	// body does not hold up a renewal.
+	traffic *http.Client
+	control *http.Client
+	mu      sync.Mutex
+	tables  map[string]table
+}
+
+// table is the last task table read of one worker.
+type table struct {
+	boot    string
+	version uint64
+	rows    []ccledger.Row
+}
+
+// controlConnections are taken off a worker's connections for control.
+const controlConnections = 2
+
+// NewClient returns a client; it opens no connection.
+func NewClient(cfg Config) *Client {
+	return &Client{
+		cfg:     cfg,
+		traffic: &http.Client{Transport: newTransport(cfg.Connections-controlConnections, cfg.StartTimeout)},
+		control: &http.Client{Transport: newTransport(controlConnections, cfg.SyncTimeout)},
+		tables:  map[string]table{},
+	}
+}
+
+// UsableConnections returns how many of a worker's connections are left for tasks.
+func UsableConnections(total int64) int64 {
+	return max(total-controlConnections, 0)
+}
+
+// newTransport returns a transport with at most n connections to one worker.
+func newTransport(n int, dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     n,
+		MaxIdleConnsPerHost: n,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+// Grant is the permission to start work on one worker.
+type Grant struct {
+	Worker  string
+	Address string
+	Epoch   uint64
+	// Until ends the permission, on this process's clock.
+	Until ccclock.Millis
+	// LeaseMs is how long the work runs on without a renewal.
+	LeaseMs int64
+}
+
+// notAfterUnixMs is the end of the permission on the wall clock.
+func (g *Grant) notAfterUnixMs(clock ccclock.Clock) int64 {
+	left := g.Until - clock.Now()
+	return time.Now().Add(left.Duration()).UnixMilli()
+}
+
+// Work is one request.
+type Work struct {
+	Task string
+	Team string
+	Kind string
+	Size ccwork.Size
+	Body []byte
+}
+
+// Run executes a request on a worker and returns its outcome. It sends nothing once the grant has
+// ended. Admitted is called when the worker has confirmed the start, before the answer is read.
+func (c *Client) Run(ctx context.Context, g Grant, w Work, admitted func()) ccwork.Result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f := &fence{clock: c.cfg.Clock, until: g.Until, body: bytes.NewReader(w.Body)}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if f.closed() {
+				cancel(ccwork.ErrFenced)
+			}
+		},
+		WroteHeaders: func() { f.sent.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+g.Address+RunPath, f)
+	if err != nil {
+		return ccwork.NotRunResult(err)
+	}
+	req.ContentLength = int64(len(w.Body))
+	if len(w.Body) == 0 {
+		req.Body = http.NoBody
+	}
+	c.setHeaders(req, &g, &w)
+	if f.closed() {
+		return ccwork.NotRunResult(ccwork.ErrFenced)
+	}
+	resp, err := c.traffic.Do(req)
+	if err != nil {
+		return c.runError(f, err, g.Worker)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.answer(resp, g.Worker, admitted)
+}
+
+// setHeaders describes the request to the worker.
+func (c *Client) setHeaders(req *http.Request, g *Grant, w *Work) {
+	size, _ := json.Marshal(w.Size)
+	req.Header.Set(TaskHeader, w.Task)
+	req.Header.Set(TeamHeader, w.Team)
+	req.Header.Set(KindHeader, w.Kind)
+	req.Header.Set(SizeHeader, string(size))
+	req.Header.Set(EpochHeader, strconv.FormatUint(g.Epoch, 10))
+	req.Header.Set(LeaseHeader, strconv.FormatInt(g.LeaseMs, 10))
+	req.Header.Set(NotAfterHeader, strconv.FormatInt(g.notAfterUnixMs(c.cfg.Clock), 10))
+}
+
+// runError maps a failure without a reply to an outcome.
+func (c *Client) runError(f *fence, err error, worker string) ccwork.Result {
+	r := ccwork.UnknownResult(ccwork.ErrTruncated)
+	switch {
+	case f.stopped.Load() && !f.sent.Load():
+		r = ccwork.NotRunResult(ccwork.ErrFenced)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		r = ccwork.NotRunResult(ccwork.ErrRefused)
+	}
+	r.Worker = worker
+	return r
+}
+
+// answer reads the reply of a worker.
+func (c *Client) answer(resp *http.Response, worker string, admitted func()) ccwork.Result {
+	r := ccwork.Result{Outcome: ccwork.Unknown, Worker: worker}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		r.Outcome = ccwork.NotRun
+		r.Reason = ccwork.ReasonOf(ccwork.ErrRefused)
+		return r
+	default:
+		r.Reason = ccwork.ReasonOf(ErrBadReply)
+		return r
+	}
+	admitted()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxAnswer+1))
+	outcome := resp.Trailer.Get(OutcomeTrailer)
+	if err != nil || int64(len(body)) > c.cfg.MaxAnswer || outcome == "" {
+		r.Reason = ccwork.ReasonOf(ccwork.ErrTruncated)
+		return r
+	}
+	if ccwork.TaskState(outcome) == ccwork.Stopped {
+		r.Reason = ccwork.ReasonOf(ccwork.ErrCancelled)
+		return r
+	}
+	r.Outcome = ccwork.Ran
+	r.Failed = ccwork.TaskState(outcome) == ccwork.Failed
+	r.Answer = body
+	return r
+}
+
+// fence is a request body that refuses to be sent once the grant has ended. The transport buffers
+// the headers until the body's first bytes, so that a refusal there keeps the whole request back.
+type fence struct {
+	clock   ccclock.Clock
+	until   ccclock.Millis
+	body    *bytes.Reader
+	started bool
+	stopped atomic.Bool
+	sent    atomic.Bool
+}
+
+// closed reports whether the grant has ended.
+func (f *fence) closed() bool {
+	if f.clock.Now() < f.until {
+		return false
+	}
+	f.stopped.Store(true)
+	return true
+}
+
+// Read implements io.Reader. It fails with ccwork.ErrFenced.
+func (f *fence) Read(p []byte) (int, error) {
+	if !f.started && f.closed() {
+		return 0, ccwork.ErrFenced
+	}
+	f.started = true
+	return f.body.Read(p)
+}
+
+// Start starts tasks on a worker. It returns the tasks that were not started, by ID, with the
+// reason. An error means that any of them may have been started, unless it is ccwork.ErrFenced or
+// ccwork.ErrRefused, when none was.
+func (c *Client) Start(ctx context.Context, g Grant, tasks []StartTask) (map[string]string, error) {
+	if c.cfg.Clock.Now() >= g.Until {
+		return nil, ccwork.ErrFenced
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.StartTimeout)
+	defer cancel()
+	req := StartRequest{
+		Epoch: g.Epoch, LeaseMs: g.LeaseMs,
+		NotAfterUnixMs: g.notAfterUnixMs(c.cfg.Clock), Tasks: tasks,
+	}
+	var reply StartReply
+	err := c.call(ctx, c.traffic, g.Address+TasksPath, &req, &reply, g.Until)
+	return reply.Refused, err
+}
+
+// Sync renews the leases of a worker's tasks and returns its task table. Stop and forget are tasks
+// to be stopped, and ended tasks to be dropped from the table.
+func (c *Client) Sync(ctx context.Context, g Grant, stop, forget []string) ([]ccledger.Row, error) {
+	if c.cfg.Clock.Now() >= g.Until {
+		return nil, ccwork.ErrFenced
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.SyncTimeout)
+	defer cancel()
+	c.mu.Lock()
+	last := c.tables[g.Worker]
+	c.mu.Unlock()
+	req := SyncRequest{
+		Epoch: g.Epoch, LeaseMs: g.LeaseMs, Stop: stop, Forget: forget,
+		Boot: last.boot, Since: last.version,
+	}
+	var reply SyncReply
+	if err := c.call(ctx, c.control, g.Address+SyncPath, &req, &reply, g.Until); err != nil {
+		return nil, err
+	}
+	if err := reply.Check(); err != nil {
+		return nil, err
+	}
+	next := table{boot: reply.Boot, version: reply.Version, rows: last.rows}
+	if !reply.Unchanged {
+		next.rows = ledgerRows(reply.Rows)
+	}
+	c.mu.Lock()
+	c.tables[g.Worker] = next
+	c.mu.Unlock()
+	return next.rows, nil
+}
+
+// Forget drops what is remembered of a worker.
+func (c *Client) Forget(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.tables, worker)
+}
+
+// call posts a JSON request and decodes the reply. Nothing is sent from until on.
+func (c *Client) call(ctx context.Context, hc *http.Client, address string, in, out any, until ccclock.Millis) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encoding a request to a worker")
+	}
+	f := &fence{clock: c.cfg.Clock, until: until, body: bytes.NewReader(data)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, f)
+	if err != nil {
+		return errors.Wrap(err, "building a request to a worker")
+	}
+	req.ContentLength = int64(len(data))
+	resp, err := hc.Do(req)
+	switch {
+	case err != nil && f.stopped.Load():
+		return ccwork.ErrFenced
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errors.Mark(err, ccwork.ErrRefused)
+	case err != nil:
+		return errors.Wrap(err, "calling a worker")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusServiceUnavailable {
+		return errors.Wrapf(ccwork.ErrRefused, "status %d", resp.StatusCode)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrBadReply, "status %d", resp.StatusCode)
+	}
+	return errors.Mark(json.NewDecoder(resp.Body).Decode(out), ErrBadReply)
+}
