Ownership: randomised proof, two faults it found, mutants

Cause (1): an owner that saw no other process reopened a shard whose hand-over was in doubt. Cause (2): a taker still waiting for the last owner's authority to end handed the shard on as released, so that the next owner did not wait.

Change: a hand-over in doubt keeps the shard closed; a release waits for safeAt.

--- /dev/null
+++ b/_scripts/mutate.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Switches single mechanisms off on a scratch copy, and tells whether the proofs notice.
+# Usage: _scripts/mutate.sh [NAME]   (all mutants, or the one named)
+set -u
+top=$(git rev-parse --show-toplevel)
+only=${1:-}
+survived=0
+
+# mutant NAME FILE OLD NEW PACKAGE TESTFLAGS: OLD stands exactly in FILE.
+mutant() {
+  [ -z "$only" ] || [ "$only" = "$1" ] || return 0
+  copy=$(mktemp -d)
+  git -C "$top" ls-files -z --cached --others --exclude-standard | (cd "$top" && xargs -0 cp --parents -t "$copy")
+  if ! FILE="$copy/$2" OLD="$3" NEW="$4" perl -0pi -e 'BEGIN{$o=$ENV{OLD};$n=$ENV{NEW}} s/\Q$o\E/$n/ or $bad=1; END{exit 1 if $bad}' "$copy/$2"; then
+    echo "MUTANT $1: pattern not found"
+    survived=1
+  elif (cd "$copy" && go test -count=1 "$5" $6 >"$copy/out" 2>&1); then
+    echo "MUTANT $1: SURVIVED"
+    survived=1
+  else
+    echo "MUTANT $1: caught: $(grep -m1 -E 'failed after|FAIL:|panic|build failed' "$copy/out")"
+  fi
+  rm -rf "$copy"
+}
+
+shard="-run=TestOneOwner -rapid.checks=8000 -rapid.shrinktime=1s -rapid.nofailfile"
+keeper=core/ccshard/keeper.go
+plan=core/ccshard/plan.go
+mutant taker-does-not-wait $keeper 's.safeAt = now + k.cfg.Window + k.cfg.Drift' 's.safeAt = now' ./core/ccshard "$shard"
+mutant promise-counts-while-writing $keeper 'if !k.writing(name) {' 'if true {' ./core/ccshard "$shard"
+mutant heir-grants-while-writing $keeper 'if k.writing(ask.Shard) {' 'if false {' ./core/ccshard "$shard"
+mutant heir-ignores-own-promise $plan 'if p.now < s.grantedUntil {' 'if false {' ./core/ccshard "$shard"
+mutant rescue-without-evidence $plan '|| !p.v.Gone(s.rec.Owner)' '' ./core/ccshard "$shard"
+mutant reopened-in-doubt $plan 's.releasing = s.releasing && p.k.writing(name)' 's.releasing = false' ./core/ccshard "$shard"
+mutant early-release $plan '|| p.now < s.safeAt' '' ./core/ccshard "$shard"
+mutant doubtful-write-forgotten $plan 'k.pending != nil && !k.pending.doubtful' 'k.pending != nil' ./core/ccshard "$shard"
+mutant promise-outlives-its-end $keeper 'askedAt+k.cfg.Promise-k.cfg.Drift' 'askedAt+20*k.cfg.Promise' ./core/ccshard "$shard"
+mutant read-counts-from-arrival $keeper 's.readAt = max(s.readAt, sentAt)' 's.readAt = max(s.readAt, now)' ./core/ccshard "$shard"
+exit $survived
--- a/core/ccshard/plan.go
+++ b/core/ccshard/plan.go
@@ -164,15 +164,18 @@
 func (p *planner) release(name string, s *shard) (Record, bool) {
 	target := p.lightest()
 	if target == "" {
-		// Nobody can take the shard: it stays here, also while this process drains.
-		s.releasing = false
+		// Nobody can take the shard: it stays here, also while this process drains. A hand-over
+		// in doubt may still take effect, and keeps the shard closed.
+		s.releasing = s.releasing && p.k.writing(name)
 		return Record{}, false
 	}
 	s.releasing = true
 	p.moves++
 	p.load[p.k.cfg.Self]--
 	p.load[target]++
-	if p.v.Busy(name) {
+	if p.v.Busy(name) || p.now < s.safeAt {
+		// Also the authority of the owner before this one must have ended: the next owner
+		// does not wait for it.
 		return Record{}, false
 	}
 	return p.record(name, s, target, true), true
