Jobs: randomised proof, a doubled gang task found, desk between drivers and ledger

Cause: a driver in doubt of a gang task took the success of an earlier start for its end and restarted the gang; the number of the try went back with it, so that the next start had the ID of one still running on another worker. Found by TestNoTaskTwice once its check compared runs of equal ID on two workers. Ruled out: the ledger (capacity held in all runs), late orders (refused).

Change: tries are numbered by a counter of their own; in doubt, a gang's success counts only once the reports show that nothing runs. The owner's side of a placement moved from ccnode into ccledger.Desk, so that the proof drives it.

--- a/core/ccjob/driver.go
+++ b/core/ccjob/driver.go
@@ -56,8 +56,11 @@
 
 // taskRun is a task with the state that is not in the store.
 type taskRun struct {
-	phase    phase
+	phase phase
+	// try is that of the task that runs, or may run; last is the highest that this driver has
+	// given out. No number is given out twice, so that two runs never share an ID.
 	try      uint64
+	last     uint64
 	since    ccclock.Millis
 	seenAt   ccclock.Millis
 	shard    string
@@ -65,6 +68,8 @@
 	failures int
 	avoid    string
 	result   []byte
+	// success is set when a gang's doubtful task has a try that succeeded, while another may run.
+	success bool
 }
 
 const (
@@ -116,7 +121,8 @@
 	r := &run{job: j, tasks: make([]taskRun, len(j.Tasks))}
 	for i := range r.tasks {
 		t := &r.tasks[i]
-		t.try = d.epoch * triesPerEpoch
+		t.last = d.epoch * triesPerEpoch
+		t.try = t.last
 		t.since = now
 		switch {
 		case j.Tasks[i].State != "":
@@ -210,7 +216,9 @@
 		if t.phase != waiting || !gang && len(o.Tasks) == limit {
 			continue
 		}
-		t.try++
+		t.last++
+		t.try = t.last
+		t.success = false
 		t.phase = placing
 		t.since = now
 		o.Tasks = append(o.Tasks, OrderTask{
@@ -325,9 +333,7 @@
 		d.stray(c)
 		return
 	}
-	if t.phase == doubtful && (c.State == ccwork.Failed || c.State == ccwork.Stopped) {
-		// The end of one try says nothing of another that may run: only Settle frees the task.
-		d.forget[c.Task] = true
+	if t.phase == doubtful && c.State.Ended() && d.endsInDoubt(r, t, c) {
 		return
 	}
 	t.seenAt = max(t.seenAt, askedAt)
@@ -346,6 +352,27 @@
 	}
 }
 
+// endsInDoubt takes in the end of one try of a doubtful task, of which another try may run. It
+// returns false when that end is the task's own: a success of a task that runs alone.
+func (d *Driver) endsInDoubt(r *run, t *taskRun, c ccledger.Claim) bool {
+	if c.State != ccwork.Succeeded {
+		d.forget[c.Task] = true
+		return true
+	}
+	if r.job.Class != ccwork.Gang {
+		return false
+	}
+	_, _, try, _ := ParseTaskID(c.Task)
+	if try > d.epoch*triesPerEpoch && try != t.try {
+		// A gang that was restarted does not want the success of an earlier start.
+		d.forget[c.Task] = true
+		return true
+	}
+	t.success = true
+	t.result = c.Result
+	return true
+}
+
 // adopt takes over the try of a task that an earlier driver started.
 func (t *taskRun) adopt(id string) {
 	_, _, try, _ := ParseTaskID(id)
@@ -486,6 +513,11 @@
 
 // free makes a task wait again.
 func (d *Driver) free(r *run, t *taskRun, now ccclock.Millis) {
+	if t.success && !r.restarting {
+		t.phase = ended
+		d.finishGang(r)
+		return
+	}
 	t.phase = waiting
 	if r.over {
 		t.phase = ended
--- /dev/null
+++ b/core/ccjob/model_test.go
@@ -0,0 +1,492 @@
+package ccjob
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccwork"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "500"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	leaseMs  = ccclock.Millis(3_000)
+	flightMs = ccclock.Millis(400)
+)
+
+// model is one bucket of jobs, its driver of the moment, owners of workers, and the workers. Messages
+// are lost, delayed and re-ordered; drivers and owners are replaced; workers die and lose contact.
+type model struct {
+	t       *rapid.T
+	now     ccclock.Millis
+	book    Book
+	driver  *Driver
+	epoch   uint64
+	seq     uint64
+	workers []*worker
+	owners  []*owner
+	mail    []mail
+	runs    int
+	lost    int
+}
+
+// worker runs tasks. Its table survives every process of the system.
+type worker struct {
+	id       string
+	capacity ccwork.Size
+	tasks    map[string]*ccledger.Row
+	lease    map[string]ccclock.Millis
+	cut      bool
+}
+
+// owner is the process that owns one worker for the time being.
+type owner struct {
+	worker *worker
+	shard  string
+	pool   *ccledger.Pool
+	desk   *ccledger.Desk
+	gen    int
+}
+
+// mail is a message in flight.
+type mail struct {
+	what string
+	by   ccclock.Millis
+	do   func()
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, now: 1}
+	for i := range 3 {
+		w := &worker{
+			id: fmt.Sprintf("w%d", i), capacity: ccwork.Size{MilliCores: 4, MemoryMB: 4, Slots: 4, Connections: 4},
+			tasks: map[string]*ccledger.Row{}, lease: map[string]ccclock.Millis{},
+		}
+		m.workers = append(m.workers, w)
+		m.owners = append(m.owners, m.own(w, 0))
+	}
+	size := ccwork.Size{MilliCores: 1, MemoryMB: 1, Slots: 1, Connections: 1}
+	for i, class := range []ccwork.Class{ccwork.Batch, ccwork.Gang, ccwork.Batch} {
+		j := &Job{ID: fmt.Sprint("j", i), Team: "t", Kind: "k", Class: class, Size: size, MaxFailures: 1000, State: Accepted, AcceptedAt: int64(i), Tasks: make([]Task, 3)}
+		_, _ = m.book.Submit(j)
+	}
+	m.takeOver()
+	return m
+}
+
+// own makes a new owner of a worker, with an empty ledger.
+func (m *model) own(w *worker, gen int) *owner {
+	o := &owner{worker: w, shard: "rack:" + w.id, gen: gen}
+	o.pool = ccledger.NewPool(ccledger.Config{QuarantinePercent: 100, MaxFailures: 1 << 30, TaskLease: leaseMs + flightMs})
+	o.desk = ccledger.NewDesk(o.pool)
+	o.pool.Add(ccledger.Worker{ID: w.id, Capacity: w.capacity}, o.shard, m.now)
+	o.pool.Open(o.shard, true)
+	return o
+}
+
+// takeOver makes a new driver, which knows only the stored book.
+func (m *model) takeOver() {
+	m.epoch++
+	m.seq = 0
+	m.driver = NewDriver(m.epoch)
+	m.driver.Load(m.stored(), m.now)
+}
+
+// stored returns a copy of the book, as a read of the store would.
+func (m *model) stored() *Book {
+	b := Book{Jobs: map[string]*Job{}}
+	for key, j := range m.book.Jobs {
+		c := *j
+		c.Tasks = slices.Clone(j.Tasks)
+		b.Jobs[key] = &c
+	}
+	return &b
+}
+
+// post puts a message in flight; it is lost unless it is delivered before its time.
+func (m *model) post(what string, by ccclock.Millis, do func()) {
+	m.mail = append(m.mail, mail{what, by, do})
+}
+
+// deliver hands over any message in flight.
+func (m *model) deliver() {
+	if len(m.mail) == 0 {
+		m.t.Skip("no mail")
+	}
+	i := rapid.IntRange(0, len(m.mail)-1).Draw(m.t, "mail")
+	l := m.mail[i]
+	m.mail = slices.Delete(m.mail, i, i+1)
+	if m.now <= l.by {
+		l.do()
+	}
+}
+
+// report asks an owner for its report.
+func (m *model) report() {
+	m.seq++
+	d, sender, asked := m.driver, ccledger.Sender{Bucket: "b", Epoch: m.epoch, Seq: m.seq}, m.now
+	stop, forget := d.TakeStops(), d.TakeForget()
+	for i := range m.owners {
+		m.post("ask", m.now+1_000, func() {
+			o := m.owners[i]
+			if !o.desk.Raise(sender) {
+				return
+			}
+			m.order(o, stop, forget)
+			rep := Report{Tasks: o.pool.Claims(func(c *ccledger.Claim) bool { return c.Phase != ccledger.Reserved })}
+			if o.pool.ShardReady(o.shard, m.now) {
+				rep.Ready = []string{o.shard}
+			}
+			m.post("report", m.now+1_000, func() { d.Observe(rep, asked, m.now) })
+		})
+	}
+}
+
+// order passes a driver's orders on to the worker.
+func (m *model) order(o *owner, stop, forget []string) {
+	for _, id := range stop {
+		if r := o.worker.tasks[id]; r != nil && r.State == ccwork.Running {
+			m.post("stop", m.now+1_000, func() {
+				if r.State == ccwork.Running {
+					r.State = ccwork.Stopped
+				}
+			})
+		}
+	}
+	for _, id := range forget {
+		if r := o.worker.tasks[id]; r != nil && r.State.Ended() {
+			delete(o.worker.tasks, id)
+		}
+	}
+}
+
+// place sends what the driver wants started to a random owner.
+func (m *model) place() {
+	d, sender := m.driver, ccledger.Sender{Bucket: "b", Epoch: m.epoch, Seq: m.seq}
+	d.Settle(m.shards(), m.now)
+	for _, order := range d.Next(4, m.now) {
+		for _, t := range order.Tasks {
+			i := rapid.IntRange(0, len(m.owners)-1).Draw(m.t, "owner")
+			m.placeTask(d, sender, order.Job, t, i)
+		}
+	}
+}
+
+func (m *model) shards() []string {
+	var out []string
+	for _, o := range m.owners {
+		out = append(out, o.shard)
+	}
+	return out
+}
+
+// placeTask sends one task; the driver hears the outcome, or doubts.
+func (m *model) placeTask(d *Driver, sender ccledger.Sender, j *Job, t OrderTask, i int) {
+	answered := false
+	m.post("place", m.now+1_500, func() {
+		o := m.owners[i]
+		order := ccledger.Order{Sender: sender, HoldUntil: m.now + 1_000}
+		order.Row = ccledger.Row{Task: t.ID, Team: j.Team, Size: j.Size, State: ccwork.Running}
+		c, outcome, _ := o.desk.Take(order, func(string) error { return nil }, m.now)
+		if c == nil {
+			m.post("refusal", m.now+1_000, func() {
+				answered = true
+				if outcome == ccwork.Unknown {
+					d.Doubt(t.ID, m.now)
+				} else {
+					d.NotPlaced(t.ID, "Overload", m.now)
+				}
+			})
+			return
+		}
+		m.start(o, d, order.Row, &answered)
+	})
+	m.post("patience", m.now+9_000, func() {
+		if !answered {
+			d.Doubt(t.ID, m.now)
+		}
+	})
+}
+
+// start sends a start to a worker. It arrives before its permission ends, or never.
+func (m *model) start(o *owner, d *Driver, row ccledger.Row, answered *bool) {
+	doubtUntil := m.now + flightMs
+	replied := false
+	m.post("start", doubtUntil, func() {
+		if o.worker.cut || o.gen < m.ownerOf(o.worker).gen {
+			return
+		}
+		m.begin(o.worker, row)
+		m.post("started", m.now+1_000, func() {
+			if replied {
+				return
+			}
+			replied = true
+			o.desk.Started(row.Task, ccwork.Ran, m.now, 0)
+			m.post("placed", m.now+1_000, func() {
+				*answered = true
+				d.Placed(row.Task, o.worker.id, o.shard, m.now)
+			})
+		})
+	})
+	m.post("no reply", m.now+9_000, func() {
+		if !replied {
+			replied = true
+			o.desk.Started(row.Task, ccwork.Unknown, m.now, doubtUntil)
+		}
+	})
+}
+
+func (m *model) ownerOf(w *worker) *owner {
+	for _, o := range m.owners {
+		if o.worker == w {
+			return o
+		}
+	}
+	return nil
+}
+
+// begin runs a task on a worker, and holds all against the two promises.
+func (m *model) begin(w *worker, row ccledger.Row) {
+	if _, ok := w.tasks[row.Task]; ok {
+		return
+	}
+	m.runs++
+	w.tasks[row.Task] = &row
+	w.lease[row.Task] = m.now + leaseMs
+	var used ccwork.Size
+	for _, r := range w.tasks {
+		if r.State == ccwork.Running {
+			used = used.Plus(r.Size)
+		}
+	}
+	if !used.Fits(&w.capacity) {
+		m.t.Fatalf("at %d worker %s runs %+v of %+v", m.now, w.id, used, w.capacity)
+	}
+	key, index, _, _ := ParseTaskID(row.Task)
+	for _, other := range m.workers {
+		for id, r := range other.tasks {
+			k, i, _, _ := ParseTaskID(id)
+			if r != &row && k == key && i == index && r.State == ccwork.Running {
+				m.t.Fatalf("at %d task %s#%d runs as %s on %s and as %s on %s", m.now, key, index, row.Task, w.id, id, other.id)
+			}
+		}
+	}
+}
+
+// sync reads a worker's task table, which renews the leases.
+func (m *model) sync() {
+	o := m.owners[rapid.IntRange(0, len(m.owners)-1).Draw(m.t, "owner")]
+	asked := m.now
+	if o.worker.cut {
+		o.pool.Unreachable(o.worker.id, m.now)
+		return
+	}
+	for id, r := range o.worker.tasks {
+		if r.State == ccwork.Running {
+			o.worker.lease[id] = m.now + leaseMs
+		}
+	}
+	var rows []ccledger.Row
+	for _, id := range slices.Sorted(maps.Keys(o.worker.tasks)) {
+		rows = append(rows, *o.worker.tasks[id])
+	}
+	m.post("table", m.now+800, func() {
+		if o == m.ownerOf(o.worker) {
+			o.pool.Reconcile(o.worker.id, rows, asked, m.now)
+		}
+	})
+}
+
+// pass lets time pass, ends leases, and drops the mail whose time is over.
+func (m *model) pass(ms int) {
+	m.now += ccclock.Millis(ms)
+	for _, w := range m.workers {
+		for id, r := range w.tasks {
+			if r.State == ccwork.Running && m.now > w.lease[id] {
+				r.State = ccwork.Stopped
+			}
+		}
+	}
+}
+
+// end ends a running task.
+func (m *model) end() {
+	w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "worker")]
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		if r := w.tasks[id]; r.State == ccwork.Running {
+			r.State = ccwork.Succeeded
+			if rapid.IntRange(0, 3).Draw(m.t, "fails") == 0 {
+				r.State = ccwork.Failed
+			}
+			return
+		}
+	}
+	m.t.Skip("nothing runs")
+}
+
+// record writes the endings to the store; now and then the reply is lost, or the write fails.
+func (m *model) record() {
+	endings := m.driver.TakeEndings()
+	if len(endings) == 0 {
+		m.t.Skip("no endings")
+	}
+	luck := rapid.IntRange(0, 4).Draw(m.t, "luck")
+	if luck > 0 {
+		m.book.Record(endings, int64(m.now))
+	}
+	if luck < 2 {
+		m.driver.Unrecorded(endings)
+		return
+	}
+	m.driver.Recorded(endings)
+	m.driver.Load(m.stored(), m.now)
+}
+
+func (m *model) actions() map[string]func(*rapid.T) {
+	step := func(f func()) func(*rapid.T) {
+		return func(t *rapid.T) { m.t = t; f() }
+	}
+	rare := func(n int, f func()) func(*rapid.T) {
+		return step(func() {
+			if rapid.IntRange(0, n).Draw(m.t, "rare") == 0 {
+				f()
+			}
+		})
+	}
+	return map[string]func(*rapid.T){
+		"report": step(m.report), "place": step(m.place), "place2": step(m.place), "end": step(m.end),
+		"deliver": step(m.deliver), "deliver2": step(m.deliver), "deliver3": step(m.deliver), "deliver4": step(m.deliver), "deliver5": step(m.deliver),
+		"sync": step(m.sync), "sync2": step(m.sync), "record": step(m.record),
+		"short":  step(func() { m.pass(rapid.IntRange(1, 100).Draw(m.t, "ms")) }),
+		"medium": rare(2, func() { m.pass(rapid.IntRange(1, 1_500).Draw(m.t, "ms")) }),
+		"driver": rare(8, m.takeOver),
+		"owner": rare(6, func() {
+			// The next owner of a worker acts only once the starts of the last can't arrive any more.
+			i := rapid.IntRange(0, len(m.owners)-1).Draw(m.t, "owner")
+			m.pass(int(flightMs) + 1)
+			m.owners[i] = m.own(m.owners[i].worker, m.owners[i].gen+1)
+		}),
+		"cut":  rare(4, func() { m.workers[rapid.IntRange(0, 2).Draw(m.t, "worker")].cut = true }),
+		"mend": step(func() { m.mendAll() }),
+		"die": rare(8, func() {
+			w := m.workers[rapid.IntRange(0, 2).Draw(m.t, "worker")]
+			w.tasks = map[string]*ccledger.Row{}
+			m.lost++
+		}),
+	}
+}
+
+func (m *model) mendAll() {
+	for _, w := range m.workers {
+		w.cut = false
+	}
+}
+
+// heal runs without faults until every job has ended.
+func (m *model) heal() {
+	m.mendAll()
+	// Messages are lost; an owner that waits for a reply gives up.
+	mail := m.mail
+	m.mail = nil
+	for _, l := range mail {
+		if l.what == "no reply" {
+			l.do()
+		}
+	}
+	m.takeOver()
+	for range 400 {
+		if m.done() {
+			return
+		}
+		m.report()
+		for _, o := range m.owners {
+			m.healSync(o)
+		}
+		m.drain()
+		if endings := m.driver.TakeEndings(); len(endings) > 0 {
+			m.book.Record(endings, int64(m.now))
+			m.driver.Recorded(endings)
+			m.driver.Load(m.stored(), m.now)
+		}
+		d, sender := m.driver, ccledger.Sender{Bucket: "b", Epoch: m.epoch, Seq: m.seq}
+		d.Settle(m.shards(), m.now)
+		for _, order := range d.Next(4, m.now) {
+			for k, t := range order.Tasks {
+				m.placeTask(d, sender, order.Job, t, k%len(m.owners))
+			}
+		}
+		m.drain()
+		m.pass(700)
+		for _, w := range m.workers {
+			for _, r := range w.tasks {
+				if r.State == ccwork.Running {
+					r.State = ccwork.Succeeded
+				}
+			}
+		}
+	}
+	m.t.Fatalf("jobs did not end: %+v", m.driver.Counts())
+}
+
+func (m *model) healSync(o *owner) {
+	var rows []ccledger.Row
+	for _, id := range slices.Sorted(maps.Keys(o.worker.tasks)) {
+		rows = append(rows, *o.worker.tasks[id])
+	}
+	o.pool.Reconcile(o.worker.id, rows, m.now, m.now)
+}
+
+// drain delivers all mail in order, but for the patience of those who wait.
+func (m *model) drain() {
+	for len(m.mail) > 0 {
+		l := m.mail[0]
+		m.mail = m.mail[1:]
+		if l.what != "patience" && l.what != "no reply" {
+			l.do()
+		}
+	}
+}
+
+func (m *model) done() bool {
+	for _, j := range m.book.Jobs {
+		if j.State != Succeeded {
+			return false
+		}
+	}
+	return true
+}
+
+// TestNoTaskTwice drives random interleavings: no task may run in two places at once, no worker may
+// hold more than its capacity, and every accepted job ends once the faults do.
+func TestNoTaskTwice(t *testing.T) {
+	runs, lost := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(m.actions())
+		m.t = t
+		m.heal()
+		runs += m.runs
+		lost += m.lost
+	})
+	if runs == 0 || lost == 0 {
+		t.Fatal("no task ran or no worker died: the run proves nothing")
+	}
+	t.Logf("%d tasks were begun, %d workers died", runs, lost)
+}
--- a/core/ccledger/pool.go
+++ b/core/ccledger/pool.go
@@ -10,7 +10,7 @@
 // Errors of placement. None of them says that the work can never be placed.
 var (
 	// ErrFull reports that no worker has room now.
-	ErrFull = errors.New("no worker has room")
+	ErrFull = errors.Wrap(ccwork.ErrOverload, "no worker has room")
 	// ErrDuplicate reports that the task holds a claim already.
 	ErrDuplicate = errors.New("task holds a claim already")
 )
--- a/io/ccfellow/message.go
+++ b/io/ccfellow/message.go
@@ -70,14 +70,6 @@
 	return m.Result.Outcome.Check()
 }
 
-// Sender names the driver of a bucket of jobs. An owner refuses what an older driver sends, and
-// what a driver sent before its latest report was asked for.
-type Sender struct {
-	Bucket string
-	Epoch  uint64
-	Seq    uint64
-}
-
 // PlaceTask is one task of a job to be started, or to be reserved for.
 type PlaceTask struct {
 	Task    string
@@ -87,7 +79,7 @@
 
 // PlaceRequest asks an owner to start tasks of one job, or only to hold room for them.
 type PlaceRequest struct {
-	Sender
+	ccledger.Sender
 	Team    string
 	Kind    string
 	Size    ccwork.Size
@@ -132,7 +124,7 @@
 // ReportRequest asks an owner for its ready shards and the tasks of a bucket, and hands it tasks to
 // stop, to forget, and reservations to release.
 type ReportRequest struct {
-	Sender
+	ccledger.Sender
 	Stop    []string `cbor:",omitempty"`
 	Forget  []string `cbor:",omitempty"`
 	Release []string `cbor:",omitempty"`
--- a/io/ccnode/buckets.go
+++ b/io/ccnode/buckets.go
@@ -9,6 +9,7 @@
 
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccjob"
+	"coriandercross/core/ccledger"
 	"coriandercross/core/ccmember"
 	"coriandercross/core/ccshard"
 	"coriandercross/io/ccfellow"
@@ -185,8 +186,8 @@
 }
 
 // sender names the driver in a message.
-func (b *bucket) sender() ccfellow.Sender {
-	return ccfellow.Sender{Bucket: b.name, Epoch: b.epoch, Seq: b.seq}
+func (b *bucket) sender() ccledger.Sender {
+	return ccledger.Sender{Bucket: b.name, Epoch: b.epoch, Seq: b.seq}
 }
 
 // report asks one owner for its report.
@@ -238,40 +239,20 @@
 	out := &ccfellow.ReportReply{}
 	err := n.do(func() {
 		now := n.now()
-		if !n.raiseFloor(in.Sender) {
+		if !n.c.desk.Raise(in.Sender) {
 			return
 		}
 		for _, task := range in.Release {
-			n.releaseReserved(task)
+			n.c.desk.Unhold(task)
 		}
 		n.noteFor(in.Stop, n.c.stop)
-		n.forgetTasks(in.Forget)
+		n.noteFor(in.Forget, n.c.forget)
 		out.Ready = n.readyShards(now)
 		out.Tasks = n.tasksOf(in.Bucket)
 	})
 	return out, err
 }
 
-// raiseFloor notes the newest driver of a bucket, and returns false for an older one. It belongs to
-// the control loop.
-func (n *Node) raiseFloor(s ccfellow.Sender) bool {
-	if !n.accepts(s) {
-		return false
-	}
-	n.c.senders[s.Bucket] = senderFloor{epoch: s.Epoch, seq: s.Seq}
-	return true
-}
-
-// accepts reports whether a message is of the newest driver and not older than its last report
-// request. It belongs to the control loop.
-func (n *Node) accepts(s ccfellow.Sender) bool {
-	f := n.c.senders[s.Bucket]
-	if s.Epoch != f.epoch {
-		return s.Epoch > f.epoch
-	}
-	return s.Seq >= f.seq
-}
-
 // noteFor adds tasks to the list of the worker that holds each. It belongs to the control loop.
 func (n *Node) noteFor(tasks []string, lists map[string][]string) {
 	for _, task := range tasks {
@@ -282,11 +263,6 @@
 	}
 }
 
-// forgetTasks drops ended tasks here and on their workers. It belongs to the control loop.
-func (n *Node) forgetTasks(tasks []string) {
-	n.noteFor(tasks, n.c.forget)
-}
-
 // readyShards returns the shards whose tasks this process knows all of. It belongs to the control loop.
 func (n *Node) readyShards(now ccclock.Millis) []string {
 	var out []string
--- a/io/ccnode/node.go
+++ b/io/ccnode/node.go
@@ -48,6 +48,7 @@
 	keeper   *ccshard.Keeper
 	members  *ccmember.Table
 	pool     *ccledger.Pool
+	desk     *ccledger.Desk
 	queue    *ccqueue.Queue
 	router   *ccroute.Router
 	budget   *ccretry.Budget
@@ -62,7 +63,6 @@
 	stop     map[string][]string
 	forget   map[string][]string
 	drivers  map[string]*bucket
-	senders  map[string]senderFloor
 	grants   map[string]func(*ccledger.Claim)
 	requests map[string]bool
 	// serviceMs is the smoothed run time of interactive requests.
@@ -78,12 +78,6 @@
 	table          ccshard.Table
 }
 
-// senderFloor is the oldest message of a bucket's driver that is still accepted.
-type senderFloor struct {
-	epoch uint64
-	seq   uint64
-}
-
 // New returns a node that does nothing yet.
 func New(cfg Config) *Node {
 	id := ccmember.NewID(cfg.VM, cfg.Incarnation)
@@ -127,11 +121,11 @@
 		stop:      map[string][]string{},
 		forget:    map[string][]string{},
 		drivers:   map[string]*bucket{},
-		senders:   map[string]senderFloor{},
 		grants:    map[string]func(*ccledger.Claim){},
 		requests:  map[string]bool{},
 		serviceMs: initialServiceMs,
 	}
+	n.c.desk = ccledger.NewDesk(n.c.pool)
 	return n
 }
 
--- a/io/ccnode/placement.go
+++ b/io/ccnode/placement.go
@@ -311,72 +311,54 @@
 // It belongs to the control loop.
 func (n *Node) claimTask(in *ccfellow.PlaceRequest, t ccfellow.PlaceTask, now ccclock.Millis) (*ccledger.Claim, ccfellow.Placement) {
 	p := ccfellow.Placement{Task: t.Task, Outcome: ccwork.NotRun}
-	if !n.accepts(in.Sender) || n.c.draining {
-		p.Reason = ccwork.ReasonOf(ccwork.ErrFenced)
+	if n.c.draining {
+		p.Reason = ccwork.ReasonOf(ccwork.ErrDraining)
 		return nil, p
 	}
-	c := n.c.pool.Claim(t.Task)
-	if c != nil && c.Phase != ccledger.Reserved {
-		// A repeat of a message: the task table will tell.
-		p.Outcome = ccwork.Unknown
+	if n.c.pool.Claim(t.Task) == nil && n.overQuota(in.Team, in.Size, now) {
+		p.Reason = ccwork.ReasonOf(ccwork.ErrQuota)
 		return nil, p
 	}
-	if c == nil {
-		var err error
-		c, err = n.reserve(in, t, now)
-		if err != nil {
-			p.Reason = ccwork.ReasonOf(err)
-			return nil, p
-		}
-	}
-	if _, err := n.c.keeper.Authority(c.Shard, now); err != nil {
-		n.c.pool.Release(t.Task)
-		p.Reason = ccwork.ReasonOf(ccwork.ErrFenced)
-		return nil, p
-	}
-	if in.Reserve {
-		p.Outcome = ccwork.Ran
-		return nil, p
+	o := ccledger.Order{
+		Sender: in.Sender,
+		Request: ccledger.Request{
+			Row: ccledger.Row{
+				Task: t.Task, Team: in.Team, Kind: in.Kind, Long: in.Long, Size: in.Size, State: ccwork.Running,
+			},
+			Patient: !in.Urgent,
+			Avoid:   t.Avoid,
+		},
+		Hold:      in.Reserve,
+		HoldUntil: now + reservationMs,
 	}
-	n.c.pool.Advance(t.Task, ccledger.Sending, now, 0)
+	c, outcome, err := n.c.desk.Take(o, func(shard string) error {
+		_, err := n.c.keeper.Authority(shard, now)
+		return err
+	}, now)
+	p.Outcome = outcome
+	p.Reason = ccwork.ReasonOf(err)
 	return c, p
 }
 
-// reserve finds room for one task. It belongs to the control loop.
-func (n *Node) reserve(in *ccfellow.PlaceRequest, t ccfellow.PlaceTask, now ccclock.Millis) (*ccledger.Claim, error) {
-	if n.overQuota(in.Team, in.Size, now) {
-		return nil, ccwork.ErrQuota
-	}
-	return n.c.pool.Reserve(ccledger.Request{
-		Row: ccledger.Row{
-			Task: t.Task, Team: in.Team, Kind: in.Kind, Long: in.Long, Size: in.Size, State: ccwork.Running,
-		},
-		Patient: !in.Urgent,
-		Avoid:   t.Avoid,
-	}, now, now+reservationMs)
-}
-
 // start sends one start to a worker and books its outcome.
 func (n *Node) start(ctx context.Context, s *startCall) {
 	refused, err := n.cfg.Workers.Start(ctx, s.grant, s.tasks)
-	none := errors.Is(err, ccwork.ErrFenced) || errors.Is(err, ccwork.ErrRefused)
+	all := ccwork.Ran
+	switch {
+	case errors.Is(err, ccwork.ErrFenced), errors.Is(err, ccwork.ErrRefused):
+		all = ccwork.NotRun
+	case err != nil:
+		all = ccwork.Unknown
+	}
 	_ = n.do(func() {
 		now := n.now()
 		for _, t := range s.tasks {
-			p := ccfellow.Placement{Task: t.Task, Worker: s.grant.Worker, Shard: s.shard}
-			why, no := refused[t.Task]
-			switch {
-			case none || no:
+			p := ccfellow.Placement{Task: t.Task, Worker: s.grant.Worker, Shard: s.shard, Outcome: all, Reason: ccwork.ReasonOf(err)}
+			if why, no := refused[t.Task]; no {
 				p.Outcome = ccwork.NotRun
 				p.Reason = why
-				n.c.pool.Release(t.Task)
-			case err != nil:
-				p.Outcome = ccwork.Unknown
-				n.c.pool.Advance(t.Task, ccledger.Doubtful, now, s.grant.Until+ccclock.Millis(n.cfg.Timing.FlightMs))
-			default:
-				p.Outcome = ccwork.Ran
-				n.c.pool.Advance(t.Task, ccledger.Admitted, now, 0)
 			}
+			n.c.desk.Started(t.Task, p.Outcome, now, s.grant.Until+ccclock.Millis(n.cfg.Timing.FlightMs))
 			s.placements = append(s.placements, p)
 		}
 		if err != nil && !errors.Is(err, ccwork.ErrFenced) {
@@ -386,13 +368,6 @@
 	})
 }
 
-// releaseReserved gives back room held for a gang. It belongs to the control loop.
-func (n *Node) releaseReserved(task string) {
-	if c := n.c.pool.Claim(task); c != nil && c.Phase == ccledger.Reserved {
-		n.c.pool.Release(task)
-	}
-}
-
 // tasksOf returns the claims of a bucket's tasks. It belongs to the control loop.
 func (n *Node) tasksOf(name string) []ccledger.Claim {
 	return n.c.pool.Claims(func(c *ccledger.Claim) bool {
