--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -43,14 +43,12 @@
 mutant late-orders-are-taken core/ccledger/desk.go 'return s.Seq >= f.Seq' 'return true' ./core/ccjob "$jobs"
 mutant new-driver-knows-no-doubt $driver 'case inherited:' 'case false:' ./core/ccjob "$jobs"
 mutant doubt-ends-without-reports $driver 'case t.phase == doubtful && oldest > t.since && t.seenAt < oldest:' 'case t.phase == doubtful:' ./core/ccjob "$jobs"
-mutant doubt-ends-by-an-old-failure $driver 'if t.phase == doubtful && (c.State == ccwork.Failed || c.State == ccwork.Stopped) {' 'if false {' ./core/ccjob "$jobs"
+mutant doubt-ends-by-an-old-failure $driver 'if t.phase == doubtful && c.State.Ended() && d.endsInDoubt(r, t, c) {' 'if false {' ./core/ccjob "$jobs"
 mutant starts-before-the-table-is-read core/ccledger/pool.go 'claims: map[string]*Claim{}, heardAt: now}' 'claims: map[string]*Claim{}, heardAt: now, ready: true}' ./core/ccjob "$jobs"
 mutant doubtful-starts-hold-nothing core/ccledger/reconcile.go 'return c.Until < askedAt' 'return true' ./core/ccjob "$jobs"
 mutant old-tables-end-new-claims core/ccledger/reconcile.go 'return c.Since < askedAt' 'return true' ./core/ccjob "$jobs"
 mutant unreachable-means-ended core/ccledger/reconcile.go 'if now < e.heardAt+p.cfg.TaskLease {
 			return false' 'if false {
 			return false' ./core/ccjob "$jobs"
-mutant try-numbers-are-given-twice $driver 't.last++
-		t.try = t.last' 't.try++' ./core/ccjob "$jobs"
 mutant capacity-is-not-held core/ccledger/pool.go 'e.free = e.free.Minus(c.Size)' '' ./core/ccjob "$jobs"
 exit $survived
--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -175,6 +176,18 @@
 	return out
 }
 
+// ListAlive returns the VMs as the platform would list them once it has noticed the dead ones.
+func (c *Cluster) ListAlive() []ccvmlist.VM {
+	dead := map[string]bool{}
+	for _, e := range c.Entries {
+		dead[e.Settings.VM] = e.cmd != nil && e.Ended()
+	}
+	for _, w := range c.Workers {
+		dead[w.VM.ID] = w.Ended()
+	}
+	return slices.DeleteFunc(c.List(), func(vm ccvmlist.VM) bool { return dead[vm.ID] })
+}
+
 // startPlatform starts the store and the VM list.
 func (c *Cluster) startPlatform() error {
 	data, err := json.Marshal(ccvmlist.List{VMs: c.List()})
--- /dev/null
+++ b/io/ccharness/failure_test.go
@@ -0,0 +1,421 @@
+package ccharness
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"coriandercross/core/ccwork"
+	"coriandercross/io/cccaller"
+	"coriandercross/io/ccoperator"
+	"coriandercross/io/ccstandin"
+
+	"gotest.tools/v3/assert"
+)
+
+// load is callers at work during a session, who go to the processes that a balancer would offer.
+type load struct {
+	t    *testing.T
+	c    *Cluster
+	l    *Callers
+	mu   sync.Mutex
+	out  map[*Entry]bool
+	stop func()
+}
+
+// startLoad begins to send requests.
+func startLoad(t *testing.T, c *Cluster) *load {
+	l := &load{t: t, c: c, l: c.NewCallers(), out: map[*Entry]bool{}}
+	l.stop = l.l.Flow(4, l.up, "bench", "check", "load", script)
+	return l
+}
+
+// up returns the processes in rotation.
+func (l *load) up() []*Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*Entry
+	for _, e := range l.c.Entries {
+		if !l.out[e] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// add puts a started process into rotation, and takeOut takes one out.
+func (l *load) add(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.c.Entries = append(l.c.Entries, e)
+}
+
+func (l *load) takeOut(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.out[e] = true
+}
+
+// more waits until n further requests have run.
+func (l *load) more(n int) {
+	l.t.Helper()
+	from := l.ran()
+	assert.NilError(l.t, Eventually(patience, "requests do not run", func() bool { return l.ran() >= from+n }))
+}
+
+// ran counts the requests that ran.
+func (l *load) ran() int {
+	return count(l.l.Answers(), ccwork.Ran)
+}
+
+func count(answers []Answer, o ccwork.Outcome) int {
+	n := 0
+	for _, a := range answers {
+		if a.Outcome == o {
+			n++
+		}
+	}
+	return n
+}
+
+// owned waits until every worker has a ready owner among the processes that answer.
+func owned(t *testing.T, c *Cluster) {
+	t.Helper()
+	assert.NilError(t, Eventually(patience, "workers have no ready owner", func() bool { return c.readyWorkers() == len(c.Workers) }))
+}
+
+func TestKilledProcess(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := startLoad(t, c)
+		l.more(50)
+		l.takeOut(c.Entries[0])
+		c.Entries[0].Kill()
+		owned(t, c)
+		l.more(50)
+		l.stop()
+		judge(t, c, l.l.Answers())
+	})
+}
+
+func TestFrozenProcess(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := startLoad(t, c)
+		l.more(50)
+		frozen := c.Entries[0]
+		l.takeOut(frozen)
+		assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+		others := c.Entries[1:]
+		assert.NilError(t, Eventually(patience, "workers were not taken over", func() bool { return readyAt(others) == len(c.Workers) }))
+		l.more(50)
+		assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+		l.more(50)
+		l.stop()
+		judge(t, c, l.l.Answers())
+	})
+}
+
+// readyAt counts the workers that some of the processes may start tasks on.
+func readyAt(entries []*Entry) int {
+	n := 0
+	for _, e := range entries {
+		d, err := ccoperator.NewClient(e.Settings.Listen.Operators).Dump()
+		if err != nil {
+			return 0
+		}
+		for _, w := range d.Workers {
+			if w.Ready && !w.Unreachable {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestStoreOutage(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := startLoad(t, c)
+		l.more(20)
+		assert.NilError(t, c.SetStoreFaults(ccstandin.StoreFaults{Down: true}))
+		// Longer than a window and a promise together: only promises renewed in the outage keep the owners.
+		time.Sleep(6 * time.Second)
+		before := len(l.l.Answers())
+		l.more(100)
+		for _, a := range l.l.Answers()[before:] {
+			assert.Equal(t, a.Outcome, ccwork.Ran, "request %s in the outage: %s", a.ID, a.Reason)
+		}
+		a := l.l.Send(c.Entries[0], "bench", "charge", "c1", script("c1"))
+		assert.Equal(t, a.Outcome, ccwork.NotRun)
+		assert.Equal(t, a.Reason, "Store")
+		_, err := cccaller.NewClient(callers(c, 0)).Submit("coop", &cccaller.JobBody{ID: "j", Kind: "inspection", Tasks: []cccaller.TaskBody{{}}})
+		assert.Assert(t, err != nil)
+		// A process that starts in the outage learns the configuration from its fellows.
+		e := c.NewEntry("entry-new", c.cfg.Domains[0])
+		assert.NilError(t, c.StartEntry(e))
+		l.add(e)
+		assert.NilError(t, c.SetVMs(c.List()))
+		assert.NilError(t, Eventually(patience, "new process has no configuration", func() bool {
+			reply, err := ccoperator.NewClient(e.Settings.Listen.Operators).Config()
+			return err == nil && reply.Revision == 1
+		}))
+		l.takeOut(c.Entries[1])
+		c.Entries[1].Kill()
+		assert.NilError(t, c.SetStoreFaults(ccstandin.StoreFaults{}))
+		owned(t, c)
+		l.more(20)
+		l.stop()
+		v := judge(t, c, l.l.Answers())
+		assert.Equal(t, v.Runs()["bench/c1"], 0)
+	})
+}
+
+func TestLostReplies(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := c.NewCallers()
+		for round := range 5 {
+			assert.NilError(t, c.SetStoreFaults(ccstandin.StoreFaults{LoseReplies: 2}))
+			id := fmt.Sprint("c", round)
+			for i := range 3 {
+				l.Send(c.Entries[i], "bench", "charge", id, script(id))
+			}
+			assert.NilError(t, c.SetStoreFaults(ccstandin.StoreFaults{LoseReplies: 1}))
+			j, err := cccaller.NewClient(callers(c, round%3)).Submit("coop", &cccaller.JobBody{ID: id, Kind: "inspection", Tasks: []cccaller.TaskBody{{Payload: "Echo=x"}}})
+			assert.NilError(t, err)
+			assert.Equal(t, j.Tasks, 1)
+			assert.NilError(t, c.SetStoreFaults(ccstandin.StoreFaults{LoseReplies: 1}))
+			reply, err := c.Operator(round % 3).Apply(&ccoperator.ApplyBody{Base: uint64(round + 1), By: "x", Document: c.cfg.Document})
+			assert.NilError(t, err)
+			assert.Equal(t, reply.Revision, uint64(round+2))
+		}
+		for round := range 5 {
+			_, err := cccaller.NewClient(callers(c, 0)).Job("coop", fmt.Sprint("c", round), 60_000)
+			assert.NilError(t, err)
+		}
+		v := judge(t, c, l.Answers())
+		for work, runs := range v.Runs() {
+			assert.Equal(t, runs, 1, "%s", work)
+		}
+	})
+}
+
+func TestRollingReplacement(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := startLoad(t, c)
+		l.more(50)
+		for i := range 3 {
+			e := c.NewEntry(fmt.Sprintf("entry-%d-new", i+1), c.cfg.Domains[i%2])
+			assert.NilError(t, c.StartEntry(e))
+			l.add(e)
+			assert.NilError(t, c.SetVMs(c.ListAlive()))
+			assert.NilError(t, Eventually(patience, "new process is not ready", func() bool { return knows(e, 4) }))
+			old := c.Entries[i]
+			l.takeOut(old)
+			assert.NilError(t, old.Signal(syscall.SIGTERM))
+			assert.Equal(t, old.Wait(patience), 0)
+			assert.NilError(t, c.SetVMs(c.ListAlive()))
+			l.more(30)
+		}
+		l.stop()
+		for _, a := range l.l.Answers() {
+			assert.Equal(t, a.Outcome, ccwork.Ran, "request %s through %s: %s", a.ID, a.Entry, a.Reason)
+		}
+		judge(t, c, l.l.Answers())
+	})
+}
+
+// knows reports whether a process has a configuration and sees n living ones.
+func knows(e *Entry, n int) bool {
+	d, err := ccoperator.NewClient(e.Settings.Listen.Operators).Dump()
+	return err == nil && d.Revision > 0 && len(d.Members) >= n
+}
+
+func TestWorkersKilledAndFrozen(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		body := &cccaller.JobBody{ID: "j", Kind: "inspection"}
+		for i := range 20 {
+			body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: fmt.Sprintf("RunMs=3000&Echo=%d", i)})
+		}
+		_, err := cccaller.NewClient(callers(c, 0)).Submit("coop", body)
+		assert.NilError(t, err)
+		assert.NilError(t, Eventually(patience, "tasks did not start", func() bool {
+			v, err := c.Judge()
+			return err == nil && len(v.Intervals) == 20
+		}))
+		killed, frozen := c.Workers[0], c.Workers[1]
+		killed.Kill()
+		assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+		var j *cccaller.JobReply
+		assert.NilError(t, Eventually(patience, "job did not end", func() bool {
+			j, err = cccaller.NewClient(callers(c, 1)).Job("coop", "j", 1_000)
+			return err == nil && j.State.Ended()
+		}))
+		assert.Equal(t, string(j.State), "Succeeded")
+		assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+		time.Sleep(time.Second)
+		judge(t, c, nil)
+	})
+}
+
+func TestLeavingWorker(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		l := startLoad(t, c)
+		l.more(50)
+		leaving := c.Workers[0]
+		leaving.VM.Leaving = true
+		assert.NilError(t, c.SetVMs(c.List()))
+		assert.NilError(t, Eventually(patience, "the leaving worker is not known", func() bool {
+			for _, d := range c.Dumps() {
+				for _, w := range d.Workers {
+					if w.ID == leaving.VM.ID && !w.Leaving {
+						return false
+					}
+				}
+			}
+			return true
+		}))
+		// Starts decided before may be under way for as long as a start may be in flight.
+		const flightMs = 2_000
+		known := time.Now().UnixMilli()
+		l.more(100)
+		time.Sleep(3 * time.Second)
+		l.stop()
+		v := judge(t, c, l.l.Answers())
+		for _, i := range v.Intervals {
+			assert.Assert(t, i.Worker != leaving.VM.ID || i.StartMs < known+flightMs, "task %s started on a leaving worker", i.Task)
+		}
+	})
+}
+
+func TestOperatorsRace(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		const edits = 10
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var accepted []uint64
+		highest := make([]uint64, len(c.Entries))
+		done := make(chan struct{})
+		watched := make(chan string, 1)
+		go func() { watched <- watchRevisions(c, highest, done) }()
+		for who := range 3 {
+			wg.Go(func() {
+				for n := 0; n < edits; {
+					current, err := c.Operator(who).Config()
+					if err != nil {
+						continue
+					}
+					reply, err := c.Operator(who).Apply(&ccoperator.ApplyBody{Base: current.Revision, By: fmt.Sprint("op", who), Document: c.cfg.Document})
+					if err != nil {
+						continue
+					}
+					n++
+					mu.Lock()
+					accepted = append(accepted, reply.Revision)
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		close(done)
+		assert.Equal(t, <-watched, "")
+		slices.Sort(accepted)
+		for i, r := range accepted {
+			assert.Equal(t, r, uint64(i+2), "two edits were accepted as one revision, or one was lost")
+		}
+		last := accepted[len(accepted)-1]
+		assert.NilError(t, Eventually(patience, "last revision is not in force everywhere", func() bool {
+			for i := range c.Entries {
+				if reply, err := c.Operator(i).Config(); err != nil || reply.Revision != last {
+					return false
+				}
+			}
+			return true
+		}))
+	})
+}
+
+// watchRevisions looks at all processes until done, and tells of one that went back.
+func watchRevisions(c *Cluster, highest []uint64, done chan struct{}) string {
+	for {
+		select {
+		case <-done:
+			return ""
+		default:
+		}
+		for i := range c.Entries {
+			reply, err := c.Operator(i).Config()
+			if err != nil {
+				continue
+			}
+			if reply.Revision < highest[i] {
+				return fmt.Sprintf("process %d went from %d back to %d", i, highest[i], reply.Revision)
+			}
+			highest[i] = reply.Revision
+		}
+	}
+}
+
+func TestFailingWorkerAndTruncatedAnswers(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		bad, cut := c.Workers[0], c.Workers[1]
+		assert.NilError(t, c.SetWorkerFaults(bad, ccstandin.WorkerFaults{FailAll: true}))
+		assert.NilError(t, c.SetWorkerFaults(cut, ccstandin.WorkerFaults{Truncate: true}))
+		l := startLoad(t, c)
+		assert.NilError(t, Eventually(patience, "no worker went into quarantine", func() bool {
+			for _, d := range c.Dumps() {
+				for _, w := range d.Workers {
+					if w.Quarantined {
+						return true
+					}
+				}
+			}
+			return false
+		}))
+		l.more(50)
+		l.stop()
+		// A truncated answer is Unknown, never a short success; judge holds each answer against its own.
+		judge(t, c, l.l.Answers())
+	})
+}
+
+func TestCancellationWave(t *testing.T) {
+	withCluster(t, fixture(t), func(c *Cluster) {
+		const jobs, tasks = 20, 50
+		l := startLoad(t, c)
+		for i := range jobs {
+			body := &cccaller.JobBody{ID: fmt.Sprint("j", i), Kind: "inspection"}
+			for range tasks {
+				body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: "RunMs=600000"})
+			}
+			_, err := cccaller.NewClient(callers(c, i%3)).Submit("coop", body)
+			assert.NilError(t, err)
+		}
+		l.more(20)
+		var wg sync.WaitGroup
+		for i := range jobs {
+			wg.Go(func() {
+				_, err := cccaller.NewClient(callers(c, i%3)).Cancel("coop", fmt.Sprint("j", i))
+				assert.Check(t, err)
+			})
+		}
+		wg.Wait()
+		l.more(20)
+		assert.NilError(t, Eventually(patience, "cancelled tasks still run", func() bool {
+			for _, d := range c.Dumps() {
+				for _, b := range d.Buckets {
+					if b.Placed+b.Placing+b.Doubtful > 0 {
+						return false
+					}
+				}
+			}
+			return true
+		}))
+		l.stop()
+		for _, a := range l.l.Answers() {
+			assert.Equal(t, a.Outcome, ccwork.Ran, "request %s: %s", a.ID, a.Reason)
+		}
+		v := judge(t, c, l.l.Answers())
+		assert.Assert(t, len(v.Succeeded()) > 0)
+	})
+}
--- a/io/ccnode/configuration.go
+++ b/io/ccnode/configuration.go
@@ -187,6 +187,8 @@
 	}
 	newest, _ := stored.Newest()
 	if newest.Revision != base {
+		// The operator asks this process next what is in force.
+		_ = n.do(func() { n.adoptConfig(newest.Revision, newest.Document, "store") })
 		return 0, errors.Wrapf(ccteam.ErrConflict, "the edit was made on revision %d, in force is %d by %s", base, newest.Revision, newest.By)
 	}
 	e := Edit{Revision: base + 1, At: time.Now().UnixMilli(), By: by, Token: token, Document: doc}
