Requests never wait at a process without workers; calmer balance; quarantine for small owners

Cause (1): TestRollingReplacement saw NotRun Deadline after 10 s: a draining owner kept requests queued after it had handed over its last shard. Ruled out: the router (it no longer chose the owner), the hand-over (done within 1 s). Cause (2): the same test saw 'NoReply' because it put a process into rotation before it listened; a balancer would not, and the test does not any more. Cause (3): no quarantine with two workers an owner, as 20 % of 2 rounds to 0. Noticed on the way: several processes shed shards to the same lightest one at once and took them back.

Change: a queue without usable workers is flushed as NotRun NoOwner, which the entry process tries elsewhere; only the process with most shards of a class sheds; the quarantine's share is rounded up, but spares the last worker.

--- a/core/ccledger/pool.go
+++ b/core/ccledger/pool.go
@@ -167,6 +167,16 @@
 	return false
 }
 
+// Usable reports whether any worker may get a new task, room or not.
+func (p *Pool) Usable(now ccclock.Millis) bool {
+	for _, e := range p.order {
+		if e.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the worker may get a new task.
 func (e *entry) usable(now ccclock.Millis) bool {
 	if !e.ready || !e.open || e.Leaving || e.unreachable {
--- a/core/ccledger/reconcile.go
+++ b/core/ccledger/reconcile.go
@@ -111,13 +111,21 @@
 	if e.health.failures < p.cfg.MaxFailures || now < e.health.until {
 		return
 	}
-	if e.health.until == 0 && p.quarantined() >= len(p.order)*p.cfg.QuarantinePercent/100 {
+	if e.health.until == 0 && p.quarantined() >= p.maxQuarantined() {
 		return
 	}
 	e.health.span = min(max(e.health.span*2, p.cfg.QuarantineSpan), p.cfg.QuarantineSpan*maxQuarantineFactor)
 	e.health.until = now + e.health.span
 }
 
+// maxQuarantined is the most workers in quarantine at once: the share, rounded up, but never the
+// last worker.
+func (p *Pool) maxQuarantined() int {
+	const percent = 100
+	n := (len(p.order)*p.cfg.QuarantinePercent + percent - 1) / percent
+	return min(n, len(p.order)-1)
+}
+
 // quarantined counts the workers in quarantine or on probation.
 func (p *Pool) quarantined() int {
 	n := 0
--- a/core/ccqueue/queue.go
+++ b/core/ccqueue/queue.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// Flush ends every waiting request with err, because this process can't place any.
+func (q *Queue) Flush(err error) {
+	for _, it := range q.items {
+		q.Remove(it.Task)
+		it.Done(err)
+	}
+}
+
 // earliest returns the first request over all sizes that are not blocked, or nil.
 func (q *Queue) earliest(blocked map[ccwork.Size]bool) *Item {
 	var best *Item
--- a/core/ccshard/plan.go
+++ b/core/ccshard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 
 	"coriandercross/core/ccclock"
 )
@@ -34,23 +35,36 @@
 	k     *Keeper
 	v     View
 	now   ccclock.Millis
-	load  map[string]int
+	load  map[holder]int
 	alive map[string]Candidate
 	moves int
 }
 
+// holder is an owner of shards of one class. Loads are compared within a class, as a bucket of jobs
+// weighs nothing like a rack of workers.
+type holder struct {
+	id    string
+	class string
+}
+
+// classOf returns the part of a shard's name before the colon.
+func classOf(name string) string {
+	class, _, _ := strings.Cut(name, ":")
+	return class
+}
+
 // Plan returns the records that this process should write now. When it returns any, the caller
 // must write them all in one compare-and-swap on Version, and report the end by Observe or Failed.
 // Until then no promise counts for these shards, neither given nor received.
 func (k *Keeper) Plan(v View, now ccclock.Millis) []Change {
-	p := &planner{k: k, v: v, now: now, load: map[string]int{}, alive: map[string]Candidate{}}
+	p := &planner{k: k, v: v, now: now, load: map[holder]int{}, alive: map[string]Candidate{}}
 	for _, c := range v.Candidates {
 		if !c.Leaving {
 			p.alive[c.ID] = c
 		}
 	}
-	for _, s := range k.shards {
-		p.load[s.rec.Owner]++
+	for name, s := range k.shards {
+		p.load[holder{s.rec.Owner, classOf(name)}]++
 	}
 	var changes []Change
 	names := slices.Sorted(slices.Values(v.Shards))
@@ -117,13 +131,12 @@
 	if p.v.Draining || p.choose(name, "", "") != p.k.cfg.Self {
 		return Record{}, false
 	}
-	p.load[p.k.cfg.Self]++
 	return p.record(name, s, p.k.cfg.Self, true), true
 }
 
 // keep names another heir, or hands the shard over.
 func (p *planner) keep(name string, s *shard) (Record, bool) {
-	if s.releasing || p.v.Draining || p.overloaded() {
+	if s.releasing || p.v.Draining || p.overloaded(classOf(name)) {
 		return p.release(name, s)
 	}
 	if _, ok := p.alive[s.rec.Heir]; ok {
@@ -136,25 +149,34 @@
 	return p.record(name, s, p.k.cfg.Self, false), true
 }
 
-// overloaded reports whether a shard should move away for balance. It does so at most MaxMoves
-// times in a plan, and only when another process has at least two shards fewer.
-func (p *planner) overloaded() bool {
-	if p.moves >= p.k.cfg.MaxMoves {
+// overloaded reports whether a shard of a class should move away for balance. It does so at most
+// MaxMoves times in a plan, only from the process with the most shards, lest several shed to the same
+// one at once, and only when another has at least two fewer.
+func (p *planner) overloaded(class string) bool {
+	target := p.lightest(class)
+	if p.moves >= p.k.cfg.MaxMoves || target == "" {
 		return false
 	}
-	target := p.lightest()
-	return target != "" && p.load[p.k.cfg.Self] >= p.load[target]+2
+	own := p.load[holder{p.k.cfg.Self, class}]
+	for id := range p.alive {
+		n := p.load[holder{id, class}]
+		if n > own || n == own && id > p.k.cfg.Self {
+			return false
+		}
+	}
+	return own >= p.load[holder{target, class}]+2
 }
 
-// lightest returns the other living process with the fewest shards.
-func (p *planner) lightest() string {
-	best := ""
+// lightest returns the other living process with the fewest shards of a class.
+func (p *planner) lightest(class string) string {
+	best, least := "", 0
 	for id := range p.alive {
 		if id == p.k.cfg.Self {
 			continue
 		}
-		if best == "" || p.load[id] < p.load[best] || p.load[id] == p.load[best] && id < best {
-			best = id
+		n := p.load[holder{id, class}]
+		if best == "" || n < least || n == least && id < best {
+			best, least = id, n
 		}
 	}
 	return best
@@ -162,7 +184,8 @@
 
 // release stops the shard's starts first, and hands it over once none is in flight.
 func (p *planner) release(name string, s *shard) (Record, bool) {
-	target := p.lightest()
+	class := classOf(name)
+	target := p.lightest(class)
 	if target == "" {
 		// Nobody can take the shard: it stays here, also while this process drains. A hand-over
 		// in doubt may still take effect, and keeps the shard closed.
@@ -171,8 +194,8 @@
 	}
 	s.releasing = true
 	p.moves++
-	p.load[p.k.cfg.Self]--
-	p.load[target]++
+	p.load[holder{p.k.cfg.Self, class}]--
+	p.load[holder{target, class}]++
 	if p.v.Busy(name) || p.now < s.safeAt {
 		// Also the authority of the owner before this one must have ended: the next owner
 		// does not wait for it.
--- a/io/ccharness/cluster_test.go
+++ b/io/ccharness/cluster_test.go
@@ -64,13 +64,15 @@
 		t.Skip("runs processes")
 	}
 	c, err := Start(cfg)
-	defer c.Stop()
+	defer func() {
+		c.Stop()
+		if t.Failed() {
+			keepLogs(t, cfg.Dir)
+		}
+	}()
 	assert.NilError(t, err)
 	assert.NilError(t, c.Ready(patience))
 	f(c)
-	if t.Failed() {
-		keepLogs(t, cfg.Dir)
-	}
 }
 
 // keepLogs copies the logs of a failed session to the folder named by the environment, if any.
@@ -79,7 +81,7 @@
 	if to == "" {
 		return
 	}
-	assert.NilError(t, os.CopyFS(filepath.Join(to, t.Name()), os.DirFS(dir)))
+	assert.Check(t, os.CopyFS(filepath.Join(to, t.Name()), os.DirFS(dir)))
 }
 
 // judge reads the records and holds them against the promises that every session must keep.
--- a/io/ccharness/failure_test.go
+++ b/io/ccharness/failure_test.go
@@ -46,13 +46,21 @@
 	return out
 }
 
-// add puts a started process into rotation, and takeOut takes one out.
+// add adds a started process, which a balancer would not offer before it is ready; takeIn and takeOut
+// put one into rotation and take one out.
 func (l *load) add(e *Entry) {
+	l.takeOut(e)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.c.Entries = append(l.c.Entries, e)
 }
 
+func (l *load) takeIn(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.out, e)
+}
+
 func (l *load) takeOut(e *Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -210,6 +218,7 @@
 			l.add(e)
 			assert.NilError(t, c.SetVMs(c.ListAlive()))
 			assert.NilError(t, Eventually(patience, "new process is not ready", func() bool { return knows(e, 4) }))
+			l.takeIn(e)
 			old := c.Entries[i]
 			l.takeOut(old)
 			assert.NilError(t, old.Signal(syscall.SIGTERM))
--- a/io/ccnode/requests.go
+++ b/io/ccnode/requests.go
@@ -342,6 +342,11 @@
 	if n.c.queue.Len() == 0 {
 		return
 	}
+	if !n.c.pool.Usable(now) {
+		// Without workers of its own a process must not hold requests that others could serve.
+		n.c.queue.Flush(ccwork.ErrNoOwner)
+		return
+	}
 	n.c.queue.Dispatch(now, func(it *ccqueue.Item) error { return n.place(it, now) })
 }
 
