Measure the policy; control loop by shard, not by worker; cheaper lists and syncs

Change (1), routing: two choices, then any owner with a free slot. Cause: both draws full while others had room. Change (2), packing: mean of the used shares in place of the scarcest. Change (3): racks are looked at once a tick, not once for each worker; the VM list is read by tag; a worker without tasks is read every fifth time.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -46,13 +46,9 @@
 
 // Execute implements flags.Commander.
 func (c *vmsCommand) Execute([]string) error {
-	data, err := os.ReadFile(c.File)
+	list, err := readList(c.File)
 	if err != nil {
-		return errors.Wrap(err, "reading the list")
-	}
-	var list ccvmlist.List
-	if err := json.Unmarshal(data, &list); err != nil {
-		return errors.Wrap(err, "decoding the list")
+		return err
 	}
 	return c.serve(ccstandin.NewVMList(list.VMs, time.Duration(c.LagMs)*time.Millisecond).Handler())
 }
@@ -88,6 +84,38 @@
 	return c.serve(w.Handler())
 }
 
+// fleetCommand runs a worker for each one on a list, in one process and without records.
+type fleetCommand struct {
+	File string `long:"file" description:"JSON list of VMs" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *fleetCommand) Execute([]string) error {
+	list, err := readList(c.File)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error)
+	for _, vm := range list.VMs {
+		if vm.Role != ccvmlist.Worker {
+			continue
+		}
+		w := ccstandin.NewWorker(ccstandin.WorkerConfig{ID: vm.ID, Capacity: vm.Capacity})
+		go func() { failed <- (&common{Listen: vm.Address}).serve(w.Handler()) }()
+	}
+	return <-failed
+}
+
+// readList reads a list of VMs.
+func readList(file string) (ccvmlist.List, error) {
+	var list ccvmlist.List
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return list, errors.Wrap(err, "reading the list")
+	}
+	return list, errors.Wrap(json.Unmarshal(data, &list), "decoding the list")
+}
+
 func main() {
 	p := flags.NewNamedParser("standin", flags.Default)
 	for _, c := range []struct {
@@ -97,6 +125,7 @@
 		{"store", "Run the store.", &storeCommand{}},
 		{"vms", "Run the VM list.", &vmsCommand{}},
 		{"worker", "Run a worker.", &workerCommand{}},
+		{"fleet", "Run many workers in one process.", &fleetCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.summary, c.summary, c.command); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/core/ccledger/pool.go
+++ b/core/ccledger/pool.go
@@ -1,6 +1,8 @@
 package ccledger
 
 import (
+	"slices"
+
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccwork"
 
@@ -38,8 +40,9 @@
 	cfg     Config
 	workers map[string]*entry
 	// order lists the workers, so that a scan touches memory in sequence.
-	order []*entry
-	tasks map[string]*Claim
+	order  []*entry
+	shards map[string][]*entry
+	tasks  map[string]*Claim
 	// total and patient are the whole capacity, and what work that can wait holds of it.
 	total   ccwork.Size
 	patient ccwork.Size
@@ -51,6 +54,7 @@
 	return &Pool{
 		cfg:     cfg,
 		workers: map[string]*entry{},
+		shards:  map[string][]*entry{},
 		tasks:   map[string]*Claim{},
 		used:    map[string]ccwork.Size{},
 	}
@@ -68,6 +72,7 @@
 	e := &entry{Worker: w, shard: shard, free: w.Capacity, claims: map[string]*Claim{}, heardAt: now}
 	p.workers[w.ID] = e
 	p.order = append(p.order, e)
+	p.shards[shard] = append(p.shards[shard], e)
 	p.total = p.total.Plus(w.Capacity)
 }
 
@@ -82,14 +87,18 @@
 	}
 	delete(p.workers, id)
 	p.total = p.total.Minus(e.Capacity)
-	for i, o := range p.order {
-		if o == e {
-			p.order = append(p.order[:i], p.order[i+1:]...)
-			break
-		}
+	p.order = without(p.order, e)
+	p.shards[e.shard] = without(p.shards[e.shard], e)
+	if len(p.shards[e.shard]) == 0 {
+		delete(p.shards, e.shard)
 	}
 }
 
+// without returns a list less one worker, in the same order.
+func without(list []*entry, e *entry) []*entry {
+	return slices.DeleteFunc(list, func(o *entry) bool { return o == e })
+}
+
 // Request is a task that looks for a place.
 type Request struct {
 	Row
@@ -147,11 +156,18 @@
 // Open sets whether the workers of a shard may get tasks, as the authority over the shard comes
 // and goes.
 func (p *Pool) Open(shard string, open bool) {
-	for _, e := range p.order {
-		if e.shard == shard {
-			e.open = open
-		}
+	for _, e := range p.shards[shard] {
+		e.open = open
+	}
+}
+
+// WorkersOf returns the IDs of the workers of a shard.
+func (p *Pool) WorkersOf(shard string) []string {
+	out := make([]string, len(p.shards[shard]))
+	for i, e := range p.shards[shard] {
+		out[i] = e.ID
 	}
+	return out
 }
 
 // Busy reports whether a start on a worker of the shard is in flight, or may still arrive.
@@ -191,15 +207,16 @@
 
 const (
 	scoreScale     = 1000
+	scoredParts    = 3
 	companionBonus = 300
 )
 
-// score is higher the fuller the worker is in its scarcest resource after the task. Work that can
-// wait goes to workers that hold such work, urgent work to the others.
+// score is higher the fuller the worker is after the task, over all resources. Work that can wait goes to workers that hold such work, urgent work to the others.
 func (e *entry) score(size *ccwork.Size, patient bool) int64 {
 	s := share(e.Capacity.MilliCores, e.free.MilliCores-size.MilliCores)
-	s = max(s, share(e.Capacity.MemoryMB, e.free.MemoryMB-size.MemoryMB))
-	s = max(s, share(e.Capacity.Slots, e.free.Slots-size.Slots))
+	s += share(e.Capacity.MemoryMB, e.free.MemoryMB-size.MemoryMB)
+	s += share(e.Capacity.Slots, e.free.Slots-size.Slots)
+	s /= scoredParts
 	if size.Accelerators == 0 && e.free.Accelerators > 0 {
 		// Work without need of accelerators leaves them to others.
 		s /= 2
--- a/core/ccledger/reconcile.go
+++ b/core/ccledger/reconcile.go
@@ -179,8 +179,8 @@
 // ShardReady reports whether every reachable worker of a shard was reconciled, and every other one
 // has been silent for longer than a task lease.
 func (p *Pool) ShardReady(shard string, now ccclock.Millis) bool {
-	for _, e := range p.order {
-		if e.shard != shard || e.ready {
+	for _, e := range p.shards[shard] {
+		if e.ready {
 			continue
 		}
 		if now < e.heardAt+p.cfg.TaskLease {
--- a/core/ccroute/route.go
+++ b/core/ccroute/route.go
@@ -123,11 +123,35 @@
 	}
 	a := r.draw(owners)
 	b := r.draw(owners)
-	wa, wb := r.WaitMs(&a), r.WaitMs(&b)
-	if wb < wa || wb == wa && r.freeSlots(&b) > r.freeSlots(&a) {
-		return b, wb
+	if r.better(&b, &a) {
+		a = b
 	}
-	return a, wa
+	if r.freeSlots(&a) > 0 {
+		return a, r.WaitMs(&a)
+	}
+	return r.withRoom(owners, a)
+}
+
+// better reports whether an owner is to be preferred to another.
+func (r *Router) better(a, b *ccmember.Member) bool {
+	wa, wb := r.WaitMs(a), r.WaitMs(b)
+	return wa < wb || wa == wb && r.freeSlots(a) > r.freeSlots(b)
+}
+
+// withRoom returns a random owner that has a free slot by its digest, or the one given.
+func (r *Router) withRoom(owners []ccmember.Member, fallback ccmember.Member) (ccmember.Member, int64) {
+	n := 0
+	for i := range owners {
+		if r.freeSlots(&owners[i]) <= 0 {
+			continue
+		}
+		n++
+		// Each owner with room is equally likely to stay.
+		if r.cfg.Rand.IntN(n) == 0 && r.WaitMs(&owners[i]) <= r.WaitMs(&fallback) {
+			fallback = owners[i]
+		}
+	}
+	return fallback, r.WaitMs(&fallback)
 }
 
 // draw picks an owner at random, weighted by its slots and the price of the link.
--- a/io/cccmds/serve.go
+++ b/io/cccmds/serve.go
@@ -94,7 +94,7 @@
 	metrics := ccnode.NewMetrics(reg)
 	p := &process{settings: s, log: nodeLog, drain: make(chan struct{}, 1)}
 	p.fellows = ccfellow.NewClient(ccfellow.ClientConfig{
-		DialTimeout: dialTimeout, ControlTimeout: controlTimeout, Connections: fellowConnections, OnBytes: metrics.FellowBytes,
+		DialTimeout: dialTimeout, ControlTimeout: controlTimeout, Connections: fellowConnections, OnBytes: metrics.ControlBytes("fellow"),
 	})
 	p.node = ccnode.New(nodeConfig(s, p.fellows, metrics, nodeLog))
 	p.callers = newServer(cccaller.Handler(cccaller.Config{Backend: p.node, MaxBody: s.Limits.MaxBodyKB * bytesPerKB, Log: callerLog}))
@@ -109,18 +109,20 @@
 	clock := ccclock.NewSystem()
 	store := ccstore.NewClient(ccstore.Config{
 		Address: s.Store, Timeout: time.Duration(s.Timing.StoreMs) * millisecondsFactor,
-		WatchTimeout: time.Duration(s.Timing.WatchMs) * millisecondsFactor, OnCall: m.StoreCall,
+		WatchTimeout: time.Duration(s.Timing.WatchMs) * millisecondsFactor, OnCall: m.StoreCall, OnBytes: m.ControlBytes("store"),
 	})
 	workers := ccworker.NewClient(ccworker.Config{
 		Clock: clock, Connections: workerConnections, StartTimeout: startTimeout, SyncTimeout: syncTimeout,
-		MaxAnswer: s.Limits.MaxAnswerKB * bytesPerKB,
+		MaxAnswer: s.Limits.MaxAnswerKB * bytesPerKB, OnControlBytes: m.ControlBytes("worker"),
+	})
+	vms := ccvmlist.NewClient(ccvmlist.Config{
+		Address: s.VMList, Timeout: time.Duration(s.Timing.StoreMs) * millisecondsFactor, OnBytes: m.ControlBytes("vmlist"),
 	})
 	return ccnode.Config{
 		VM: s.VM, Incarnation: time.Now().UnixMilli(), Region: s.Region, FailureDomain: s.FailureDomain,
 		FellowAddress: s.Listen.Fellows, Seeds: s.Seeds, Timing: s.Timing, Limits: s.Limits, Routing: s.Routing,
 		Clock: clock, Log: l, Metrics: m, Store: store, Workers: workers,
-		VMs:     ccvmlist.NewClient(s.VMList, time.Duration(s.Timing.StoreMs)*millisecondsFactor),
-		Fellows: fellows,
+		VMs: vms, Fellows: fellows,
 	}
 }
 
--- a/io/ccfellow/peer.go
+++ b/io/ccfellow/peer.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"coriandercross/io/cccount"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
@@ -121,8 +123,8 @@
 	ControlTimeout time.Duration
 	// Connections is the number of idle connections kept for traffic to one fellow.
 	Connections int
-	// OnBytes is told of the bytes written to and read from each fellow's address.
-	OnBytes func(address string, control bool, n int)
+	// OnBytes is told of the bytes of control to and from fellows; it may be nil.
+	OnBytes func(n int)
 }
 
 // Client calls fellows. A drpc connection carries one call at a time, so that calls take
@@ -139,9 +141,6 @@
 
 // NewClient returns a client; it opens no connection.
 func NewClient(cfg ClientConfig) *Client {
-	if cfg.OnBytes == nil {
-		cfg.OnBytes = func(string, bool, int) {}
-	}
 	opts := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cfg.Connections}
 	return &Client{
 		cfg:     cfg,
@@ -214,31 +213,13 @@
 
 // dial opens one connection.
 func (c *Client) dial(ctx context.Context, address string, control bool) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: c.cfg.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	onBytes := c.cfg.OnBytes
+	if !control {
+		onBytes = nil
+	}
+	conn, err := cccount.Dialer(c.cfg.DialTimeout, onBytes)(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dialing a fellow")
 	}
-	counted := &countedConn{Conn: conn, onBytes: func(n int) { c.cfg.OnBytes(address, control, n) }}
-	return drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: managerOptions()}), nil
-}
-
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	onBytes func(n int)
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.onBytes(n)
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.onBytes(n)
-	return n, err
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -51,7 +51,9 @@
 	CheckStarts bool
 	// VMListLagMs is the lag of the VM list.
 	VMListLagMs int64
-	Document    ccteam.Document
+	// Fleet runs all workers in one process, without records.
+	Fleet    bool
+	Document ccteam.Document
 }
 
 // Domain is a failure domain.
@@ -91,6 +93,7 @@
 	VMs     *Process
 	Entries []*Entry
 	Workers []*Worker
+	fleet   *Process
 
 	storeAddress string
 	vmsAddress   string
@@ -103,10 +106,8 @@
 	if err := c.startPlatform(); err != nil {
 		return c, err
 	}
-	for _, w := range c.Workers {
-		if err := c.startWorker(w); err != nil {
-			return c, err
-		}
+	if err := c.startWorkers(); err != nil {
+		return c, err
 	}
 	for _, e := range c.Entries {
 		if err := c.StartEntry(e); err != nil {
@@ -206,6 +207,20 @@
 	return c.run(c.VMs, c.cfg.Standin, "vms", "--listen", c.vmsAddress, "--file", file, "--lag-ms", fmt.Sprint(c.cfg.VMListLagMs))
 }
 
+// startWorkers starts every worker.
+func (c *Cluster) startWorkers() error {
+	if c.cfg.Fleet {
+		c.fleet = &Process{Name: "fleet"}
+		return c.run(c.fleet, c.cfg.Standin, "fleet", "--file", filepath.Join(c.cfg.Dir, "vms.json"))
+	}
+	for _, w := range c.Workers {
+		if err := c.startWorker(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startWorker starts a worker.
 func (c *Cluster) startWorker(w *Worker) error {
 	s := w.VM.Capacity
@@ -262,7 +277,7 @@
 
 // Kill ends the process at once, and waits for its end.
 func (p *Process) Kill() {
-	if p.cmd == nil || p.Ended() {
+	if p == nil || p.cmd == nil || p.Ended() {
 		return
 	}
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
@@ -272,6 +287,11 @@
 	_ = p.log.Close()
 }
 
+// ID returns the process's ID.
+func (p *Process) ID() int {
+	return p.cmd.Process.Pid
+}
+
 // Ended reports whether the process has ended.
 func (p *Process) Ended() bool {
 	select {
@@ -300,7 +320,7 @@
 	for _, w := range c.Workers {
 		w.Kill()
 	}
-	for _, p := range []*Process{c.Store, c.VMs} {
+	for _, p := range []*Process{c.Store, c.VMs, c.fleet} {
 		if p != nil {
 			p.Kill()
 		}
--- /dev/null
+++ b/io/ccmeasure/decision.go
@@ -0,0 +1,110 @@
+package ccmeasure
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"coriandercross/core/ccledger"
+	"coriandercross/core/ccqueue"
+	"coriandercross/core/ccwork"
+)
+
+const (
+	// targetWorkers and targetTasks are of the target that decides the design.
+	targetWorkers = 3_600
+	targetTasks   = 61_000
+	// targetRate is ten times the target's starts a second, on one goroutine.
+	targetRate   = 26_000
+	decisions    = 20_000
+	percentOfP99 = 99
+)
+
+// smallTask is a task of which a worker of the target runs seventeen.
+var smallTask = ccwork.Size{MilliCores: 500, MemoryMB: 1_000, Connections: 1}
+
+// filledPool returns a ledger of n workers with the target's number of tasks on each.
+func filledPool(n int) *ccledger.Pool {
+	p := ccledger.NewPool(ccledger.Config{ReservePercent: 10, QuarantinePercent: 20, MaxFailures: 5, TaskLease: 6_000})
+	for i := range n {
+		id := fmt.Sprintf("worker-%05d", i)
+		p.Add(ccledger.Worker{ID: id, Capacity: capacity}, fmt.Sprint("rack-", i/8), 0)
+		p.Reconcile(id, nil, 0, 0)
+		p.Open(fmt.Sprint("rack-", i/8), true)
+	}
+	for i := range n * targetTasks / targetWorkers {
+		id := fmt.Sprint("task-", i)
+		if _, err := p.Reserve(ccledger.Request{Row: ccledger.Row{Task: id, Team: fmt.Sprint("team-", i%78), Size: smallTask}}, 0, 0); err != nil {
+			break
+		}
+		p.Advance(id, ccledger.Admitted, 0, 0)
+	}
+	return p
+}
+
+// decide places and releases tasks on a filled ledger, and returns the p99 and the rate of placements.
+func decide(n int) (p99Ms, perSecond float64) {
+	p := filledPool(n)
+	runtime.GC()
+	times := make([]time.Duration, decisions)
+	begin := time.Now()
+	for i := range times {
+		start := time.Now()
+		r := ccledger.Request{Row: ccledger.Row{Task: "probe", Team: "team-1", Size: checkSize}}
+		if _, err := p.Reserve(r, 0, 0); err == nil {
+			p.Release("probe")
+		}
+		times[i] = time.Since(start)
+	}
+	total := time.Since(begin)
+	slices.Sort(times)
+	p99 := times[decisions*percentOfP99/100]
+	return float64(p99.Microseconds()) / 1_000, decisions / total.Seconds()
+}
+
+// Decision measures one placement as the fleet grows.
+func Decision() []Row {
+	var rows []Row
+	base, baseRate := decide(users)
+	for _, n := range []int{users, 500, targetWorkers, 10_000} {
+		p99, rate := decide(n)
+		rows = append(rows, valueRow(fmt.Sprintf("DecisionP99At%dWorkers", n), "ms", p99, base, 1))
+		r := valueRow(fmt.Sprintf("DecisionsPerSecondAt%dWorkers", n), "1/s", rate, baseRate, 0)
+		if n <= targetWorkers {
+			r.Bound = targetRate
+		}
+		r.AtLeast = true
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+// cancelled is the number of queued tasks withdrawn at once.
+const cancelled = 100_000
+
+// Cancellation measures the longest pause of starts while many queued requests are withdrawn.
+func Cancellation() []Row {
+	q := ccqueue.New()
+	for i := range cancelled {
+		q.Push(&ccqueue.Item{Task: fmt.Sprint(i), Team: fmt.Sprint(i % 78), Size: checkSize, Deadline: 1 << 40, Done: func(error) {}})
+	}
+	urgent := smallTask
+	var worst time.Duration
+	last := time.Now()
+	for i := range cancelled {
+		q.Remove(fmt.Sprint(i))
+		// Every withdrawal lets a start through, as the control loop would.
+		q.Push(&ccqueue.Item{Task: "urgent", Team: "u", Size: urgent, Deadline: 0, Done: func(error) {}})
+		q.Dispatch(0, func(it *ccqueue.Item) error {
+			if it.Task == "urgent" {
+				return nil
+			}
+			return ccledger.ErrFull
+		})
+		now := time.Now()
+		worst = max(worst, now.Sub(last))
+		last = now
+	}
+	return []Row{valueRow("PauseOfStartsInAWaveOfCancellations", "ms", float64(worst.Microseconds())/1_000, 0, 10)}
+}
--- /dev/null
+++ b/io/ccmeasure/main.go
@@ -0,0 +1,59 @@
+package ccmeasure
+
+import (
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the options of the command.
+type options struct {
+	Program string   `long:"program" description:"built coriandercross" default:"bin/coriandercross"`
+	Standin string   `long:"standin" description:"built standin" default:"bin/standin"`
+	Only    []string `long:"only" description:"name of a part to measure; all when left out"`
+	Report  string   `long:"report" description:"folder that receives MEASUREMENTS.md and plots"`
+}
+
+// part is one group of figures.
+type part struct {
+	name    string
+	measure func(o *options) ([]Row, error)
+}
+
+// pure makes a part of a measurement that needs no processes.
+func pure(name string, f func() []Row) part {
+	return part{name, func(*options) ([]Row, error) { return f(), nil }}
+}
+
+// parts are measured in this order.
+var parts = []part{
+	pure("crest", Crest),
+	pure("routing", Routing),
+	pure("urgent", Urgent),
+	pure("slowdown", Slowdown),
+	pure("packing", Packing),
+	pure("goodput", Goodput),
+	pure("decision", Decision),
+	pure("cancellation", Cancellation),
+}
+
+// Main measures and prints.
+func Main(args []string, out io.Writer) error {
+	var o options
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		return errors.Wrap(err, "reading options")
+	}
+	for _, p := range parts {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, p.name) {
+			continue
+		}
+		rows, err := p.measure(&o)
+		if err != nil {
+			return errors.Wrapf(err, "measuring %s", p.name)
+		}
+		Print(out, rows)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/ccmeasure/row.go
@@ -0,0 +1,81 @@
+package ccmeasure
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+)
+
+// Row is one measured figure beside its baseline.
+type Row struct {
+	Name     string
+	Value    float64
+	Unit     string
+	Baseline float64
+	Ratio    float64
+	// Bound is a limit on the ratio when Of is "Ratio", and on the value otherwise.
+	Bound float64
+	Of    string
+	// AtLeast turns the bound into a lower limit.
+	AtLeast bool
+	// For names the user who weighs the figure most; "" for both.
+	For string
+}
+
+// Holds reports whether the figure is within its bound.
+func (r *Row) Holds() bool {
+	v := r.Value
+	if r.Of == "Ratio" {
+		v = r.Ratio
+	}
+	if r.AtLeast {
+		return v >= r.Bound
+	}
+	return v <= r.Bound
+}
+
+// String returns the row as make measure prints it.
+func (r *Row) String() string {
+	return fmt.Sprintf("MEASURE %s Value=%s Unit=%s Baseline=%s Ratio=%s Bound=%s Of=%s Holds=%v",
+		r.Name, number(r.Value), r.Unit, number(r.Baseline), number(r.Ratio), number(r.Bound), r.Of, r.Holds())
+}
+
+// number prints a figure with four significant digits.
+func number(v float64) string {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g", v)
+}
+
+// ratioRow returns a row whose bound is on the ratio to the baseline.
+func ratioRow(name, unit string, value, baseline, bound float64) Row {
+	ratio := 1.0
+	if baseline != 0 {
+		ratio = value / baseline
+	} else if value > 0 {
+		ratio = math.Inf(1)
+	}
+	return Row{Name: name, Value: value, Unit: unit, Baseline: baseline, Ratio: ratio, Bound: bound, Of: "Ratio"}
+}
+
+// valueRow returns a row whose bound is on the value.
+func valueRow(name, unit string, value, baseline, bound float64) Row {
+	r := ratioRow(name, unit, value, baseline, bound)
+	r.Of = "Value"
+	return r
+}
+
+// median returns the median of an odd number of figures.
+func median(values ...float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// Print writes rows.
+func Print(w io.Writer, rows []Row) {
+	for i := range rows {
+		_, _ = fmt.Fprintln(w, rows[i].String())
+	}
+}
--- a/io/ccnode/metrics.go
+++ b/io/ccnode/metrics.go
@@ -16,7 +16,7 @@
 	crossRegionBytes *prometheus.CounterVec
 	jobsAccepted     *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
-	fellowBytes      *prometheus.CounterVec
+	controlBytes     *prometheus.CounterVec
 	configRevision   prometheus.Gauge
 	waiting          prometheus.Gauge
 	workers          prometheus.Gauge
@@ -56,7 +56,7 @@
 		crossRegionBytes: counter("cross_region_bytes_total", "Bytes of bodies sent to another region.", "team"),
 		jobsAccepted:     counter("jobs_accepted_total", "Jobs accepted.", "team", "kind"),
 		storeCalls:       counter("store_calls_total", "Calls to the store by kind and success.", "call", "ok"),
-		fellowBytes:      counter("fellow_bytes_total", "Bytes to and from fellows.", "purpose"),
+		controlBytes:     counter("control_bytes_total", "Bytes of control to and from peers.", "peer"),
 		configRevision:   gauge("config_revision", "Revision of the configuration in force."),
 		waiting:          gauge("waiting_requests", "Requests in the queue."),
 		workers:          gauge("owned_workers", "Workers owned."),
@@ -82,13 +82,10 @@
 	m.storeCalls.WithLabelValues(kind, ok).Inc()
 }
 
-// FellowBytes counts bytes to and from fellows; it fits ccfellow.ClientConfig.
-func (m *Metrics) FellowBytes(_ string, control bool, n int) {
-	purpose := "traffic"
-	if control {
-		purpose = "control"
-	}
-	m.fellowBytes.WithLabelValues(purpose).Add(float64(n))
+// ControlBytes returns a function that counts the bytes of control to and from a sort of peer.
+func (m *Metrics) ControlBytes(peer string) func(n int) {
+	c := m.controlBytes.WithLabelValues(peer)
+	return func(n int) { c.Add(float64(n)) }
 }
 
 // observeMetrics sets the gauges. It belongs to the control loop.
--- a/io/ccnode/node.go
+++ b/io/ccnode/node.go
@@ -56,10 +56,17 @@
 	doc      *ccteam.Document
 	revision uint64
 	// vms is the newest list; listedAt is when each VM was last on one.
-	vms      []ccvmlist.VM
-	vmsRead  bool
+	vms     []ccvmlist.VM
+	vmsRead bool
+	// racks are the shards of workers of the newest list; vmsChanged is true until they were looked at.
+	racks      []rack
+	vmsChanged bool
+	// opened are the shards whose workers may get tasks.
+	opened   map[string]bool
 	listedAt map[string]ccclock.Millis
 	syncing  map[string]bool
+	// syncedAt is when each worker's last sync was sent.
+	syncedAt map[string]ccclock.Millis
 	stop     map[string][]string
 	forget   map[string][]string
 	drivers  map[string]*bucket
@@ -117,7 +124,9 @@
 		budget:    ccretry.NewBudget(),
 		rand:      r,
 		listedAt:  map[string]ccclock.Millis{},
+		opened:    map[string]bool{},
 		syncing:   map[string]bool{},
+		syncedAt:  map[string]ccclock.Millis{},
 		stop:      map[string][]string{},
 		forget:    map[string][]string{},
 		drivers:   map[string]*bucket{},
--- a/io/ccnode/shards.go
+++ b/io/ccnode/shards.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"coriandercross/core/ccclock"
@@ -117,19 +118,39 @@
 	return n.c.pool.Busy(shard, now)
 }
 
-// rackShards returns the shards of workers in the region.
-func (n *Node) rackShards() []string {
-	seen := map[string]bool{}
-	for _, vm := range n.c.vms {
-		if vm.Role == ccvmlist.Worker && vm.Region == n.cfg.Region {
-			seen[rackPrefix+vm.FailureDomain+"/"+vm.Rack] = true
+// rack is a shard of workers as the VM list shows it.
+type rack struct {
+	name    string
+	workers []ccvmlist.VM
+}
+
+// racksOf groups the workers of a region into shards, ordered by name.
+func racksOf(vms []ccvmlist.VM, region string) []rack {
+	byName := map[string]*rack{}
+	for _, vm := range vms {
+		if vm.Role != ccvmlist.Worker || vm.Region != region {
+			continue
 		}
+		name := rackPrefix + vm.FailureDomain + "/" + vm.Rack
+		if byName[name] == nil {
+			byName[name] = &rack{name: name}
+		}
+		vm.Capacity.Connections = ccworker.UsableConnections(vm.Capacity.Connections)
+		byName[name].workers = append(byName[name].workers, vm)
 	}
-	out := make([]string, 0, len(seen))
-	for name := range seen {
-		out = append(out, name)
+	out := make([]rack, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
+// rackShards returns the names of the shards of workers in the region. It belongs to the control loop.
+func (n *Node) rackShards() []string {
+	out := make([]string, len(n.c.racks))
+	for i := range n.c.racks {
+		out[i] = n.c.racks[i].name
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -151,26 +172,54 @@
 // closes them as the authority goes, and removes those of shards that another process owns. It
 // belongs to the control loop.
 func (n *Node) followAuthority(now ccclock.Millis) {
-	for _, vm := range n.c.vms {
-		if vm.Role != ccvmlist.Worker || vm.Region != n.cfg.Region {
-			continue
-		}
-		shard := rackPrefix + vm.FailureDomain + "/" + vm.Rack
-		_, err := n.c.keeper.Authority(shard, now)
+	for i := range n.c.racks {
+		r := &n.c.racks[i]
+		_, err := n.c.keeper.Authority(r.name, now)
 		switch {
 		case err == nil:
-			w := vm.LedgerWorker()
-			w.Capacity.Connections = ccworker.UsableConnections(w.Capacity.Connections)
-			n.c.pool.Add(w, shard, now)
+			n.openRack(r, now)
 		case errors.Is(err, ccshard.ErrNotOwner):
-			n.removeWorker(vm.ID)
+			n.closeRack(r.name, true)
+		default:
+			n.closeRack(r.name, false)
 		}
 	}
+	n.c.vmsChanged = false
+}
+
+// openRack lets the workers of a shard get tasks.
+func (n *Node) openRack(r *rack, now ccclock.Millis) {
+	if n.c.opened[r.name] && !n.c.vmsChanged {
+		return
+	}
+	for i := range r.workers {
+		n.c.pool.Add(r.workers[i].LedgerWorker(), r.name, now)
+	}
+	n.c.pool.Open(r.name, true)
+	n.c.opened[r.name] = true
+}
+
+// closeRack keeps the workers of a shard from getting tasks, and forgets them when another process
+// owns the shard.
+func (n *Node) closeRack(name string, lost bool) {
+	if n.c.opened[name] {
+		n.c.pool.Open(name, false)
+		delete(n.c.opened, name)
+	}
+	if !lost {
+		return
+	}
+	for _, id := range n.c.pool.WorkersOf(name) {
+		n.removeWorker(id)
+	}
+}
+
+// dropGoneWorkers forgets workers that the platform no longer lists, once nothing of theirs can run.
+// It belongs to the control loop.
+func (n *Node) dropGoneWorkers(now ccclock.Millis) {
 	for _, w := range n.c.pool.Workers() {
-		_, err := n.c.keeper.Authority(w.Shard, now)
-		n.c.pool.Open(w.Shard, err == nil)
-		listed := n.c.listedAt[w.ID]
-		if errors.Is(err, ccshard.ErrNotOwner) || w.Unreachable && w.Tasks == 0 && now > listed+ccclock.Millis(n.cfg.Timing.VMListLagMs) {
+		gone := now > n.c.listedAt[w.ID]+ccclock.Millis(n.cfg.Timing.VMListLagMs)
+		if w.Unreachable && w.Tasks == 0 && gone {
 			n.removeWorker(w.ID)
 		}
 	}
@@ -254,7 +303,11 @@
 // takeVMs takes in a VM list. It belongs to the control loop.
 func (n *Node) takeVMs(l ccvmlist.List) {
 	now := n.now()
-	n.c.vms = l.VMs
+	if !n.c.vmsRead || !slices.Equal(n.c.vms, l.VMs) {
+		n.c.vms = l.VMs
+		n.c.racks = racksOf(l.VMs, n.cfg.Region)
+		n.c.vmsChanged = true
+	}
 	n.c.vmsRead = true
 	for _, vm := range l.VMs {
 		n.c.listedAt[vm.ID] = now
@@ -267,4 +320,5 @@
 			}
 		}
 	}
+	n.dropGoneWorkers(now)
 }
--- a/io/ccnode/workers.go
+++ b/io/ccnode/workers.go
@@ -22,9 +22,10 @@
 // and does not block.
 func (n *Node) syncWorker(ctx context.Context, w ccledger.WorkerState, now ccclock.Millis) {
 	a, err := n.c.keeper.Authority(w.Shard, now)
-	if err != nil || n.c.syncing[w.ID] {
+	if err != nil || n.c.syncing[w.ID] || !n.syncDue(w, now) {
 		return
 	}
+	n.c.syncedAt[w.ID] = now
 	g := ccworker.Grant{
 		Worker: w.ID, Address: w.Address, Epoch: a.Epoch,
 		Until: a.Until - ccclock.Millis(n.cfg.Timing.FlightMs), LeaseMs: n.cfg.Timing.TaskLeaseMs,
@@ -39,6 +40,20 @@
 	}()
 }
 
+// idleSyncs is how many intervals pass between two syncs of a worker without tasks: it has no leases
+// to renew, and tells a failure at the next start.
+const idleSyncs = 5
+
+// syncDue reports whether a worker's task table is to be read now. It belongs to the control loop.
+func (n *Node) syncDue(w ccledger.WorkerState, now ccclock.Millis) bool {
+	if w.Tasks > 0 || !w.Ready || w.Unreachable || len(n.c.stop[w.ID])+len(n.c.forget[w.ID]) > 0 {
+		return true
+	}
+	// Half an interval of tolerance keeps the timer's jitter from skipping a turn.
+	idle := ccclock.Millis(n.cfg.Timing.SyncMs) * (2*idleSyncs - 1) / 2
+	return now >= n.c.syncedAt[w.ID]+idle
+}
+
 // synced takes in the end of a sync that was sent at sent. It belongs to the control loop.
 func (n *Node) synced(w ccledger.WorkerState, rows []ccledger.Row, sent ccclock.Millis, err error) {
 	delete(n.c.syncing, w.ID)
--- a/io/ccstore/client.go
+++ b/io/ccstore/client.go
@@ -7,13 +7,14 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"syscall"
 	"time"
 
+	"coriandercross/io/cccount"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -51,6 +52,8 @@
 	WatchTimeout time.Duration
 	// OnCall is told of each call by its kind: "Get", "Put" or "Watch".
 	OnCall func(kind string, err error)
+	// OnBytes is told of the bytes of all calls; it may be nil.
+	OnBytes func(n int)
 }
 
 // Client calls the store. Its methods may be called from any goroutine, and block until the
@@ -65,9 +68,8 @@
 	if cfg.OnCall == nil {
 		cfg.OnCall = func(string, error) {}
 	}
-	dialer := &net.Dialer{Timeout: cfg.Timeout}
 	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         cccount.Dialer(cfg.Timeout, cfg.OnBytes),
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     time.Minute,
 	}}}
--- a/io/ccvmlist/client.go
+++ b/io/ccvmlist/client.go
@@ -10,6 +10,7 @@
 
 	"coriandercross/core/ccledger"
 	"coriandercross/core/ccwork"
+	"coriandercross/io/cccount"
 
 	"github.com/cockroachdb/errors"
 )
@@ -78,35 +79,60 @@
 	}
 }
 
-// Client reads the list. It may be used from any goroutine.
+// Config sets up a Client.
+type Config struct {
+	// Address is the IP and port of the list.
+	Address string
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// OnBytes is told of the bytes of all calls; it may be nil.
+	OnBytes func(n int)
+}
+
+// Client reads the list. It may be used by one goroutine.
 type Client struct {
-	address string
-	http    *http.Client
+	cfg  Config
+	http *http.Client
+	// last is the newest list, which tag names.
+	last List
+	tag  string
 }
 
-// NewClient returns a client of the list at an IP and port.
-func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{address: address, http: &http.Client{Timeout: timeout}}
+// NewClient returns a client; it opens no connection.
+func NewClient(cfg Config) *Client {
+	t := &http.Transport{DialContext: cccount.Dialer(cfg.Timeout, cfg.OnBytes)}
+	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout, Transport: t}}
 }
 
 // Read returns the list. It blocks until the reply, the timeout or the end of ctx, and fails with
 // ErrUnavailable or ErrBadList.
 func (c *Client) Read(ctx context.Context) (List, error) {
 	var l List
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+Path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+Path, nil)
 	if err != nil {
 		return l, errors.Wrap(err, "building a request for the VM list")
 	}
+	if c.tag != "" {
+		// An unchanged list costs no more than its tag.
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return l, errors.Mark(errors.Wrap(err, "reading the VM list"), ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return c.last, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return l, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
 		return l, errors.Mark(errors.Wrap(err, "decoding the VM list"), ErrBadList)
 	}
-	return l, l.Check()
+	if err := l.Check(); err != nil {
+		return l, err
+	}
+	c.last, c.tag = l, resp.Header.Get("ETag")
+	return l, nil
 }
--- a/io/ccworker/client.go
+++ b/io/ccworker/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -17,6 +16,7 @@
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccledger"
 	"coriandercross/core/ccwork"
+	"coriandercross/io/cccount"
 
 	"github.com/cockroachdb/errors"
 )
@@ -31,6 +31,8 @@
 	SyncTimeout  time.Duration
 	// MaxAnswer bounds an answer, in bytes.
 	MaxAnswer int64
+	// OnControlBytes is told of the bytes of renewals and task tables; it may be nil.
+	OnControlBytes func(n int)
 }
 
 // Client calls workers. Its methods may be called from any goroutine, and block until the reply,
@@ -59,8 +61,8 @@
 func NewClient(cfg Config) *Client {
 	return &Client{
 		cfg:     cfg,
-		traffic: &http.Client{Transport: newTransport(cfg.Connections-controlConnections, cfg.StartTimeout)},
-		control: &http.Client{Transport: newTransport(controlConnections, cfg.SyncTimeout)},
+		traffic: &http.Client{Transport: newTransport(cfg.Connections-controlConnections, cfg.StartTimeout, nil)},
+		control: &http.Client{Transport: newTransport(controlConnections, cfg.SyncTimeout, cfg.OnControlBytes)},
 		tables:  map[string]table{},
 	}
 }
@@ -71,10 +73,9 @@
 }
 
 // newTransport returns a transport with at most n connections to one worker.
-func newTransport(n int, dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(n int, dialTimeout time.Duration, onBytes func(n int)) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         cccount.Dialer(dialTimeout, onBytes),
 		MaxConnsPerHost:     n,
 		MaxIdleConnsPerHost: n,
 		IdleConnTimeout:     time.Minute,
@@ -295,6 +296,7 @@
 		return errors.Wrap(err, "building a request to a worker")
 	}
 	req.ContentLength = int64(len(data))
+	req.Header["User-Agent"] = nil
 	resp, err := hc.Do(req)
 	switch {
 	case err != nil && f.stopped.Load():
