Urgent work no longer waits behind long work after shards move; syncs wait for changes

Cause: TestCancellationWave saw NotRun Deadline after 10 s. Batch work had filled whole workers; the reserve is kept over a ledger, and when shards moved an owner was left with workers held whole by long work. Its digest showed no free slot but a short wait, as the mean run of requests was taken for all slots. Ruled out: the cancellations (it also happened without them).

Change: digests tell the slots that work which can wait holds, and the estimated wait is over the others; a request that has waited 300 ms stops the youngest such task that makes room for it, and the job's driver starts that one again. Before (trial without both): TestRequestsBehindLongWork fails, NotRun Deadline.

Also: a sync waits at the worker for a change of its table (up to an interval), orders are sent beside it, and a new owner reads the tables at once.

--- a/core/ccjob/driver.go
+++ b/core/ccjob/driver.go
@@ -76,6 +76,7 @@
 	// triesPerEpoch keeps the numbers of tries apart between drivers.
 	triesPerEpoch = 1 << 20
 	retryBase     = ccclock.Millis(200)
+	fullMax       = ccclock.Millis(400)
 	retryMax      = ccclock.Millis(5_000)
 )
 
@@ -265,6 +266,7 @@
 	t.worker = worker
 	t.shard = shard
 	t.since = now
+	r.tries = 0
 	if r.over || r.restarting {
 		d.stops[id] = true
 	}
@@ -286,10 +288,19 @@
 	}
 	if now >= r.notBefore {
 		r.tries++
-		r.notBefore = now + min(retryBase<<min(r.tries, 8), retryMax)
+		r.notBefore = now + min(retryBase<<min(r.tries, 8), r.maxDelay())
 	}
 }
 
+// maxDelay bounds the delay between tries. Room for one task comes at any time, and asking for it is
+// cheap; room for a whole gang is asked for of every owner.
+func (r *run) maxDelay() ccclock.Millis {
+	if r.job.Class == ccwork.Gang {
+		return retryMax
+	}
+	return fullMax
+}
+
 // Doubt takes in that an owner may have started a task.
 func (d *Driver) Doubt(id string, now ccclock.Millis) {
 	_, _, t := d.find(id)
--- a/core/ccledger/pool.go
+++ b/core/ccledger/pool.go
@@ -246,6 +246,7 @@
 	p.used[c.Team] = p.used[c.Team].Plus(c.Size)
 	if c.Long {
 		e.long++
+		e.held += c.Size.Slots
 		p.patient = p.patient.Plus(c.Size)
 	}
 }
@@ -259,6 +260,7 @@
 	p.used[c.Team] = p.used[c.Team].Minus(c.Size)
 	if c.Long {
 		e.long--
+		e.held -= c.Size.Slots
 		p.patient = p.patient.Minus(c.Size)
 	}
 }
@@ -289,6 +291,37 @@
 	c.Until = until
 }
 
+// MakeRoom picks a task that can wait, whose stop would make room for a size, and marks it as
+// stopping. It takes the youngest, which loses the least work, and none while an earlier one's stop
+// will make that room. It returns nil when nothing helps.
+func (p *Pool) MakeRoom(size ccwork.Size, now ccclock.Millis) *Claim {
+	var victim *Claim
+	for _, e := range p.order {
+		if !e.usable(now) || e.held == 0 {
+			continue
+		}
+		for _, c := range e.claims {
+			if !c.Long || c.Phase != Admitted {
+				continue
+			}
+			room := e.free.Plus(c.Size)
+			if !size.Fits(&room) {
+				continue
+			}
+			if c.Stopping {
+				return nil
+			}
+			if victim == nil || c.Since > victim.Since || c.Since == victim.Since && c.Task < victim.Task {
+				victim = c
+			}
+		}
+	}
+	if victim != nil {
+		victim.Stopping = true
+	}
+	return victim
+}
+
 // Address returns a worker's address, or "" when it is not in the ledger.
 func (p *Pool) Address(worker string) string {
 	if e := p.workers[worker]; e != nil {
--- a/core/ccledger/reconcile.go
+++ b/core/ccledger/reconcile.go
@@ -150,16 +150,30 @@
 
 // Workers returns the state of every worker.
 func (p *Pool) Workers() []WorkerState {
-	out := make([]WorkerState, 0, len(p.order))
-	for _, e := range p.order {
-		out = append(out, WorkerState{
-			Worker: e.Worker, Shard: e.shard, Free: e.free, Ready: e.ready,
-			Unreachable: e.unreachable, Quarantined: e.health.until != 0, Tasks: len(e.claims),
-		})
+	out := make([]WorkerState, len(p.order))
+	for i, e := range p.order {
+		out[i] = e.state()
 	}
 	return out
 }
 
+// Worker returns the state of one worker, and false when it is not in the ledger.
+func (p *Pool) Worker(id string) (WorkerState, bool) {
+	e := p.workers[id]
+	if e == nil {
+		return WorkerState{}, false
+	}
+	return e.state(), true
+}
+
+// state returns the worker for a state dump.
+func (e *entry) state() WorkerState {
+	return WorkerState{
+		Worker: e.Worker, Shard: e.shard, Free: e.free, Ready: e.ready,
+		Unreachable: e.unreachable, Quarantined: e.health.until != 0, Tasks: len(e.claims),
+	}
+}
+
 // Claims returns the claims for which keep returns true.
 func (p *Pool) Claims(keep func(*Claim) bool) []Claim {
 	var out []Claim
@@ -198,6 +212,8 @@
 	Total ccwork.Size
 	// Largest is the largest capacity in each part.
 	Largest ccwork.Size
+	// HeldSlots is the number of slots that work which can wait holds.
+	HeldSlots int64
 }
 
 // Room returns the present room.
@@ -210,6 +226,7 @@
 		}
 		r.Free = r.Free.Plus(e.free)
 		r.Total = r.Total.Plus(e.Capacity)
+		r.HeldSlots += e.held
 	}
 	return r
 }
--- a/core/ccledger/worker.go
+++ b/core/ccledger/worker.go
@@ -58,6 +58,8 @@
 	Since ccclock.Millis
 	// Until ends a reservation, or the time in which a doubtful start may still arrive.
 	Until ccclock.Millis
+	// Stopping is true once the task was told to stop to make room.
+	Stopping bool
 }
 
 // entry is a worker with its ledger.
@@ -74,8 +76,10 @@
 	heardAt ccclock.Millis
 	// unreachable is true while the worker does not answer.
 	unreachable bool
-	long        int
-	health      health
+	// long counts the tasks that can wait, and held the slots that they hold.
+	long   int
+	held   int64
+	health health
 }
 
 // health counts failures in a row and holds the quarantine.
--- a/core/ccmember/member.go
+++ b/core/ccmember/member.go
@@ -39,6 +39,8 @@
 	LargestAccelerators int64 `cbor:"10,keyasint,omitempty"`
 	// Leaving processes take no new work.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
+	// HeldSlots is the part of Slots that work without an early end holds.
+	HeldSlots int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Largest returns the capacity of the largest worker owned. Slots and connections are not told.
@@ -52,6 +54,11 @@
 	}
 }
 
+// ShortSlots is the number of slots that interactive requests take turns on.
+func (d *Digest) ShortSlots() int64 {
+	return d.Slots - d.HeldSlots
+}
+
 // Member is one process.
 type Member struct {
 	// ID names one incarnation of the process; it is never used again.
--- a/core/ccqueue/queue.go
+++ b/core/ccqueue/queue.go
@@ -18,6 +18,8 @@
 	Urgency int
 	// Deadline is the last point at which the request may start.
 	Deadline ccclock.Millis
+	// Since is when the request began to wait.
+	Since ccclock.Millis
 	// Done is called once, in the goroutine of the queue, with nil when the request got a worker.
 	Done func(err error)
 
@@ -114,6 +116,17 @@
 	}
 }
 
+// Longest returns, for each size, the request that goes next if it has waited since before a point.
+func (q *Queue) Longest(before ccclock.Millis) []*Item {
+	var out []*Item
+	for _, h := range q.heaps {
+		if head := (*h)[0]; head.Since < before {
+			out = append(out, head)
+		}
+	}
+	return out
+}
+
 // Flush ends every waiting request with err, because this process can't place any.
 func (q *Queue) Flush(err error) {
 	for _, it := range q.items {
--- a/core/ccroute/route.go
+++ b/core/ccroute/route.go
@@ -203,11 +203,18 @@
 	return free
 }
 
+// stopMs is the estimated time until other work has made room.
+const stopMs = 1_000
+
 // WaitMs estimates the wait for a slot at an owner, with the price of the link.
 func (r *Router) WaitMs(m *ccmember.Member) int64 {
 	var wait int64
 	if queue := m.Digest.Waiting - r.freeSlots(m); queue >= 0 {
-		wait = (queue + 1) * m.Digest.ServiceMs / max(m.Digest.Slots, 1)
+		wait = (queue + 1) * m.Digest.ServiceMs / max(m.Digest.ShortSlots(), 1)
+		if m.Digest.ShortSlots() <= 0 {
+			// Only by stopping other work can this owner start any.
+			wait += stopMs
+		}
 	}
 	if m.Region != r.cfg.Region {
 		wait += r.cfg.CrossRegionMs
--- a/io/ccfellow/message.go
+++ b/io/ccfellow/message.go
@@ -140,8 +140,9 @@
 
 // ReportReply is an owner's report.
 type ReportReply struct {
-	Ready []string
-	Tasks []ccledger.Claim
+	Ready  []string
+	Tasks  []ccledger.Claim
+	Digest ccmember.Digest
 }
 
 // Check implements Message.
--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -139,7 +139,7 @@
 		c.Workers = append(c.Workers, &Worker{
 			Process: &Process{Name: id},
 			VM: ccvmlist.VM{
-				ID: id, Role: ccvmlist.Worker, Address: freeAddress(), Region: d.Region,
+				ID: id, Role: ccvmlist.Worker, Address: c.workerAddress(i), Region: d.Region,
 				FailureDomain: d.Name, Rack: rack, Capacity: c.cfg.Capacity,
 			},
 			Record: filepath.Join(c.cfg.Dir, id+".record"),
@@ -147,6 +147,18 @@
 	}
 }
 
+// fleetPort is the port of every worker of a fleet; each has an IP of its own on loopback.
+const fleetPort = 7900
+
+// workerAddress returns the address of the i-th worker.
+func (c *Cluster) workerAddress(i int) string {
+	if !c.cfg.Fleet {
+		return freeAddress()
+	}
+	const perByte = 250
+	return fmt.Sprintf("127.1.%d.%d:%d", i/perByte+1, i%perByte+1, fleetPort)
+}
+
 // NewEntry plans an entry process on a new VM without starting it.
 func (c *Cluster) NewEntry(vm string, d Domain) *Entry {
 	s := ccsettings.Default()
@@ -347,7 +359,20 @@
 	if err := c.apply(timeout); err != nil {
 		return err
 	}
-	return Eventually(timeout, "workers have no ready owner", func() bool { return c.readyWorkers() == len(c.Workers) })
+	return Eventually(timeout, "workers have no ready owner", func() bool {
+		return c.acquainted() && c.readyWorkers() == len(c.Workers)
+	})
+}
+
+// acquainted reports whether every entry process knows all others.
+func (c *Cluster) acquainted() bool {
+	dumps := c.Dumps()
+	for _, d := range dumps {
+		if len(d.Members) != len(c.Entries) {
+			return false
+		}
+	}
+	return len(dumps) == len(c.Entries)
 }
 
 // apply puts the configuration in force.
--- a/io/ccharness/failure_test.go
+++ b/io/ccharness/failure_test.go
@@ -428,3 +428,40 @@
 		assert.Assert(t, len(v.Succeeded()) > 0)
 	})
 }
+
+// TestRequestsBehindLongWork is a regression: after shards had moved, an owner could be left with
+// workers that long work held whole, and requests waited there until their deadline.
+func TestRequestsBehindLongWork(t *testing.T) {
+	cfg := fixture(t)
+	cfg.Entries = 1
+	withCluster(t, cfg, func(c *Cluster) {
+		body := &cccaller.JobBody{ID: "long", Kind: "inspection"}
+		for range 60 {
+			body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: "RunMs=600000"})
+		}
+		_, err := cccaller.NewClient(callers(c, 0)).Submit("coop", body)
+		assert.NilError(t, err)
+		assert.NilError(t, Eventually(patience, "long work did not fill the workers", func() bool {
+			v, err := c.Judge()
+			return err == nil && len(v.Intervals) >= 40
+		}))
+		for i := range 2 {
+			e := c.NewEntry(fmt.Sprintf("entry-%d", i+2), c.cfg.Domains[i%2])
+			c.Entries = append(c.Entries, e)
+			assert.NilError(t, c.StartEntry(e))
+		}
+		assert.NilError(t, c.SetVMs(c.List()))
+		assert.NilError(t, Eventually(patience, "shards did not move", func() bool {
+			d := c.Dumps()
+			return c.acquainted() && len(d[1].Workers) > 0 && len(d[2].Workers) > 0
+		}))
+		owned(t, c)
+		l := startLoad(t, c)
+		l.more(100)
+		l.stop()
+		for _, a := range l.l.Answers() {
+			assert.Equal(t, a.Outcome, ccwork.Ran, "request %s: %s", a.ID, a.Reason)
+		}
+		judge(t, c, l.l.Answers())
+	})
+}
--- a/io/ccmeasure/fleet.go
+++ b/io/ccmeasure/fleet.go
@@ -133,7 +133,7 @@
 	return ccmember.Member{
 		ID: fmt.Sprint(o.id), Region: "r", Round: uint64(f.now),
 		Digest: ccmember.Digest{
-			Waiting: int64(o.queue.Len()), Slots: room.Total.Slots, FreeSlots: room.Free.Slots, ServiceMs: int64(o.service),
+			Waiting: int64(o.queue.Len()), Slots: room.Total.Slots, FreeSlots: room.Free.Slots, HeldSlots: room.HeldSlots, ServiceMs: int64(o.service),
 			LargestMilliCores: room.Largest.MilliCores, LargestMemoryMB: room.Largest.MemoryMB,
 		},
 	}
--- a/io/ccmeasure/main.go
+++ b/io/ccmeasure/main.go
@@ -37,6 +37,10 @@
 	pure("goodput", Goodput),
 	pure("decision", Decision),
 	pure("cancellation", Cancellation),
+	{"idle", Idle},
+	{"proxy", Proxy},
+	{"store", Store},
+	{"takeover", Takeover},
 }
 
 // Main measures and prints.
--- /dev/null
+++ b/io/ccmeasure/processes.go
@@ -0,0 +1,375 @@
+package ccmeasure
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"coriandercross/core/ccteam"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/cccaller"
+	"coriandercross/io/ccharness"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readyTimeout = 120 * time.Second
+	idleTime     = 10 * time.Second
+	ticksPerSec  = 100
+	hopRequests  = 2_000
+	hopCallers   = 8
+)
+
+// measureDocument is the configuration of measured systems.
+func measureDocument() ccteam.Document {
+	return ccteam.Document{
+		Templates: map[string]ccteam.Template{"t": {Kinds: map[string]ccteam.Kind{
+			"check": {Class: ccwork.Interactive, Size: ccwork.Size{MilliCores: 1_000, MemoryMB: 1_000}},
+			"batch": {Class: ccwork.Batch, Size: ccwork.Size{MilliCores: 500, MemoryMB: 500}},
+		}, Limits: ccteam.Limits{MaxWaiting: 100_000}}},
+		Teams: map[string]ccteam.Team{"team": {Template: "t"}},
+	}
+}
+
+// withSystem runs a system of real processes.
+func withSystem(o *options, entries, workers int, f func(c *ccharness.Cluster) error) error {
+	dir, err := os.MkdirTemp("", "coriandercross-measure-")
+	if err != nil {
+		return errors.Wrap(err, "making a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	c, err := ccharness.Start(ccharness.Config{
+		Dir: dir, Program: o.Program, Standin: o.Standin, Entries: entries, Workers: workers, WorkersPerRack: 8, Fleet: true,
+		Domains: []ccharness.Domain{{Region: "north", Name: "north-a"}, {Region: "north", Name: "north-b"}, {Region: "north", Name: "north-c"}},
+		// Connections of the users' workers, and slots enough that none waits.
+		Capacity: ccwork.Size{MilliCores: 16_000, MemoryMB: 64_000, Slots: 8, Connections: 64},
+		Document: measureDocument(), VMListLagMs: 1_000,
+	})
+	defer c.Stop()
+	if err != nil {
+		return err
+	}
+	if err := c.Ready(readyTimeout); err != nil {
+		return err
+	}
+	return f(c)
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	cpuSeconds   float64
+	memoryMB     float64
+	controlBytes float64
+}
+
+// usageOf reads the usage of an entry process from the kernel and from its metrics.
+func usageOf(e *ccharness.Entry) (usage, error) {
+	var u usage
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", e.ID()))
+	if err != nil {
+		return u, errors.Wrap(err, "reading the usage of a process")
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	const userField, systemField, residentField = 11, 12, 21
+	user, _ := strconv.ParseFloat(fields[userField], 64)
+	system, _ := strconv.ParseFloat(fields[systemField], 64)
+	pages, _ := strconv.ParseFloat(fields[residentField], 64)
+	u.cpuSeconds = (user + system) / ticksPerSec
+	u.memoryMB = pages * float64(os.Getpagesize()) / 1e6
+	u.controlBytes, err = controlBytes(e)
+	return u, err
+}
+
+// controlBytes reads the bytes of control from a process's metrics.
+func controlBytes(e *ccharness.Entry) (float64, error) {
+	resp, err := http.Get("http://" + e.Settings.Listen.Operators + "/metrics")
+	if err != nil {
+		return 0, errors.Wrap(err, "reading metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, errors.Wrap(err, "reading metrics")
+	}
+	sum := 0.0
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "coriandercross_control_bytes_total") {
+			v, _ := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndexByte(line, ' '):]), 64)
+			sum += v
+		}
+	}
+	return sum, nil
+}
+
+// idleCost returns the processor share in percent, memory and control bytes a second of the busiest of
+// seven idle processes that own all workers between them.
+func idleCost(o *options, workers int) (cpu, memory, bytesPerSecond float64, err error) {
+	err = withSystem(o, processes, workers, func(c *ccharness.Cluster) error {
+		time.Sleep(idleTime)
+		before := make([]usage, len(c.Entries))
+		for i, e := range c.Entries {
+			u, err := usageOf(e)
+			if err != nil {
+				return err
+			}
+			before[i] = u
+		}
+		time.Sleep(idleTime)
+		for i, e := range c.Entries {
+			u, err := usageOf(e)
+			if err != nil {
+				return err
+			}
+			cpu = max(cpu, (u.cpuSeconds-before[i].cpuSeconds)/idleTime.Seconds()*100)
+			memory = max(memory, u.memoryMB)
+			bytesPerSecond = max(bytesPerSecond, (u.controlBytes-before[i].controlBytes)/idleTime.Seconds())
+		}
+		return nil
+	})
+	return cpu, memory, bytesPerSecond, err
+}
+
+// Idle measures control without work as the fleet grows.
+func Idle(o *options) ([]Row, error) {
+	var rows []Row
+	var base [3]float64
+	for i, n := range []int{50, 500, targetWorkers} {
+		cpu, memory, bytesPerSecond, err := idleCost(o, n)
+		if err != nil {
+			return nil, err
+		}
+		if i == 0 {
+			base = [3]float64{cpu, memory, bytesPerSecond / 1_000}
+		}
+		rows = append(rows,
+			valueRow(fmt.Sprintf("IdleProcessorAt%dWorkers", n), "percent", cpu, base[0], 3.3),
+			valueRow(fmt.Sprintf("IdleMemoryAt%dWorkers", n), "MB", memory, base[1], 128),
+			valueRow(fmt.Sprintf("IdleControlBytesAt%dWorkers", n), "KB/s", bytesPerSecond/1_000, base[2], 6))
+	}
+	return rows, nil
+}
+
+// hop is the time of requests through something, and how many there were a second.
+type hop struct {
+	p50, p99, perSecond float64
+}
+
+// timeHop sends requests from several callers and takes their times.
+func timeHop(url string, header func(http.Header, int)) (hop, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hopCallers}}
+	var mu sync.Mutex
+	var times []micros
+	var failed error
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for caller := range hopCallers {
+		wg.Go(func() {
+			for i := range hopRequests / hopCallers {
+				start := time.Now()
+				err := sendHop(client, url, func(h http.Header) { header(h, caller*hopRequests+i) })
+				mu.Lock()
+				times = append(times, micros(time.Since(start).Microseconds()))
+				failed = errors.CombineErrors(failed, err)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	rate := float64(len(times)) / time.Since(begin).Seconds()
+	return hop{p50: percentile(times, 50), p99: percentile(times, 99), perSecond: rate}, failed
+}
+
+// sendHop sends one request and reads the whole answer.
+func sendHop(client *http.Client, url string, header func(http.Header)) error {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("Echo=x"))
+	if err != nil {
+		return errors.Wrap(err, "building a request")
+	}
+	header(req.Header)
+	resp, err := client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "sending a request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Newf("status %d", resp.StatusCode)
+	}
+	return errors.Wrap(err, "reading an answer")
+}
+
+// plainHop is a reverse hop of net/http alone, the baseline.
+func plainHop(target string) http.Handler {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hopCallers}}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		req, _ := http.NewRequest(http.MethodPost, target, bytes.NewReader(body))
+		req.Header = r.Header
+		resp, err := client.Do(req)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	})
+}
+
+// workerHeader describes a request to a worker without a process in between.
+func workerHeader(h http.Header, i int) {
+	h.Set("Task-Id", fmt.Sprint("direct-", i, "-", time.Now().UnixNano()))
+	h.Set("Task-Size", `{"MilliCores":1}`)
+	h.Set("Task-Lease-Ms", "10000")
+}
+
+// Proxy measures the latency that one process adds to a request, beside a plain hop.
+func Proxy(o *options) ([]Row, error) {
+	var rows []Row
+	err := withSystem(o, 1, 24, func(c *ccharness.Cluster) error {
+		worker := "http://" + c.Workers[0].VM.Address + "/v1/run"
+		server := httptest.NewServer(plainHop(worker))
+		defer server.Close()
+		url := "http://" + c.Entries[0].Settings.Listen.Callers + "/v1/teams/team/kinds/check/requests"
+		ours := func(h http.Header, i int) {
+			h.Set(cccaller.RequestIDHeader, fmt.Sprint("hop-", i, "-", time.Now().UnixNano()))
+		}
+		var direct, plain, through []hop
+		for range seeds {
+			for _, step := range []struct {
+				into   *[]hop
+				url    string
+				header func(http.Header, int)
+			}{{&direct, worker, workerHeader}, {&plain, server.URL, workerHeader}, {&through, url, ours}} {
+				h, err := timeHop(step.url, step.header)
+				if err != nil {
+					return err
+				}
+				*step.into = append(*step.into, h)
+			}
+		}
+		added := func(hops []hop, of func(hop) float64) float64 { return medianOf(hops, of) - medianOf(direct, of) }
+		p50, p99 := func(h hop) float64 { return h.p50 }, func(h hop) float64 { return h.p99 }
+		rate := func(h hop) float64 { return h.perSecond }
+		perSecond := ratioRow("ProxyRequestsPerSecond", "1/s", medianOf(through, rate), medianOf(plain, rate), 1/1.5)
+		perSecond.AtLeast = true
+		rows = append(rows,
+			ratioRow("ProxyAddedLatencyP50", "ms", added(through, p50), added(plain, p50), 1.5),
+			ratioRow("ProxyAddedLatencyP99", "ms", added(through, p99), added(plain, p99), 1.5),
+			perSecond)
+		return nil
+	})
+	return rows, err
+}
+
+// medianOf returns the median of one figure of several hops.
+func medianOf(hops []hop, of func(hop) float64) float64 {
+	var values []float64
+	for _, h := range hops {
+		values = append(values, of(h))
+	}
+	return median(values...)
+}
+
+// batchTasks is the number of tasks of the batch that is measured.
+const batchTasks = 1_000
+
+// Store measures the calls to the store while tasks start, and the rate of starts.
+func Store(o *options) ([]Row, error) {
+	var rows []Row
+	err := withSystem(o, processes, 48, func(c *ccharness.Cluster) error {
+		before, err := c.StoreCounts()
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		ids := []string{"a", "b", "c", "d"}
+		for i, id := range ids {
+			if err := submitBatch(c.Entries[i], id); err != nil {
+				return err
+			}
+		}
+		for i, id := range ids {
+			if err := waitForBatch(c.Entries[i], id); err != nil {
+				return err
+			}
+		}
+		took := time.Since(begin).Seconds()
+		after, err := c.StoreCounts()
+		if err != nil {
+			return err
+		}
+		starts := float64(len(ids) * batchTasks)
+		calls := float64(after.Get + after.Put + after.Watch - before.Get - before.Put - before.Watch)
+		r := valueRow("StoreCallsPerSecondWhileTasksStart", "1/s", calls/took, starts/took, 100)
+		rows = append(rows, r, valueRow("StoreCallsPerStart", "calls", calls/starts, 1, 100.0/2_600))
+		started := valueRow("TaskStartsPerSecondOfTheSystem", "1/s", starts/took, 2_600, 0)
+		started.AtLeast = true
+		rows = append(rows, started)
+		return nil
+	})
+	return rows, err
+}
+
+// submitBatch sends a batch of tasks that end at once.
+func submitBatch(e *ccharness.Entry, id string) error {
+	body := &cccaller.JobBody{ID: id, Kind: "batch"}
+	for range batchTasks {
+		body.Tasks = append(body.Tasks, cccaller.TaskBody{Payload: "RunMs=10"})
+	}
+	_, err := cccaller.NewClient(e.Settings.Listen.Callers).Submit("team", body)
+	return err
+}
+
+// waitForBatch waits for a batch's end.
+func waitForBatch(e *ccharness.Entry, id string) error {
+	for range 5 {
+		j, err := cccaller.NewClient(e.Settings.Listen.Callers).Job("team", id, 60_000)
+		if err != nil {
+			return err
+		}
+		if j.State.Ended() {
+			return nil
+		}
+	}
+	return errors.Newf("batch %s did not end", id)
+}
+
+// Takeover measures the time from a kill to the first start by the heir.
+func Takeover(o *options) ([]Row, error) {
+	var gaps []float64
+	for range seeds {
+		err := withSystem(o, 3, 6, func(c *ccharness.Cluster) error {
+			victim := c.Entries[0]
+			start := time.Now()
+			victim.Kill()
+			err := ccharness.Eventually(readyTimeout, "workers were not taken over", func() bool {
+				n := 0
+				for _, d := range c.Dumps() {
+					for _, w := range d.Workers {
+						if w.Ready && !w.Unreachable {
+							n++
+						}
+					}
+				}
+				return n == len(c.Workers)
+			})
+			gaps = append(gaps, time.Since(start).Seconds())
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	slices.Sort(gaps)
+	return []Row{valueRow("TakeoverAfterAKill", "s", gaps[len(gaps)/2], 0, 10)}, nil
+}
--- a/io/ccnode/buckets.go
+++ b/io/ccnode/buckets.go
@@ -203,7 +203,10 @@
 		n.cfg.Log.Debug("no report", "Bucket", b.name, "Owner", call.owner.ID, "Err", err)
 		return
 	}
-	_ = n.do(func() { b.driver.Observe(reply.Report(), call.sent, n.now()) })
+	_ = n.do(func() {
+		n.c.members.Refresh(call.owner.ID, reply.Digest)
+		b.driver.Observe(reply.Report(), call.sent, n.now())
+	})
 }
 
 // recordEndings writes the endings of tasks and jobs to the store.
@@ -245,24 +248,39 @@
 		for _, task := range in.Release {
 			n.c.desk.Unhold(task)
 		}
-		n.noteFor(in.Stop, n.c.stop)
-		n.noteFor(in.Forget, n.c.forget)
+		n.passOn(in.Stop, in.Forget)
 		out.Ready = n.readyShards(now)
 		out.Tasks = n.tasksOf(in.Bucket)
+		out.Digest = n.digest(now)
 	})
 	return out, err
 }
 
-// noteFor adds tasks to the list of the worker that holds each. It belongs to the control loop.
-func (n *Node) noteFor(tasks []string, lists map[string][]string) {
-	for _, task := range tasks {
-		c := n.c.pool.Claim(task)
-		if c != nil && !slices.Contains(lists[c.Worker], task) {
-			lists[c.Worker] = append(lists[c.Worker], task)
+// passOn adds a driver's orders to the contacts of the workers that hold the tasks. It belongs to the
+// control loop.
+func (n *Node) passOn(stop, forget []string) {
+	for _, task := range stop {
+		if c := n.c.pool.Claim(task); c != nil {
+			k := n.contactOf(c.Worker)
+			k.stop = appendNew(k.stop, task)
+		}
+	}
+	for _, task := range forget {
+		if c := n.c.pool.Claim(task); c != nil {
+			k := n.contactOf(c.Worker)
+			k.forget = appendNew(k.forget, task)
 		}
 	}
 }
 
+// appendNew adds a text to a list that does not have it.
+func appendNew(list []string, s string) []string {
+	if slices.Contains(list, s) {
+		return list
+	}
+	return append(list, s)
+}
+
 // readyShards returns the shards whose tasks this process knows all of. It belongs to the control loop.
 func (n *Node) readyShards(now ccclock.Millis) []string {
 	var out []string
--- a/io/ccnode/config.go
+++ b/io/ccnode/config.go
@@ -122,7 +122,7 @@
 type WorkerPeer interface {
 	Run(ctx context.Context, g ccworker.Grant, w ccworker.Work, admitted func()) ccwork.Result
 	Start(ctx context.Context, g ccworker.Grant, tasks []ccworker.StartTask) (map[string]string, error)
-	Sync(ctx context.Context, g ccworker.Grant, stop, forget []string) ([]ccledger.Row, error)
+	Sync(ctx context.Context, g ccworker.Grant, o ccworker.Orders) ([]ccledger.Row, error)
 	Forget(worker string)
 }
 
--- a/io/ccnode/metrics.go
+++ b/io/ccnode/metrics.go
@@ -13,6 +13,7 @@
 	requestSeconds   *prometheus.HistogramVec
 	waitSeconds      *prometheus.HistogramVec
 	retries          *prometheus.CounterVec
+	preemptions      *prometheus.CounterVec
 	crossRegionBytes *prometheus.CounterVec
 	jobsAccepted     *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
@@ -53,6 +54,7 @@
 		requestSeconds:   histogram("request_seconds", "Time from arrival to answer.", "team", "kind"),
 		waitSeconds:      histogram("wait_seconds", "Time in the owner's queue.", "team", "kind"),
 		retries:          counter("retries_total", "Second and later tries.", "team"),
+		preemptions:      counter("preemptions_total", "Tasks stopped to make room for requests, by the team of the task.", "team"),
 		crossRegionBytes: counter("cross_region_bytes_total", "Bytes of bodies sent to another region.", "team"),
 		jobsAccepted:     counter("jobs_accepted_total", "Jobs accepted.", "team", "kind"),
 		storeCalls:       counter("store_calls_total", "Calls to the store by kind and success.", "call", "ok"),
--- a/io/ccnode/node.go
+++ b/io/ccnode/node.go
@@ -64,11 +64,7 @@
 	// opened are the shards whose workers may get tasks.
 	opened   map[string]bool
 	listedAt map[string]ccclock.Millis
-	syncing  map[string]bool
-	// syncedAt is when each worker's last sync was sent.
-	syncedAt map[string]ccclock.Millis
-	stop     map[string][]string
-	forget   map[string][]string
+	contacts map[string]*contact
 	drivers  map[string]*bucket
 	grants   map[string]func(*ccledger.Claim)
 	requests map[string]bool
@@ -102,7 +98,7 @@
 	n.c = control{
 		keeper: ccshard.NewKeeper(ccshard.Config{
 			Self: id, Window: ccclock.Millis(t.WindowMs), Promise: ccclock.Millis(t.PromiseMs),
-			Drift: ccclock.Millis(t.DriftMs), MaxMoves: 1,
+			Drift: ccclock.Millis(t.DriftMs), MaxMoves: maxMoves,
 		}),
 		members: ccmember.NewTable(ccmember.Config{
 			Self: ccmember.Member{
@@ -125,10 +121,7 @@
 		rand:      r,
 		listedAt:  map[string]ccclock.Millis{},
 		opened:    map[string]bool{},
-		syncing:   map[string]bool{},
-		syncedAt:  map[string]ccclock.Millis{},
-		stop:      map[string][]string{},
-		forget:    map[string][]string{},
+		contacts:  map[string]*contact{},
 		drivers:   map[string]*bucket{},
 		grants:    map[string]func(*ccledger.Claim){},
 		requests:  map[string]bool{},
@@ -141,6 +134,7 @@
 const (
 	callBuffer       = 4_096
 	commitTries      = 5
+	maxMoves         = 16
 	forgetFactor     = 30
 	maxGossipEntries = 24
 	initialServiceMs = 50
@@ -222,6 +216,15 @@
 	}
 }
 
+// after runs f in the control loop after a delay, unless ctx ends before.
+func (n *Node) after(ctx context.Context, delay ccclock.Millis, f func()) {
+	time.AfterFunc(delay.Duration(), func() {
+		if ctx.Err() == nil {
+			_ = n.post(f)
+		}
+	})
+}
+
 // now returns the present time.
 func (n *Node) now() ccclock.Millis {
 	return n.cfg.Clock.Now()
@@ -234,6 +237,7 @@
 	n.tendBuckets(ctx, now)
 	n.c.pool.Expire(now)
 	n.dispatch(now)
+	n.makeRoom(ctx, now)
 	n.observeMetrics(now)
 }
 
@@ -245,7 +249,7 @@
 		Slots: room.Total.Slots, FreeSlots: room.Free.Slots, ServiceMs: int64(n.c.serviceMs),
 		FreeMilliCores: room.Free.MilliCores, FreeMemoryMB: room.Free.MemoryMB,
 		LargestMilliCores: room.Largest.MilliCores, LargestMemoryMB: room.Largest.MemoryMB,
-		LargestAccelerators: room.Largest.Accelerators, Leaving: n.c.draining,
+		LargestAccelerators: room.Largest.Accelerators, Leaving: n.c.draining, HeldSlots: room.HeldSlots,
 	}
 }
 
--- a/io/ccnode/placement.go
+++ b/io/ccnode/placement.go
@@ -73,29 +73,27 @@
 	return in
 }
 
-// placeBatch offers the tasks of an order to the owners in turn until all are placed.
+// placeBatch offers the tasks of an order to the owners in turn, to each as many as it has free
+// slots, until all are placed.
 func (n *Node) placeBatch(ctx context.Context, b *bucket, o ccjob.Order, owners []ccmember.Member) {
 	rest := o.Tasks
-	reason := ccwork.ReasonOf(ccwork.ErrNoOwner)
+	reason := ccwork.ReasonOf(ccwork.ErrOverload)
 	impossible := len(owners) > 0
 	for _, m := range owners {
-		if len(rest) == 0 {
-			break
-		}
 		if o.Job.Size.TooLarge(m.Digest.Largest()) != "" {
 			continue
 		}
 		impossible = false
-		var refused []ccjob.OrderTask
-		for chunk := range slices.Chunk(rest, tasksPerCall) {
+		offer := rest[:min(int64(len(rest)), max(m.Digest.FreeSlots, 0))]
+		rest = rest[len(offer):]
+		for chunk := range slices.Chunk(offer, tasksPerCall) {
 			reply := n.callPlace(ctx, m, b.request(o, chunk, false))
 			left, why := n.takePlacements(b, chunk, reply)
-			refused = append(refused, left...)
+			rest = append(slices.Clip(rest), left...)
 			if why != "" {
 				reason = why
 			}
 		}
-		rest = refused
 	}
 	if impossible && n.tooLargeForAll(o.Job.Size) {
 		reason = ccwork.ReasonOf(ccwork.ErrImpossible)
--- a/io/ccnode/requests.go
+++ b/io/ccnode/requests.go
@@ -285,7 +285,7 @@
 	err := n.post(func() {
 		it := &ccqueue.Item{
 			Task: in.Task, Team: in.Team, Size: in.Size, Urgency: in.Urgency,
-			Deadline: arrived + ccclock.Millis(in.BudgetMs),
+			Deadline: arrived + ccclock.Millis(in.BudgetMs), Since: arrived,
 			Done: func(err error) {
 				delete(n.c.grants, in.Task)
 				done <- err
@@ -350,6 +350,27 @@
 	n.c.queue.Dispatch(now, func(it *ccqueue.Item) error { return n.place(it, now) })
 }
 
+// preemptAfter is how long a request waits before other work is stopped for it.
+const preemptAfter = ccclock.Millis(300)
+
+// makeRoom stops work that can wait for requests that have waited too long. The stopped tasks start
+// again later, where there is room. It belongs to the control loop.
+func (n *Node) makeRoom(ctx context.Context, now ccclock.Millis) {
+	for _, it := range n.c.queue.Longest(now - preemptAfter) {
+		c := n.c.pool.MakeRoom(it.Size, now)
+		if c == nil {
+			continue
+		}
+		n.cfg.Metrics.preemptions.WithLabelValues(c.Team).Inc()
+		n.cfg.Log.Info("task stopped to make room", "Task", c.Task, "Worker", c.Worker, "For", it.Task)
+		k := n.contactOf(c.Worker)
+		k.stop = appendNew(k.stop, c.Task)
+		if w, ok := n.c.pool.Worker(c.Worker); ok {
+			n.tendWorker(ctx, w, now)
+		}
+	}
+}
+
 // place finds a worker for a waiting request. It belongs to the control loop.
 func (n *Node) place(it *ccqueue.Item, now ccclock.Millis) error {
 	req := ccledger.Request{Row: ccledger.Row{Task: it.Task, Team: it.Team, Size: it.Size, State: ccwork.Running}}
--- a/io/ccnode/shards.go
+++ b/io/ccnode/shards.go
@@ -54,7 +54,7 @@
 // tendShards plans and writes changes of ownership, and follows them with the ledger. It belongs
 // to the control loop.
 func (n *Node) tendShards(ctx context.Context, now ccclock.Millis) {
-	n.followAuthority(now)
+	n.followAuthority(ctx, now)
 	if n.c.writing || !n.c.vmsRead || now < n.c.storeNotBefore {
 		return
 	}
@@ -171,13 +171,13 @@
 // followAuthority adds the workers of shards that this process may act for to the ledger, opens and
 // closes them as the authority goes, and removes those of shards that another process owns. It
 // belongs to the control loop.
-func (n *Node) followAuthority(now ccclock.Millis) {
+func (n *Node) followAuthority(ctx context.Context, now ccclock.Millis) {
 	for i := range n.c.racks {
 		r := &n.c.racks[i]
 		_, err := n.c.keeper.Authority(r.name, now)
 		switch {
 		case err == nil:
-			n.openRack(r, now)
+			n.openRack(ctx, r, now)
 		case errors.Is(err, ccshard.ErrNotOwner):
 			n.closeRack(r.name, true)
 		default:
@@ -188,7 +188,7 @@
 }
 
 // openRack lets the workers of a shard get tasks.
-func (n *Node) openRack(r *rack, now ccclock.Millis) {
+func (n *Node) openRack(ctx context.Context, r *rack, now ccclock.Millis) {
 	if n.c.opened[r.name] && !n.c.vmsChanged {
 		return
 	}
@@ -197,6 +197,12 @@
 	}
 	n.c.pool.Open(r.name, true)
 	n.c.opened[r.name] = true
+	// Nothing starts before the task tables were read: that must not wait for the next interval.
+	for i := range r.workers {
+		if w, ok := n.c.pool.Worker(r.workers[i].ID); ok && !w.Ready {
+			n.tendWorker(ctx, w, now)
+		}
+	}
 }
 
 // closeRack keeps the workers of a shard from getting tasks, and forgets them when another process
@@ -229,8 +235,7 @@
 func (n *Node) removeWorker(id string) {
 	n.c.pool.Remove(id)
 	n.cfg.Workers.Forget(id)
-	delete(n.c.stop, id)
-	delete(n.c.forget, id)
+	delete(n.c.contacts, id)
 }
 
 // writeShards writes changes of ownership. It belongs to the control loop and does not block.
--- a/io/ccsettings/settings.go
+++ b/io/ccsettings/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 
 	"coriandercross/core/ccroute"
 	"coriandercross/core/ccteam"
@@ -72,52 +73,45 @@
 	}
 }
 
-// Load reads the settings of a process. It returns every fault, and an error only when the file
-// can't be read.
+// Load reads the settings of a process. It returns every fault, ordered by line, and an error only
+// when the file can't be read.
 func Load(file string) (Settings, []Fault, error) {
 	s := Default()
-	tree, faults, err := load(file, &s)
-	if err != nil || len(faults) > 0 {
-		return s, faults, err
-	}
-	for _, f := range s.check() {
-		faults = append(faults, Fault{File: file, Line: tree.line(f.Path), Path: f.Path, Problem: f.Problem})
-	}
-	return s, faults, nil
+	faults, err := load(file, &s, (&s).check)
+	return s, faults, err
 }
 
-// LoadDocument reads a configuration of the cell. It returns every fault, and an error only when
-// the file can't be read.
+// LoadDocument reads a configuration of the cell. It returns every fault, ordered by line, and an
+// error only when the file can't be read.
 func LoadDocument(file string) (ccteam.Document, []Fault, error) {
 	var d ccteam.Document
-	tree, faults, err := load(file, &d)
-	if err != nil || len(faults) > 0 {
-		return d, faults, err
-	}
-	for _, f := range d.Check() {
-		faults = append(faults, Fault{File: file, Line: tree.line(f.Path), Path: f.Path, Problem: f.Problem})
-	}
-	return d, faults, nil
+	faults, err := load(file, &d, (&d).Check)
+	return d, faults, err
 }
 
-// load decodes a file strictly.
-func load(file string, into any) (*tree, []Fault, error) {
+// load decodes a file strictly into a value, and then checks the value.
+func load(file string, into any, check func() []ccteam.Fault) ([]Fault, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "reading a file")
+		return nil, errors.Wrap(err, "reading a file")
 	}
 	t, err := parse(data)
 	if err != nil {
-		return nil, []Fault{{File: file, Line: errorLine(err), Problem: firstLine(err)}}, nil
+		return []Fault{{File: file, Line: errorLine(err), Problem: firstLine(err)}}, nil
 	}
 	faults := t.unknownKeys(reflect.TypeOf(into).Elem())
 	if err := yaml.Unmarshal(data, into); err != nil {
 		faults = append(faults, Fault{Line: errorLine(err), Problem: firstLine(err)})
+	} else {
+		for _, f := range check() {
+			faults = append(faults, Fault{Line: t.line(f.Path), Path: f.Path, Problem: f.Problem})
+		}
 	}
 	for i := range faults {
 		faults[i].File = file
 	}
-	return t, faults, nil
+	slices.SortStableFunc(faults, func(a, b Fault) int { return a.Line - b.Line })
+	return faults, nil
 }
 
 // IsDocument reports whether a file looks like a configuration of the cell rather than settings.
--- a/io/ccstandin/worker.go
+++ b/io/ccstandin/worker.go
@@ -61,6 +61,8 @@
 	version uint64
 	epoch   uint64
 	faults  WorkerFaults
+	// changed is closed when the task table changes.
+	changed chan struct{}
 }
 
 // task is one line of the task table.
@@ -75,7 +77,7 @@
 
 // NewWorker returns a worker without tasks, and begins to watch leases.
 func NewWorker(cfg WorkerConfig) *Worker {
-	w := &Worker{cfg: cfg, boot: strconv.FormatInt(time.Now().UnixNano(), 36), tasks: map[string]*task{}}
+	w := &Worker{cfg: cfg, boot: strconv.FormatInt(time.Now().UnixNano(), 36), tasks: map[string]*task{}, changed: make(chan struct{})}
 	go w.watchLeases()
 	return w
 }
@@ -130,7 +132,7 @@
 	row.State = ccwork.Running
 	t := &task{row: row, lease: time.Now().Add(lease), stop: make(chan struct{})}
 	w.tasks[row.Task] = t
-	w.version++
+	w.touch()
 	w.used = w.used.Plus(row.Size)
 	w.record(t, time.Now(), epoch, !w.used.Fits(&w.cfg.Capacity))
 	return t
@@ -150,7 +152,7 @@
 	t.row.Result = result
 	t.endedAt = at
 	w.used = w.used.Minus(t.row.Size)
-	w.version++
+	w.touch()
 	w.record(t, at, 0, false)
 	close(t.stop)
 	if t.interactive {
@@ -158,6 +160,13 @@
 	}
 }
 
+// touch notes a change of the task table. The caller holds mu.
+func (w *Worker) touch() {
+	w.version++
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 // record tells of a start or an end. The caller holds mu.
 func (w *Worker) record(t *task, at time.Time, epoch uint64, over bool) {
 	if w.cfg.Record == nil {
@@ -305,7 +314,8 @@
 	})
 }
 
-// sync renews leases, stops and forgets tasks, and answers with the task table.
+// sync renews leases, stops and forgets tasks, and answers with the task table, at once if it has
+// changed since the last answer and after a wait otherwise.
 func (w *Worker) sync(rw http.ResponseWriter, r *http.Request) {
 	decodeInto(rw, r, func(req ccworker.SyncRequest) {
 		w.mu.Lock()
@@ -315,6 +325,7 @@
 			return
 		}
 		w.tend(&req)
+		w.await(&req, r.Context().Done())
 		reply := ccworker.SyncReply{Boot: w.boot, Version: w.version}
 		if req.Boot == w.boot && req.Since == w.version {
 			reply.Unchanged = true
@@ -327,6 +338,21 @@
 	})
 }
 
+// await waits for a change of the task table. The caller holds mu, which is free meanwhile.
+func (w *Worker) await(req *ccworker.SyncRequest, gone <-chan struct{}) {
+	if req.Boot != w.boot || req.Since != w.version || req.WaitMs == 0 {
+		return
+	}
+	changed := w.changed
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	select {
+	case <-changed:
+	case <-gone:
+	case <-time.After(time.Duration(req.WaitMs) * time.Millisecond):
+	}
+}
+
 // tend carries out the orders of a sync. The caller holds mu.
 func (w *Worker) tend(req *ccworker.SyncRequest) {
 	now := time.Now()
@@ -343,7 +369,7 @@
 	for _, id := range req.Forget {
 		if t := w.tasks[id]; t != nil && t.row.State.Ended() {
 			delete(w.tasks, id)
-			w.version++
+			w.touch()
 		}
 	}
 }
--- a/io/ccworker/client.go
+++ b/io/ccworker/client.go
@@ -245,20 +245,28 @@
 	return reply.Refused, err
 }
 
-// Sync renews the leases of a worker's tasks and returns its task table. Stop and forget are tasks
-// to be stopped, and ended tasks to be dropped from the table.
-func (c *Client) Sync(ctx context.Context, g Grant, stop, forget []string) ([]ccledger.Row, error) {
+// Orders are what a sync tells a worker besides the renewal of all leases.
+type Orders struct {
+	// Stop are tasks to be stopped, and Forget ended tasks to be dropped from the table.
+	Stop   []string
+	Forget []string
+	// WaitMs is how long the worker may wait for a change of the table before it answers.
+	WaitMs int64
+}
+
+// Sync renews the leases of a worker's tasks, passes on orders and returns the task table.
+func (c *Client) Sync(ctx context.Context, g Grant, o Orders) ([]ccledger.Row, error) {
 	if c.cfg.Clock.Now() >= g.Until {
 		return nil, ccwork.ErrFenced
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.SyncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.SyncTimeout+time.Duration(o.WaitMs)*time.Millisecond)
 	defer cancel()
 	c.mu.Lock()
 	last := c.tables[g.Worker]
 	c.mu.Unlock()
 	req := SyncRequest{
-		Epoch: g.Epoch, LeaseMs: g.LeaseMs, Stop: stop, Forget: forget,
-		Boot: last.boot, Since: last.version,
+		Epoch: g.Epoch, LeaseMs: g.LeaseMs, Stop: o.Stop, Forget: o.Forget,
+		Boot: last.boot, Since: last.version, WaitMs: o.WaitMs,
 	}
 	var reply SyncReply
 	if err := c.call(ctx, c.control, g.Address+SyncPath, &req, &reply, g.Until); err != nil {
--- a/io/ccworker/wire.go
+++ b/io/ccworker/wire.go
@@ -67,6 +67,8 @@
 	// Boot and Since are of the last table read.
 	Boot  string `json:",omitempty"`
 	Since uint64 `json:",omitempty"`
+	// WaitMs is how long the worker may hold the reply back while the table does not change.
+	WaitMs int64 `json:",omitempty"`
 }
 
 // Row is one line of a worker's task table.
