Harness: addresses that no outgoing connection can take; docs, report, capacity table

Cause: TestJobSurvivesItsProcesses failed in make prove as entry-2 could not listen: 'address already in use'. The harness looked for free ports in the range from which the kernel takes ports of outgoing connections. Ruled out: take-over (entry-1 and entry-3 shared the shards as they should). TestSessionNonIdempotent may have failed of the same; its output was not kept.

Change: every process gets a loopback IP of its own and a port below that range.

--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -117,14 +118,30 @@
 	return c, nil
 }
 
-// freeAddress returns an address on loopback that was free a moment ago.
+const (
+	// listenPort is outside the range that the kernel takes for outgoing connections.
+	listenPort = 7_900
+	// blocks and hosts bound the second and the last two bytes of a loopback IP.
+	blocks = 200
+	hosts  = 250
+)
+
+// lastHost counts the loopback IPs given out by this process.
+var lastHost atomic.Int64
+
+// freeAddress returns an address on loopback whose IP nothing else listens on: outgoing connections
+// can't take it either, as they could take a port of 127.0.0.1.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(fmt.Sprintf("no free port on loopback: %v", err))
+	for {
+		n := int(lastHost.Add(1))
+		block := 2 + os.Getpid()%blocks
+		address := fmt.Sprintf("127.%d.%d.%d:%d", block, n/hosts%hosts+1, n%hosts+1, listenPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // plan lays out entries and workers over the failure domains.
@@ -139,7 +156,7 @@
 		c.Workers = append(c.Workers, &Worker{
 			Process: &Process{Name: id},
 			VM: ccvmlist.VM{
-				ID: id, Role: ccvmlist.Worker, Address: c.workerAddress(i), Region: d.Region,
+				ID: id, Role: ccvmlist.Worker, Address: freeAddress(), Region: d.Region,
 				FailureDomain: d.Name, Rack: rack, Capacity: c.cfg.Capacity,
 			},
 			Record: filepath.Join(c.cfg.Dir, id+".record"),
@@ -147,18 +164,6 @@
 	}
 }
 
-// fleetPort is the port of every worker of a fleet; each has an IP of its own on loopback.
-const fleetPort = 7900
-
-// workerAddress returns the address of the i-th worker.
-func (c *Cluster) workerAddress(i int) string {
-	if !c.cfg.Fleet {
-		return freeAddress()
-	}
-	const perByte = 250
-	return fmt.Sprintf("127.1.%d.%d:%d", i/perByte+1, i%perByte+1, fleetPort)
-}
-
 // NewEntry plans an entry process on a new VM without starting it.
 func (c *Cluster) NewEntry(vm string, d Domain) *Entry {
 	s := ccsettings.Default()
--- /dev/null
+++ b/io/ccmeasure/capacity.go
@@ -0,0 +1,111 @@
+package ccmeasure
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// The target that decides the design.
+const (
+	targetStarts       = 2_600
+	targetJobsPerDay   = 17_000
+	targetChanges      = 1_000
+	targetReplacements = 730
+	targetRegions      = 4
+	secondsPerDay      = 86_400
+	nodeProcessor      = 3.3
+	nodeMemoryMB       = 128
+	nodeKBPerSecond    = 6
+	storeWrites        = 300
+	storeReads         = 2_000
+	rackSize           = 8
+	shardRecordBytes   = 150
+	jobRecordBytes     = 1_500
+)
+
+// slopes are what was measured, per process.
+type slopes struct {
+	baseCPU, baseMemory, baseKB       float64
+	workerCPU, workerMemory, workerKB float64
+	decisionMs                        float64
+}
+
+// measureSlopes fits lines through two fleet sizes.
+func measureSlopes(o *options) (slopes, error) {
+	const small, large = 56, 504
+	var s slopes
+	cpu1, mem1, bytes1, err := idleCost(o, small)
+	if err != nil {
+		return s, err
+	}
+	cpu2, mem2, bytes2, err := idleCost(o, large)
+	if err != nil {
+		return s, err
+	}
+	// Per worker owned by one of the seven processes.
+	const owned = (large - small) / float64(processes)
+	s.workerCPU = (cpu2 - cpu1) / owned
+	s.workerMemory = (mem2 - mem1) / owned
+	s.workerKB = (bytes2 - bytes1) / 1_000 / owned
+	const first = small / float64(processes)
+	s.baseCPU = cpu1 - first*s.workerCPU
+	s.baseMemory = mem1 - first*s.workerMemory
+	s.baseKB = bytes1/1_000 - first*s.workerKB
+	s.decisionMs, _ = decide(targetWorkers)
+	return s, nil
+}
+
+// processesFor returns how many processes keep each within the limit of one resource.
+func processesFor(perWorker, base, limit float64) float64 {
+	if base >= limit {
+		return -1
+	}
+	return targetWorkers * perWorker / (limit - base)
+}
+
+// Capacity prints the table of docs/CAPACITY.md.
+func Capacity(o *options, w io.Writer) error {
+	s, err := measureSlopes(o)
+	if err != nil {
+		return err
+	}
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	line("Measured on %s at 56 and 504 idle workers, 7 processes, busiest of them, 10 s.", time.Now().UTC().Format(time.DateOnly))
+	line("")
+	line("| slope | value |")
+	line("| --- | --- |")
+	line("| processor of a process without workers | %.2f %% of a core |", s.baseCPU)
+	line("| processor for each idle worker owned | %.4f %% of a core |", s.workerCPU)
+	line("| memory of a process without workers | %.1f MB |", s.baseMemory)
+	line("| memory for each worker owned | %.3f MB |", s.workerMemory)
+	line("| control of a process without workers | %.2f KB/s |", s.baseKB)
+	line("| control for each idle worker owned | %.3f KB/s |", s.workerKB)
+	line("| one placement among 3,600 workers, p99 | %.3f ms |", s.decisionMs)
+	line("")
+	line("| at the target, by | product | limit | holds, or processes needed |")
+	line("| --- | --- | --- | --- |")
+	row := func(name string, perWorker, base, limit float64, unit string) {
+		per := float64(targetWorkers) / processes
+		total := base + per*perWorker
+		verdict := fmt.Sprintf("%v", total <= limit)
+		if total > limit {
+			verdict = fmt.Sprintf("no: needs %.0f processes", processesFor(perWorker, base, limit))
+		}
+		line("| %s, 7 processes, 514 workers each | %.1f %s | %.1f | %s |", name, total, unit, limit, verdict)
+	}
+	row("processor of idle control", s.workerCPU, s.baseCPU, nodeProcessor, "% of a core")
+	row("memory", s.workerMemory, s.baseMemory, nodeMemoryMB, "MB")
+	row("bytes of idle control", s.workerKB, s.baseKB, nodeKBPerSecond, "KB/s")
+	line("| decisions, all on one goroutine | %.1f %% of a core at %d starts/s | 100 | %v |", s.decisionMs*targetStarts/10, targetStarts, s.decisionMs*targetStarts/10 <= 100)
+	commits := float64(targetJobsPerDay)*2/secondsPerDay + float64(targetChanges)/secondsPerDay
+	line("| store writes: jobs, endings, configuration | %.2f/s on average | %d | %v |", commits, storeWrites, commits <= storeWrites)
+	moves := float64(targetReplacements) * 3 / secondsPerDay
+	line("| store writes: ownership after replacements (hand-over, heirs) | %.3f/s on average | %d | %v |", moves, storeWrites, true)
+	table := float64(targetWorkers) / rackSize / targetRegions * shardRecordBytes / 1_000
+	line("| shard table of one region of %d | %.0f KB | 1000 KB | %v |", targetRegions, table, table < 1_000)
+	day := float64(targetJobsPerDay) * jobRecordBytes / 1e6 / targetRegions
+	line("| job records of one day in one region | %.1f MB | 1 MB a bucket: needs %.0f buckets | %v |", day, day+1, day <= 4)
+	line("| watches: 2 for each process, waiting %d s | %.2f/s for 50 processes | %d | true |", 20, 2*50/20.0, storeReads)
+	return nil
+}
--- a/io/ccmeasure/fleet.go
+++ b/io/ccmeasure/fleet.go
@@ -59,7 +59,6 @@
 	deadline micros
 	urgency  int
 	entry    int
-	hops     int
 	done     func(w *work, started micros, ok bool)
 }
 
--- a/io/ccmeasure/main.go
+++ b/io/ccmeasure/main.go
@@ -10,10 +10,11 @@
 
 // options are the options of the command.
 type options struct {
-	Program string   `long:"program" description:"built coriandercross" default:"bin/coriandercross"`
-	Standin string   `long:"standin" description:"built standin" default:"bin/standin"`
-	Only    []string `long:"only" description:"name of a part to measure; all when left out"`
-	Report  string   `long:"report" description:"folder that receives MEASUREMENTS.md and plots"`
+	Program  string   `long:"program" description:"built coriandercross" default:"bin/coriandercross"`
+	Standin  string   `long:"standin" description:"built standin" default:"bin/standin"`
+	Only     []string `long:"only" description:"name of a part to measure; all when left out"`
+	Capacity bool     `long:"capacity" description:"print the table of capacity at the target instead"`
+	Report   string   `long:"report" description:"folder that receives MEASUREMENTS.md and plots"`
 }
 
 // part is one group of figures.
@@ -49,6 +50,10 @@
 	if _, err := flags.ParseArgs(&o, args); err != nil {
 		return errors.Wrap(err, "reading options")
 	}
+	if o.Capacity {
+		return Capacity(&o, out)
+	}
+	var all []Row
 	for _, p := range parts {
 		if len(o.Only) > 0 && !slices.Contains(o.Only, p.name) {
 			continue
@@ -58,6 +63,10 @@
 			return errors.Wrapf(err, "measuring %s", p.name)
 		}
 		Print(out, rows)
+		all = append(all, rows...)
+	}
+	if o.Report == "" {
+		return nil
 	}
-	return nil
+	return writeReport(o.Report, all)
 }
