Budget for the link between regions; owners are drawn by the slots that turn over; files split

Cause: TestChoose found that an owner whose slots long work holds was drawn by all its slots, 32 times of 40, before one with slots that requests take turns on. Change: the weight of a draw is the slots not held by work that can wait. Before: TestChoose/SlotsHeldByLongWorkDoNotCount failed; after: it passes.

CrossRegionKBPerHour now bounds what a team sends across, by an equal share at each process.

--- /dev/null
+++ b/core/ccjob/order.go
@@ -0,0 +1,154 @@
+package ccjob
+
+import (
+	"slices"
+	"strings"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+)
+
+// Order is tasks to start now. All tasks of a gang come in one order.
+type Order struct {
+	Key   string
+	Job   *Job
+	Gang  bool
+	Tasks []OrderTask
+}
+
+// OrderTask is one task of an order.
+type OrderTask struct {
+	ID      string
+	Payload []byte
+	Avoid   string
+}
+
+// Next returns up to limit tasks to start now, the oldest and most urgent jobs first, and counts
+// them as on their way. A gang comes whole, whatever its size.
+func (d *Driver) Next(limit int, now ccclock.Millis) []Order {
+	var orders []Order
+	for _, r := range d.eligible(now) {
+		if limit <= 0 {
+			break
+		}
+		o := d.order(r, limit, now)
+		if len(o.Tasks) == 0 {
+			continue
+		}
+		limit -= len(o.Tasks)
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// eligible returns the jobs that may start tasks, in order.
+func (d *Driver) eligible(now ccclock.Millis) []*run {
+	var out []*run
+	for _, r := range d.jobs {
+		if !r.over && now >= r.notBefore {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		if a.job.Urgency != b.job.Urgency {
+			return b.job.Urgency - a.job.Urgency
+		}
+		if a.job.AcceptedAt != b.job.AcceptedAt {
+			return int(a.job.AcceptedAt - b.job.AcceptedAt)
+		}
+		return strings.Compare(a.job.Key(), b.job.Key())
+	})
+	return out
+}
+
+// order builds the order of one job.
+func (d *Driver) order(r *run, limit int, now ccclock.Millis) Order {
+	gang := r.job.Class == ccwork.Gang
+	o := Order{Key: r.job.Key(), Job: r.job, Gang: gang}
+	if gang && !r.idle() {
+		return o
+	}
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		if t.phase != waiting || !gang && len(o.Tasks) == limit {
+			continue
+		}
+		t.last++
+		t.try = t.last
+		t.success = false
+		t.phase = placing
+		t.since = now
+		o.Tasks = append(o.Tasks, OrderTask{
+			ID:      TaskID(o.Key, i, t.try),
+			Payload: r.job.Tasks[i].Payload,
+			Avoid:   t.avoid,
+		})
+	}
+	return o
+}
+
+// idle reports whether every task of a gang waits; only then may the gang start.
+func (r *run) idle() bool {
+	for i := range r.tasks {
+		if r.tasks[i].phase != waiting {
+			return false
+		}
+	}
+	r.restarting = false
+	return true
+}
+
+// Placed takes in that an owner started a task.
+func (d *Driver) Placed(id, worker, shard string, now ccclock.Millis) {
+	r, _, t := d.find(id)
+	if t == nil || t.phase == ended {
+		return
+	}
+	t.phase = placed
+	t.worker = worker
+	t.shard = shard
+	t.since = now
+	r.tries = 0
+	if r.over || r.restarting {
+		d.stops[id] = true
+	}
+}
+
+// NotPlaced takes in that nobody started a task. The job's next try is delayed.
+func (d *Driver) NotPlaced(id, reason string, now ccclock.Millis) {
+	r, _, t := d.find(id)
+	if t == nil || t.phase != placing {
+		return
+	}
+	t.phase = waiting
+	if r.over {
+		t.phase = ended
+	}
+	if reason == ccwork.ReasonOf(ccwork.ErrImpossible) {
+		d.fail(r, reason)
+		return
+	}
+	if now >= r.notBefore {
+		r.tries++
+		r.notBefore = now + min(retryBase<<min(r.tries, 8), r.maxDelay())
+	}
+}
+
+// maxDelay bounds the delay between tries. Room for one task comes at any time, and asking for it is
+// cheap; room for a whole gang is asked for of every owner.
+func (r *run) maxDelay() ccclock.Millis {
+	if r.job.Class == ccwork.Gang {
+		return retryMax
+	}
+	return fullMax
+}
+
+// Doubt takes in that an owner may have started a task.
+func (d *Driver) Doubt(id string, now ccclock.Millis) {
+	_, _, t := d.find(id)
+	if t == nil || t.phase != placing {
+		return
+	}
+	t.phase = doubtful
+	t.since = now
+}
--- /dev/null
+++ b/core/ccretry/retry_test.go
@@ -0,0 +1,65 @@
+package ccretry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"coriandercross/core/ccclock"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBudgetIsAShareOfFirstTries(t *testing.T) {
+	b := NewBudget()
+	for b.Spend("t") {
+		continue
+	}
+	for range 100 {
+		b.First("t", 10)
+	}
+	retries := 0
+	for b.Spend("t") {
+		retries++
+	}
+	assert.Equal(t, retries, 10)
+	assert.Assert(t, b.Spend("other"), "teams share no budget")
+}
+
+func TestBackoffStaysWithinItsStep(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	b := Backoff{Base: 20, Max: 500}
+	for attempt, step := range map[int]ccclock.Millis{1: 20, 2: 40, 3: 80, 10: 500} {
+		for range 100 {
+			d := b.Delay(attempt, r)
+			assert.Assert(t, d >= step/2 && d <= step, "attempt %d: %d", attempt, d)
+		}
+	}
+}
+
+func TestMeter(t *testing.T) {
+	const hour = ccclock.Millis(3_600_000)
+	cases := map[string]struct {
+		kbPerHour int64
+		share     float64
+		spent     int
+		later     ccclock.Millis
+		allows    bool
+	}{
+		"NoLimit":         {0, 1, 1 << 30, 0, true},
+		"WithinBurst":     {1_000, 1, 49_000, 0, true},
+		"OverBurst":       {1_000, 1, 51_000, 0, false},
+		"ShareOfABudget":  {1_000, 0.5, 26_000, 0, false},
+		"RefilledByTime":  {1_000, 1, 51_000, hour / 100, true},
+		"StillInDebt":     {1_000, 1, 100_000, hour / 100, false},
+		"DebtIsPaidOff":   {1_000, 1, 100_000, hour / 10, true},
+		"NeverOverABurst": {1_000, 1, 0, 10 * hour, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := NewMeter()
+			m.Allows("t", tc.kbPerHour, tc.share, 1)
+			m.Spend("t", tc.spent)
+			assert.Equal(t, m.Allows("t", tc.kbPerHour, tc.share, 1+tc.later), tc.allows)
+		})
+	}
+}
--- a/core/ccroute/route.go
+++ b/core/ccroute/route.go
@@ -175,7 +175,7 @@
 
 // weight is the chance of an owner to be drawn.
 func (r *Router) weight(m *ccmember.Member) int64 {
-	w := m.Digest.Slots << remoteWeightShift
+	w := max(m.Digest.ShortSlots(), 1) << remoteWeightShift
 	if m.Region != r.cfg.Region {
 		w >>= remoteWeightShift
 	}
--- a/io/ccmeasure/fleet.go
+++ b/io/ccmeasure/fleet.go
@@ -38,7 +38,9 @@
 	digestEvery micros
 	stale       bool
 	reserve     int64
-	firstFit    bool
+	// preempt stops work that can wait for requests that have waited too long.
+	preempt  bool
+	firstFit bool
 	// noShed lets requests wait past their deadline.
 	noShed bool
 	seed   uint64
@@ -81,9 +83,16 @@
 	pool    *ccledger.Pool
 	queue   *ccqueue.Queue
 	pending map[string]*work
+	running map[string]*runningWork
 	service float64
 }
 
+// runningWork is work on a worker; when it is stopped its end does not come.
+type runningWork struct {
+	w       *work
+	stopped bool
+}
+
 // event is something that happens at a point in time.
 type event struct {
 	at  micros
@@ -95,7 +104,7 @@
 func newFleet(cfg fleetConfig) *fleet {
 	f := &fleet{cfg: cfg, now: second, rand: rand.New(rand.NewPCG(cfg.seed, 1))}
 	for i := range cfg.owners {
-		o := &fleetOwner{id: i, queue: ccqueue.New(), pending: map[string]*work{}, service: 50}
+		o := &fleetOwner{id: i, queue: ccqueue.New(), pending: map[string]*work{}, running: map[string]*runningWork{}, service: 50}
 		o.pool = ccledger.NewPool(ccledger.Config{
 			ReservePercent: cfg.reserve, QuarantinePercent: 20, MaxFailures: 1 << 30, TaskLease: 6_000, FirstFit: cfg.firstFit,
 		})
@@ -114,9 +123,44 @@
 		f.views = append(f.views, f.digests())
 	}
 	f.refresh()
+	if cfg.preempt {
+		f.makeRoom()
+	}
 	return f
 }
 
+const (
+	// preemptAfter and preemptEvery are those of the product: the wait of a request before other work
+	// is stopped for it, and the interval of the control loop.
+	preemptAfter = 300
+	preemptEvery = second / 20
+)
+
+// makeRoom stops work that can wait for requests that have waited too long, and again after an interval.
+func (f *fleet) makeRoom() {
+	for _, o := range f.owners {
+		for _, it := range o.queue.Longest(f.now.millis() - preemptAfter) {
+			if o.pending[it.Task].patient {
+				continue
+			}
+			if c := o.pool.MakeRoom(it.Size, f.now.millis()); c != nil {
+				f.stop(o, c.Task)
+			}
+		}
+		f.dispatch(o)
+	}
+	f.at(f.now+preemptEvery, f.makeRoom)
+}
+
+// stop stops a task, which begins anew where there is room.
+func (f *fleet) stop(o *fleetOwner, id string) {
+	r := o.running[id]
+	r.stopped = true
+	delete(o.running, id)
+	o.pool.Release(id)
+	f.enqueue(o, r.w)
+}
+
 // digests returns the present digest of every owner.
 func (f *fleet) digests() []ccmember.Member {
 	out := make([]ccmember.Member, len(f.owners))
@@ -194,7 +238,8 @@
 	o.pending[w.id] = w
 	o.queue.Push(&ccqueue.Item{
 		Task: w.id, Team: w.team, Size: w.size, Urgency: w.urgency, Deadline: deadline,
-		Done: func(err error) { f.started(o, w, err) },
+		Since: f.now.millis(),
+		Done:  func(err error) { f.started(o, w, err) },
 	})
 	f.dispatch(o)
 }
@@ -216,8 +261,20 @@
 		return
 	}
 	o.pool.Advance(w.id, ccledger.Admitted, f.now.millis(), 0)
+	f.begin(o, w)
+}
+
+// begin lets a piece of work run.
+func (f *fleet) begin(o *fleetOwner, w *work) {
 	start := f.now
-	f.at(start+w.run, func() { f.finished(o, w, start) })
+	r := &runningWork{w: w}
+	o.running[w.id] = r
+	f.at(start+w.run, func() {
+		if !r.stopped {
+			delete(o.running, w.id)
+			f.finished(o, w, start)
+		}
+	})
 }
 
 // finished frees what a piece of work held.
--- a/io/ccmeasure/policy.go
+++ b/io/ccmeasure/policy.go
@@ -24,7 +24,7 @@
 
 // ours is the policy as the product has it.
 func ours(seed uint64) fleetConfig {
-	return fleetConfig{owners: processes, workers: users, routing: ccroute.TwoChoices, digestEvery: digestPeriod, reserve: 10, seed: seed}
+	return fleetConfig{owners: processes, workers: users, routing: ccroute.TwoChoices, digestEvery: digestPeriod, reserve: 10, preempt: true, seed: seed}
 }
 
 // ideal is one queue over all slots.
@@ -38,7 +38,7 @@
 func randomFIFO(seed uint64) fleetConfig {
 	cfg := ours(seed)
 	cfg.routing = ccroute.Random
-	cfg.fifo, cfg.reserve = true, 0
+	cfg.fifo, cfg.preempt, cfg.reserve = true, false, 0
 	return cfg
 }
 
@@ -132,8 +132,7 @@
 			}
 			o.pool.Advance(id, ccledger.Admitted, f.now.millis(), 0)
 			w := &work{id: id, size: size, patient: true, run: run, done: func(*work, micros, bool) {}}
-			start := f.now
-			f.at(start+run, func() { f.finished(o, w, start) })
+			f.begin(o, w)
 		}
 	}
 	return n
@@ -169,7 +168,7 @@
 func Urgent() []Row {
 	none := func(seed uint64) fleetConfig {
 		c := ours(seed)
-		c.reserve = 0
+		c.reserve, c.preempt = 0, false
 		return c
 	}
 	worst := func(cfg func(uint64) fleetConfig) float64 {
--- /dev/null
+++ b/io/ccnode/intents.go
@@ -0,0 +1,58 @@
+package ccnode
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"coriandercross/core/ccintent"
+	"coriandercross/core/ccwork"
+)
+
+// once runs a non-idempotent request at most once. It writes an intent to the store first; a
+// repeat of the same ID finds it and gets the first outcome, or Unknown.
+func (n *Node) once(ctx context.Context, x *execution) ccwork.Result {
+	x.claim = n.nextClaim()
+	key := n.intentKey(x.key)
+	var held ccintent.Intent
+	at := time.Now().UnixMilli()
+	err := n.intents.Do(ctx, key, func(b *ccintent.Book) error {
+		b.Prune(at - n.cfg.Limits.RetentionHours*int64(time.Hour/time.Millisecond))
+		held = b.Claim(x.key, x.claim, at)
+		return nil
+	})
+	if err != nil {
+		// Nothing was sent under this claim, and nothing will be: the claim is not used again.
+		n.cfg.Log.Warn("intent not written", "Request", x.ID, "Team", x.Team, "Err", err)
+		go n.settle(x, key, ccwork.NotRunResult(ccwork.ErrStore))
+		return ccwork.NotRunResult(ccwork.ErrStore)
+	}
+	if held.Claim != x.claim {
+		return held.Result()
+	}
+	r := n.attempt(ctx, x)
+	n.settle(x, key, r)
+	return r
+}
+
+// intentKey is the key of the store that holds a request's intent.
+func (n *Node) intentKey(id string) string {
+	return "Intents/" + strconv.Itoa(ccintent.Bucket(id, n.cfg.Limits.IntentBuckets))
+}
+
+// settleTimeout bounds the wait for an outcome to be recorded.
+const settleTimeout = time.Second
+
+// settle records the outcome of a non-idempotent request. When that fails, repeats get Unknown.
+func (n *Node) settle(x *execution, key string, r ccwork.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	at := time.Now().UnixMilli()
+	err := n.intents.Do(ctx, key, func(b *ccintent.Book) error {
+		b.Settle(x.key, x.claim, r, at)
+		return nil
+	})
+	if err != nil {
+		n.cfg.Log.Warn("outcome not recorded; repeats get Unknown", "Request", x.ID, "Team", x.Team, "Err", err)
+	}
+}
--- a/io/ccnode/node.go
+++ b/io/ccnode/node.go
@@ -52,6 +52,7 @@
 	queue    *ccqueue.Queue
 	router   *ccroute.Router
 	budget   *ccretry.Budget
+	link     *ccretry.Meter
 	rand     *rand.Rand
 	doc      *ccteam.Document
 	revision uint64
@@ -118,6 +119,7 @@
 			Region: cfg.Region, Policy: cfg.Routing, CrossRegionMs: cfg.Limits.CrossRegionMs, Rand: r,
 		}),
 		budget:    ccretry.NewBudget(),
+		link:      ccretry.NewMeter(),
 		rand:      r,
 		listedAt:  map[string]ccclock.Millis{},
 		opened:    map[string]bool{},
