--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -257,17 +257,34 @@
 	})
 }
 
-// acquainted reports whether every entry process knows all others.
+// acquainted reports whether every entry process knows all others, and every shard has an heir where
+// there is anybody to be one.
 func (c *Cluster) acquainted() bool {
 	dumps := c.Dumps()
 	for _, d := range dumps {
 		if len(d.Members) != len(c.Entries) {
 			return false
 		}
+		for _, s := range d.Shards {
+			if s.Record.Heir == "" && c.hasHeirs(d.Region) {
+				return false
+			}
+		}
 	}
 	return len(dumps) == len(c.Entries)
 }
 
+// hasHeirs reports whether a region has more than one entry process.
+func (c *Cluster) hasHeirs(region string) bool {
+	n := 0
+	for _, e := range c.Entries {
+		if e.Settings.Region == region {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // apply puts the configuration in force.
 func (c *Cluster) apply(timeout time.Duration) error {
 	body := &ccoperator.ApplyBody{By: "harness", Document: c.cfg.Document}
