--- a/io/ccsettings/settings.go
+++ b/io/ccsettings/settings.go
@@ -50,7 +50,7 @@
 	Level string `yaml:"Level,omitempty"`
 	// Format is text, json or logfmt.
 	Format string `yaml:"Format,omitempty"`
-	// Layers override the level of single layers: node, store, caller, operator.
+	// Layers override the level of single layers: node, caller.
 	Layers map[string]string `yaml:"Layers,omitempty"`
 }
 
@@ -147,7 +147,7 @@
 	c.oneOf("Log.Level", s.Log.Level, levels...)
 	c.oneOf("Log.Format", s.Log.Format, "text", "json", "logfmt")
 	for layer, level := range s.Log.Layers {
-		c.oneOf("Log.Layers", layer, "node", "store", "caller", "operator")
+		c.oneOf("Log.Layers", layer, "node", "caller")
 		c.oneOf("Log.Layers."+layer, level, levels...)
 	}
 	c.positive("Timing", reflect.ValueOf(s.Timing))
