Sessions run the processes under the race detector

Cause: make test looked for data races in the test processes only; the entry processes and stand-ins of the sessions were built without the detector. Change: they are built with it, and a session fails when a log tells of a race. Before: not looked at.

--- a/io/ccharness/cluster_test.go
+++ b/io/ccharness/cluster_test.go
@@ -1,6 +1,7 @@
 package ccharness
 
 import (
+	"bytes"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +24,8 @@
 	}
 	programs = dir
 	for _, name := range []string{"coriandercross", "standin"} {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, name), "coriandercross/cmd/"+name)
+		// The sessions also look for data races inside the processes.
+		cmd := exec.Command("go", "build", "-race", "-o", filepath.Join(dir, name), "coriandercross/cmd/"+name)
 		if out, err := cmd.CombinedOutput(); err != nil {
 			panic(string(out))
 		}
@@ -66,6 +68,7 @@
 	c, err := Start(cfg)
 	defer func() {
 		c.Stop()
+		lookForRaces(t, cfg.Dir)
 		if t.Failed() {
 			keepLogs(t, cfg.Dir)
 		}
@@ -75,6 +78,19 @@
 	f(c)
 }
 
+// lookForRaces fails the test when the race detector has spoken in a log.
+func lookForRaces(t *testing.T, dir string) {
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	assert.Check(t, err)
+	for _, file := range logs {
+		data, err := os.ReadFile(file)
+		assert.Check(t, err)
+		if i := bytes.Index(data, []byte("DATA RACE")); i >= 0 {
+			t.Errorf("%s: %.2000s", filepath.Base(file), data[i:])
+		}
+	}
+}
+
 // keepLogs copies the logs of a failed session to the folder named by the environment, if any.
 func keepLogs(t *testing.T, dir string) {
 	to := os.Getenv("KEEP_LOGS")
