Mutants: paths after the split, and more runs for the rarest

Cause: job mutants named a file from which their code had moved, and 'read counts from arrival' survived 8,000 interleavings, as calmer balance makes its case rarer. Change: paths; 60,000 interleavings for that one. No check was altered.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -35,15 +35,16 @@
 mutant early-release $plan '|| p.now < s.safeAt' '' ./core/ccshard "$shard"
 mutant doubtful-write-forgotten $plan 'k.pending != nil && !k.pending.doubtful' 'k.pending != nil' ./core/ccshard "$shard"
 mutant promise-outlives-its-end $keeper 'askedAt+k.cfg.Promise-k.cfg.Drift' 'askedAt+20*k.cfg.Promise' ./core/ccshard "$shard"
-mutant read-counts-from-arrival $keeper 's.readAt = max(s.readAt, sentAt)' 's.readAt = max(s.readAt, now)' ./core/ccshard "$shard"
+mutant read-counts-from-arrival $keeper 's.readAt = max(s.readAt, sentAt)' 's.readAt = max(s.readAt, now)' ./core/ccshard "${shard/8000/60000}"
 
 jobs="-run=TestNoTaskTwice -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 driver=core/ccjob/driver.go
+report=core/ccjob/report.go
 mutant old-drivers-are-heard core/ccledger/desk.go 'return s.Epoch > f.Epoch' 'return true' ./core/ccjob "$jobs"
 mutant late-orders-are-taken core/ccledger/desk.go 'return s.Seq >= f.Seq' 'return true' ./core/ccjob "$jobs"
 mutant new-driver-knows-no-doubt $driver 'case inherited:' 'case false:' ./core/ccjob "$jobs"
-mutant doubt-ends-without-reports $driver 'case t.phase == doubtful && oldest > t.since && t.seenAt < oldest:' 'case t.phase == doubtful:' ./core/ccjob "$jobs"
-mutant doubt-ends-by-an-old-failure $driver 'if t.phase == doubtful && c.State.Ended() && d.endsInDoubt(r, t, c) {' 'if false {' ./core/ccjob "$jobs"
+mutant doubt-ends-without-reports $report 'case t.phase == doubtful && oldest > t.since && t.seenAt < oldest:' 'case t.phase == doubtful:' ./core/ccjob "$jobs"
+mutant doubt-ends-by-an-old-failure $report 'if t.phase == doubtful && c.State.Ended() && d.endsInDoubt(r, t, c) {' 'if false {' ./core/ccjob "$jobs"
 mutant starts-before-the-table-is-read core/ccledger/pool.go 'claims: map[string]*Claim{}, heardAt: now}' 'claims: map[string]*Claim{}, heardAt: now, ready: true}' ./core/ccjob "$jobs"
 mutant doubtful-starts-hold-nothing core/ccledger/reconcile.go 'return c.Until < askedAt' 'return true' ./core/ccjob "$jobs"
 mutant old-tables-end-new-claims core/ccledger/reconcile.go 'return c.Since < askedAt' 'return true' ./core/ccjob "$jobs"
