One bucket function, one count of ready workers, no dead code; a refused report tells the load

Read over the whole change. Twins: ccjob.Bucket and ccintent.Bucket were one function (now ccwork.Bucket); ready workers were counted in three places (now readyIn and Cluster.ReadyWorkers); Takeover took its median by hand, and Proxy wrote the worker's headers again. Dead: VMList.Latest, Node.InFlight, Manual.

One fault, read in the code and not seen in a run: an owner that refused a report of an old driver answered with an empty digest, which the asker took for its load. The digest is now filled in before the refusal. It has no test of its own.

--- a/core/ccclock/clock.go
+++ b/core/ccclock/clock.go
@@ -1,10 +1,7 @@
 // Package ccclock is the one source of time: a monotonic clock in milliseconds.
 package ccclock
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // Millis is a point on a process's monotonic clock, or a span of it, in milliseconds.
 // Points of different processes must not be compared.
@@ -35,28 +32,3 @@
 func (s *System) Now() Millis {
 	return Millis(time.Since(s.start).Milliseconds())
 }
-
-// Manual is a clock that moves only when told to.
-type Manual struct {
-	mu  sync.Mutex
-	now Millis
-}
-
-// NewManual returns a clock that stands at now.
-func NewManual(now Millis) *Manual {
-	return &Manual{now: now}
-}
-
-// Now implements Clock.
-func (c *Manual) Now() Millis {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-// Advance moves the clock forward by d.
-func (c *Manual) Advance(d Millis) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now += d
-}
--- a/core/ccintent/book.go
+++ b/core/ccintent/book.go
@@ -3,8 +3,6 @@
 package ccintent
 
 import (
-	"hash/fnv"
-
 	"coriandercross/core/ccwork"
 )
 
@@ -98,10 +96,3 @@
 	}
 	return ccwork.UnknownResult(ccwork.ErrInProgress)
 }
-
-// Bucket returns the bucket of a request among n.
-func Bucket(id string, n int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return int(h.Sum32() % uint32(n))
-}
--- a/core/ccjob/book.go
+++ b/core/ccjob/book.go
@@ -2,7 +2,6 @@
 package ccjob
 
 import (
-	"hash/fnv"
 	"strconv"
 	"strings"
 
@@ -119,13 +118,6 @@
 	return Key(j.Team, j.ID)
 }
 
-// Bucket returns the bucket of a job among n.
-func Bucket(key string, n int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(key))
-	return int(h.Sum32() % uint32(n))
-}
-
 // TaskID names one try of one task: the job's key, the index and the try.
 func TaskID(key string, index int, try uint64) string {
 	return key + "#" + strconv.Itoa(index) + "." + strconv.FormatUint(try, 10)
--- /dev/null
+++ b/core/ccwork/bucket.go
@@ -0,0 +1,10 @@
+package ccwork
+
+import "hash/fnv"
+
+// Bucket returns the bucket of a key among n. All processes must agree on n.
+func Bucket(key string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key))
+	return int(h.Sum32() % uint32(n))
+}
--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -253,7 +253,7 @@
 		return err
 	}
 	return Eventually(timeout, "workers have no ready owner", func() bool {
-		return c.acquainted() && c.readyWorkers() == len(c.Workers)
+		return c.acquainted() && c.ReadyWorkers() == len(c.Workers)
 	})
 }
 
@@ -319,18 +319,25 @@
 	return out
 }
 
-// readyWorkers returns the number of workers that some process may start tasks on, and whose
-// configuration is in force.
-func (c *Cluster) readyWorkers() int {
+// ReadyWorkers returns the number of workers that some process may start tasks on, or 0 when a
+// process has no configuration yet.
+func (c *Cluster) ReadyWorkers() int {
 	n := 0
 	for _, d := range c.Dumps() {
 		if d.Revision == 0 {
 			return 0
 		}
-		for _, w := range d.Workers {
-			if w.Ready && !w.Unreachable {
-				n++
-			}
+		n += readyIn(&d)
+	}
+	return n
+}
+
+// readyIn counts the workers that a process may start tasks on.
+func readyIn(d *ccnode.Dump) int {
+	n := 0
+	for _, w := range d.Workers {
+		if w.Ready && !w.Unreachable {
+			n++
 		}
 	}
 	return n
--- a/io/ccharness/failure_test.go
+++ b/io/ccharness/failure_test.go
@@ -92,7 +92,7 @@
 // owned waits until every worker has a ready owner among the processes that answer.
 func owned(t *testing.T, c *Cluster) {
 	t.Helper()
-	assert.NilError(t, Eventually(patience, "workers have no ready owner", func() bool { return c.readyWorkers() == len(c.Workers) }))
+	assert.NilError(t, Eventually(patience, "workers have no ready owner", func() bool { return c.ReadyWorkers() == len(c.Workers) }))
 }
 
 func TestKilledProcess(t *testing.T) {
@@ -133,11 +133,7 @@
 		if err != nil {
 			return 0
 		}
-		for _, w := range d.Workers {
-			if w.Ready && !w.Unreachable {
-				n++
-			}
-		}
+		n += readyIn(&d)
 	}
 	return n
 }
--- a/io/ccharness/session_test.go
+++ b/io/ccharness/session_test.go
@@ -212,7 +212,7 @@
 		s.note("process ended with %d", c.Entries[0].Wait(patience))
 		s.send(1, "check", "after", script("after"))
 		s.done("planned-stop")
-		assert.NilError(t, Eventually(patience, "workers were not handed over", func() bool { return c.readyWorkers() == len(c.Workers) }))
+		assert.NilError(t, Eventually(patience, "workers were not handed over", func() bool { return c.ReadyWorkers() == len(c.Workers) }))
 	})
 }
 
@@ -231,7 +231,7 @@
 			c.Entries = append(c.Entries, e)
 			assert.NilError(t, c.StartEntry(e))
 			assert.NilError(t, c.SetVMs(c.ListAlive()))
-			assert.NilError(t, Eventually(patience, "workers were not taken over", func() bool { return c.readyWorkers() == len(c.Workers) }))
+			assert.NilError(t, Eventually(patience, "workers were not taken over", func() bool { return c.ReadyWorkers() == len(c.Workers) }))
 		}
 		j, err := cccaller.NewClient(callers(c, 4)).Job("coop", "long", 60_000)
 		assert.NilError(t, err)
--- a/io/ccmeasure/processes.go
+++ b/io/ccmeasure/processes.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"coriandercross/core/ccwork"
 	"coriandercross/io/cccaller"
 	"coriandercross/io/ccharness"
+	"coriandercross/io/ccworker"
 
 	"github.com/cockroachdb/errors"
 )
@@ -227,16 +227,16 @@
 
 // workerHeader describes a request to a worker without a process in between.
 func workerHeader(h http.Header, i int) {
-	h.Set("Task-Id", fmt.Sprint("direct-", i, "-", time.Now().UnixNano()))
-	h.Set("Task-Size", `{"MilliCores":1}`)
-	h.Set("Task-Lease-Ms", "10000")
+	h.Set(ccworker.TaskHeader, fmt.Sprint("direct-", i, "-", time.Now().UnixNano()))
+	h.Set(ccworker.SizeHeader, `{"MilliCores":1}`)
+	h.Set(ccworker.LeaseHeader, "10000")
 }
 
 // Proxy measures the latency that one process adds to a request, beside a plain hop.
 func Proxy(o *options) ([]Row, error) {
 	var rows []Row
 	err := withSystem(o, 1, 24, func(c *ccharness.Cluster) error {
-		worker := "http://" + c.Workers[0].VM.Address + "/v1/run"
+		worker := "http://" + c.Workers[0].VM.Address + ccworker.RunPath
 		server := httptest.NewServer(plainHop(worker))
 		defer server.Close()
 		url := "http://" + c.Entries[0].Settings.Listen.Callers + "/v1/teams/team/kinds/check/requests"
@@ -353,15 +353,7 @@
 			start := time.Now()
 			victim.Kill()
 			err := ccharness.Eventually(readyTimeout, "workers were not taken over", func() bool {
-				n := 0
-				for _, d := range c.Dumps() {
-					for _, w := range d.Workers {
-						if w.Ready && !w.Unreachable {
-							n++
-						}
-					}
-				}
-				return n == len(c.Workers)
+				return c.ReadyWorkers() == len(c.Workers)
 			})
 			gaps = append(gaps, time.Since(start).Seconds())
 			return err
@@ -370,6 +362,5 @@
 			return nil, err
 		}
 	}
-	slices.Sort(gaps)
-	return []Row{valueRow("TakeoverAfterAKill", "s", gaps[len(gaps)/2], 0, 10)}, nil
+	return []Row{valueRow("TakeoverAfterAKill", "s", median(gaps...), 0, 10)}, nil
 }
--- a/io/ccnode/buckets.go
+++ b/io/ccnode/buckets.go
@@ -12,6 +12,7 @@
 	"coriandercross/core/ccledger"
 	"coriandercross/core/ccmember"
 	"coriandercross/core/ccshard"
+	"coriandercross/core/ccwork"
 	"coriandercross/io/ccfellow"
 	"coriandercross/io/ccstore"
 
@@ -38,7 +39,7 @@
 
 // bucketOf returns the name of a job's bucket.
 func (n *Node) bucketOf(key string) string {
-	return bucketName(ccjob.Bucket(key, n.cfg.Limits.JobBuckets))
+	return bucketName(ccwork.Bucket(key, n.cfg.Limits.JobBuckets))
 }
 
 // tendBuckets starts a driver for each bucket that this process came to own, and ends those of
@@ -242,6 +243,8 @@
 	out := &ccfellow.ReportReply{}
 	err := n.do(func() {
 		now := n.now()
+		// The asker takes the load in also when its orders are refused.
+		out.Digest = n.digest(now)
 		if !n.c.desk.Raise(in.Sender) {
 			return
 		}
@@ -251,7 +254,6 @@
 		n.passOn(in.Stop, in.Forget)
 		out.Ready = n.readyShards(now)
 		out.Tasks = n.tasksOf(in.Bucket)
-		out.Digest = n.digest(now)
 	})
 	return out, err
 }
--- a/io/ccnode/drain.go
+++ b/io/ccnode/drain.go
@@ -68,8 +68,3 @@
 	})
 	return ready
 }
-
-// InFlight returns the number of requests without an answer.
-func (n *Node) InFlight() int64 {
-	return n.inFlight.Load()
-}
--- a/io/ccnode/intents.go
+++ b/io/ccnode/intents.go
@@ -37,7 +37,7 @@
 
 // intentKey is the key of the store that holds a request's intent.
 func (n *Node) intentKey(id string) string {
-	return "Intents/" + strconv.Itoa(ccintent.Bucket(id, n.cfg.Limits.IntentBuckets))
+	return "Intents/" + strconv.Itoa(ccwork.Bucket(id, n.cfg.Limits.IntentBuckets))
 }
 
 // settleTimeout bounds the wait for an outcome to be recorded.
--- a/io/ccstandin/vmlist.go
+++ b/io/ccstandin/vmlist.go
@@ -40,13 +40,6 @@
 	l.now = append(l.now, change{at: time.Now().Add(l.lag), list: ccvmlist.List{VMs: vms}, tag: tag})
 }
 
-// Latest returns the list with all changes, shown or not.
-func (l *VMList) Latest() []ccvmlist.VM {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.now[len(l.now)-1].list.VMs
-}
-
 // Handler returns the list's HTTP interface.
 func (l *VMList) Handler() http.Handler {
 	m := http.NewServeMux()
