--- /dev/null
+++ b/core/cccell/cell.go
@@ -0,0 +1,437 @@
+package cccell
+
+import "github.com/cockroachdb/errors"
+
+// ErrDeposed reports that a worker has seen a higher token: another process leads.
+var ErrDeposed = errors.New("another process leads the cell")
+
+// Config sets up a Cell.
+type Config struct {
+	// Token fences earlier leaders at the workers; it rises with each leader.
+	Token int64
+	// LeaseMs is the length of a lease at a worker. Longer ones outlive the loss of a leader, shorter ones let the tasks of
+	// a silent worker start again sooner.
+	LeaseMs ms
+	// MaxLeaseMs is the longest lease that any leader can have given.
+	MaxLeaseMs ms
+	// RemoteFactor is how many times longer a task takes away from its data.
+	RemoteFactor float64
+	// Log takes one line for each decision; it may be nil.
+	Log func(event string, kv ...any)
+}
+
+// Cell is the state of a leader. It is not safe for concurrent use.
+type Cell struct {
+	cfg     Config
+	jobs    map[string]*job
+	workers map[string]*worker
+	queues  map[string]Queue
+	// open holds the stages whose turn has come and that are not finished.
+	open map[*stage]struct{}
+	// scheduled holds the jobs with scheduled runs that have not all begun.
+	scheduled map[*job]struct{}
+	// dirty holds the jobs that the store has to be told of, in the order of the changes.
+	dirty    []*job
+	inDirty  map[*job]bool
+	out      Orders
+	attempts int64
+	began    ms
+	deposed  bool
+	kinds    kindTable
+	// registryAt is when the list of workers was last confirmed by the store.
+	registryAt ms
+	stats      Stats
+}
+
+// Stats counts decisions since the start of the leader.
+type Stats struct {
+	Starts, Stops, Looks, Asks, Preempted, Quarantined, Vanished, Lapsed, Failures int64
+}
+
+// attemptBits leaves room for the attempts of one leader below its token.
+const attemptBits = 24
+
+// New returns an empty cell.
+func New(cfg Config, now ms) *Cell {
+	if cfg.Log == nil {
+		cfg.Log = func(string, ...any) {}
+	}
+	return &Cell{
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, began: now,
+		kinds: kindTable{},
+	}
+}
+
+// Token returns the leader's token.
+func (c *Cell) Token() int64 {
+	return c.cfg.Token
+}
+
+// Deposed reports whether a worker told of a higher token.
+func (c *Cell) Deposed() bool {
+	return c.deposed
+}
+
+// Stats returns the counters.
+func (c *Cell) Stats() Stats {
+	return c.stats
+}
+
+// Take returns the orders collected since the last call.
+func (c *Cell) Take() Orders {
+	out := c.out
+	c.out = Orders{}
+	return out
+}
+
+// SetQueues puts a configuration in force. Jobs of a queue that is gone go on as they were accepted.
+func (c *Cell) SetQueues(queues []Queue) {
+	c.queues = map[string]Queue{}
+	for _, q := range queues {
+		c.queues[q.Name] = q
+	}
+}
+
+// queue returns the newest known configuration of a job's queue.
+func (c *Cell) queue(j *job) *Queue {
+	if q, ok := c.queues[j.spec.Queue.Name]; ok {
+		j.spec.Queue = q
+	}
+	return &j.spec.Queue
+}
+
+// Stored is a job as the store has it.
+type Stored struct {
+	Job      *Job
+	Progress *Progress
+	// Revision is that of the progress, 0 for none.
+	Revision int64
+	// CancelAsked is true when the store holds a request to cancel.
+	CancelAsked bool
+}
+
+// Adopt takes in a job read at a take-over.
+func (c *Cell) Adopt(s Stored, now, nowUnix ms) {
+	if c.jobs[s.Job.ID] != nil {
+		return
+	}
+	j := c.insert(s.Job, now)
+	j.adopted = true
+	j.revision = s.Revision
+	if s.Progress != nil {
+		c.restore(j, s.Progress, now)
+	}
+	if s.CancelAsked {
+		j.cancelKey = true
+	}
+	c.begin(j, now, nowUnix)
+	if s.CancelAsked && j.final == "" {
+		c.cancel(j, now)
+	}
+}
+
+// restore sets a job from its stored progress.
+func (c *Cell) restore(j *job, p *Progress, now ms) {
+	j.final, j.shown = p.State, p.State
+	for n, rp := range p.Runs {
+		o := c.newRun(j, n)
+		o.done = rp.Done
+		for i, s := range o.stages {
+			s.restore(rp.Stages[i])
+		}
+		if len(rp.Stages) > 0 || rp.Done {
+			j.started = true
+		}
+	}
+	for _, o := range j.runs {
+		if !o.done && j.final == "" {
+			c.advance(o, now)
+		}
+	}
+}
+
+// Add takes in a job that was accepted. A job that is known already stays as it is.
+func (c *Cell) Add(spec *Job, now, nowUnix ms) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	j := c.insert(spec, now)
+	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "Lasting", spec.Lasting())
+	c.change(j)
+	c.begin(j, now, nowUnix)
+}
+
+// Knows reports whether the cell has a job.
+func (c *Cell) Knows(id string) bool {
+	return c.jobs[id] != nil
+}
+
+// insert puts a job into memory.
+func (c *Cell) insert(spec *Job, now ms) *job {
+	j := &job{spec: spec, runs: map[int]*run{}, arrived: now}
+	c.jobs[spec.ID] = j
+	return j
+}
+
+// begin begins the runs of a job that are due.
+func (c *Cell) begin(j *job, now, nowUnix ms) {
+	if j.final != "" {
+		return
+	}
+	if j.spec.Times == 0 {
+		if j.runs[0] == nil {
+			c.advance(c.newRun(j, 0), now)
+		}
+		return
+	}
+	waiting := false
+	for n := 0; n < j.spec.Times; n++ {
+		if j.runs[n] != nil {
+			continue
+		}
+		if int64(nowUnix) < j.spec.FirstMs+int64(n)*j.spec.PeriodMs {
+			waiting = true
+			break
+		}
+		c.advance(c.newRun(j, n), now)
+	}
+	if waiting {
+		c.scheduled[j] = struct{}{}
+	} else {
+		delete(c.scheduled, j)
+	}
+}
+
+// newRun adds a run with all its stages.
+func (c *Cell) newRun(j *job, number int) *run {
+	o := &run{number: number}
+	for i := range j.spec.Stages {
+		spec := &j.spec.Stages[i]
+		o.stages = append(o.stages, &stage{
+			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
+			tasks: make([][]*attempt, spec.Count), failures: map[int]failure{}, saved: map[int]string{}, avoid: map[string]int{},
+			perWorker: map[*worker]int{}, tickets: newTickets(),
+		})
+	}
+	j.runs[number] = o
+	return o
+}
+
+// advance opens the stages whose turn has come, and closes the run and the job when all is done.
+func (c *Cell) advance(o *run, now ms) {
+	all := true
+	for _, s := range o.stages {
+		if s.finished() {
+			delete(c.open, s)
+			continue
+		}
+		all = false
+		if s.ready {
+			continue
+		}
+		s.ready = true
+		for _, after := range s.spec.After {
+			s.ready = s.ready && o.stages[after].finished()
+		}
+		if s.ready {
+			s.readyAt = now
+			c.open[s] = struct{}{}
+		}
+	}
+	if !all || o.done {
+		return
+	}
+	o.done = true
+	j := o.stages[0].job
+	c.touch(j)
+	done := 0
+	for _, r := range j.runs {
+		if r.done {
+			done++
+		}
+	}
+	if done >= max(j.spec.Times, 1) {
+		c.finish(j, Completed, now)
+	}
+}
+
+// touch marks a job as changed for the store.
+func (c *Cell) touch(j *job) {
+	j.version++
+	if !c.inDirty[j] {
+		c.inDirty[j] = true
+		c.dirty = append(c.dirty, j)
+	}
+}
+
+// finish decides a job's final state; it is shown once the store has it.
+func (c *Cell) finish(j *job, state State, now ms) {
+	if j.final != "" {
+		return
+	}
+	j.final = state
+	delete(c.scheduled, j)
+	for _, o := range j.runs {
+		for _, s := range o.stages {
+			delete(c.open, s)
+			for _, list := range s.tasks {
+				for _, a := range list {
+					a.stopping = true
+				}
+			}
+		}
+	}
+	c.cfg.Log("job decided", "Job", j.spec.ID, "State", state, "AgeMs", now-j.arrived, "LiveAttempts", j.live)
+	c.touch(j)
+}
+
+// Cancel cancels a job. It returns false when the job is not known.
+func (c *Cell) Cancel(id string, now ms) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	j.cancelKey = true
+	c.cancel(j, now)
+	return true
+}
+
+// cancel decides the cancellation unless the job has ended.
+func (c *Cell) cancel(j *job, now ms) {
+	c.finish(j, Cancelled, now)
+}
+
+// change tells the present state of a job to whoever answers callers.
+func (c *Cell) change(j *job) {
+	c.out.Changes = append(c.out.Changes, Change{Job: j.spec.ID, State: c.stateOf(j)})
+}
+
+// stateOf returns the state that callers may see.
+func (c *Cell) stateOf(j *job) State {
+	switch {
+	case j.shown != "":
+		return j.shown
+	case j.started:
+		return Running
+	}
+	return Queued
+}
+
+// States returns the state of every job.
+func (c *Cell) States() []Change {
+	out := make([]Change, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, Change{Job: j.spec.ID, State: c.stateOf(j)})
+	}
+	return out
+}
+
+// Pending returns, for each queue, the number of accepted jobs of which no task has started.
+func (c *Cell) Pending() map[string]int {
+	out := map[string]int{}
+	for _, j := range c.jobs {
+		if !j.started && j.final == "" {
+			out[j.spec.Queue.Name]++
+		}
+	}
+	return out
+}
+
+// Note is the progress of a job that the store has to keep.
+type Note struct {
+	Job      string
+	Progress Progress
+	// Revision is that of the record to be replaced, 0 for none.
+	Revision int64
+	// CancelAsked is true when a request to cancel has to be removed with the job.
+	CancelAsked bool
+
+	job     *job
+	version int64
+}
+
+// Notes returns the oldest changes for the store, as many as fit into a budget of rows. Each must be passed to Noted or
+// NotNoted. A note takes two rows, and one or two more when it removes the job.
+func (c *Cell) Notes(budget int, nowUnix ms) []Note {
+	var out []Note
+	n := 0
+	for _, j := range c.dirty {
+		rows := 2
+		if j.final != "" {
+			rows++
+			if j.cancelKey {
+				rows++
+			}
+		}
+		if budget < rows {
+			break
+		}
+		budget -= rows
+		n++
+		delete(c.inDirty, j)
+		out = append(out, Note{
+			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelAsked: j.cancelKey, job: j, version: j.version,
+		})
+	}
+	c.dirty = append(c.dirty[:0:0], c.dirty[n:]...)
+	return out
+}
+
+// Waiting returns the number of changes for the store.
+func (c *Cell) Waiting() int {
+	return len(c.dirty)
+}
+
+// Noted tells that the store has the notes, at the given revision of the store.
+func (c *Cell) Noted(notes []Note, revision int64, now ms) {
+	for i := range notes {
+		n := &notes[i]
+		j := n.job
+		j.revision = revision
+		j.noted = max(j.noted, n.version)
+		if n.Progress.State.Final() && j.shown == "" {
+			j.shown = n.Progress.State
+			c.change(j)
+			c.cfg.Log("job shown", "Job", n.Job, "State", j.shown, "AgeMs", now-j.arrived, "Revision", revision)
+		}
+	}
+	for _, w := range c.workers {
+		w.forget()
+	}
+}
+
+// NotNoted tells that the store may not have the notes. The revisions that it really has are in found, if they were read.
+func (c *Cell) NotNoted(notes []Note, found map[string]int64) {
+	for i := range notes {
+		j := notes[i].job
+		if rev, ok := found[notes[i].Job]; ok {
+			j.revision = rev
+		}
+		if !c.inDirty[j] {
+			c.inDirty[j] = true
+			c.dirty = append(c.dirty, j)
+		}
+	}
+}
+
+// forget moves the number of the last end that is done with.
+func (w *worker) forget() {
+	for len(w.ends) > 0 {
+		e := w.ends[0]
+		if e.job != nil && e.job.noted < e.version {
+			return
+		}
+		w.seen = e.number
+		w.ends = w.ends[1:]
+	}
+}
+
+// Forget drops jobs that arrived before a time, have ended, and hold nothing any more.
+func (c *Cell) Forget(arrivedBefore ms) {
+	for id, j := range c.jobs {
+		if j.shown != "" && j.live == 0 && j.arrived < arrivedBefore {
+			delete(c.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/cccell/health.go
@@ -0,0 +1,50 @@
+package cccell
+
+// health follows a worker's own results. Load pattern: workers that fail whatever they start, or
+// part of it, while they answer as healthy. A few results decide, since a worker that ends work at
+// once draws more than its share of it.
+type health struct {
+	// score falls towards 0 with each failure and rises towards 1 with each task that is done.
+	score float64
+	// until is the end of the present quarantine, strikes the number of those in a row.
+	until   ms
+	strikes int
+	// refused is the end of a short pause after the worker turned a start away.
+	refused ms
+}
+
+const (
+	// healthWeight is the weight of one result: three failures in a row bring the score below healthFloor.
+	healthWeight = 0.3
+	healthFloor  = 0.36
+	// quarantineMs is the first quarantine; it doubles with each further one, to at most quarantineMaxMs.
+	quarantineMs    ms = 2000
+	quarantineMaxMs ms = 16000
+	// refusedMs is the pause after a worker that answered that it can't take work now.
+	refusedMs ms = 300
+	// maxQuarantined is the share of the workers that may be in quarantine at a time, so that bad jobs can't empty the fleet.
+	maxQuarantined = 0.25
+)
+
+// usable reports whether the worker may get work.
+func (h *health) usable(now ms) bool {
+	return now >= h.until && now >= h.refused
+}
+
+// ended takes in a result. It returns true when a quarantine begins.
+func (h *health) ended(ok bool, now ms, mayBegin bool) bool {
+	if ok {
+		h.score += (1 - h.score) * healthWeight
+		h.strikes = 0
+		return false
+	}
+	h.score -= h.score * healthWeight
+	if h.score >= healthFloor || now < h.until || !mayBegin {
+		return false
+	}
+	h.until = now + min(quarantineMs<<h.strikes, quarantineMaxMs)
+	h.strikes = min(h.strikes+1, 4)
+	// One more failure after the quarantine begins the next one.
+	h.score = healthFloor / (1 - healthWeight) * 1.01
+	return true
+}
--- /dev/null
+++ b/core/cccell/looks.go
@@ -0,0 +1,80 @@
+package cccell
+
+const (
+	// lookWaitMs is how long an answer waits for an end: it also bounds the time to notice a connection that went silent.
+	lookWaitMs = 1000
+	// lookGapMs is the least time between two looks at a worker, so that ends that come together are read together.
+	lookGapMs ms = 25
+	// unnotedGapMs is the time between looks while ends can't be noted: a waiting look would return at once.
+	unnotedGapMs ms = 400
+	// silentGapMs is the time between looks at a worker that does not answer.
+	silentGapMs ms = 400
+	// stopRetryMs is the time between two stops of one attempt.
+	stopRetryMs ms = 400
+)
+
+// look orders the looks that are due.
+func (c *Cell) look(now ms) {
+	for _, w := range c.workers {
+		if w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now) {
+			continue
+		}
+		o := LookOrder{WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Seen: w.seen, Token: c.cfg.Token, worker: w}
+		if w.looked && w.silentSince == 0 && len(w.ends) == 0 {
+			o.WaitMs = lookWaitMs
+		}
+		if w.listed && w.looked {
+			o.UntilMs = w.nextUntil(now, c.cfg.LeaseMs)
+			w.until = max(w.until, o.UntilMs)
+		}
+		w.looking, w.lookSent = true, now
+		c.stats.Looks++
+		c.out.Looks = append(c.out.Looks, o)
+	}
+}
+
+// wantsLook reports whether a worker has to be looked at now.
+func (c *Cell) wantsLook(w *worker, now ms) bool {
+	since := now - w.lookDone
+	switch {
+	case w.silentSince != 0:
+		return since >= silentGapMs
+	case !w.looked:
+		return true
+	case len(w.ends) > 0:
+		return since >= unnotedGapMs
+	}
+	return len(w.attempts) > 0 || w.seen > w.told
+}
+
+// stop orders the stops that are due.
+func (c *Cell) stop(now ms) {
+	for _, w := range c.workers {
+		if w.silentSince != 0 && now-w.silentSince > silentGapMs && w.lookDone > w.silentSince {
+			continue // The stop follows when the worker is heard again.
+		}
+		for _, a := range w.attempts {
+			if a.state == inDoubt && !a.stopping && now-a.doubtSince > doubtMs {
+				a.stopping = true
+			}
+			if !a.stopping || a.stopInCall || (a.stopSent != 0 && now-a.stopSent < stopRetryMs) {
+				continue
+			}
+			if a.stopped && a.surelySince != 0 && now-a.stopSent < stopAgainMs {
+				continue
+			}
+			a.stopInCall, a.stopSent = true, now
+			c.stats.Stops++
+			c.out.Stops = append(c.out.Stops, StopOrder{
+				WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Task: a.task, Attempt: a.number, Token: c.cfg.Token, attempt: a,
+			})
+		}
+	}
+}
+
+const (
+	// doubtMs is the time, after the start was given up, that lists have to show it before it is stopped.
+	doubtMs ms = 150
+	// stopAgainMs is the time after which a confirmed stop without an end is repeated.
+	stopAgainMs ms = 2000
+)
--- /dev/null
+++ b/core/cccell/model.go
@@ -0,0 +1,123 @@
+package cccell
+
+import "coriandercross/core/ccwork"
+
+// job is a job in a cell's memory.
+type job struct {
+	spec *Job
+	// runs holds the scheduled runs that have begun, by number; a job without a schedule has run 0.
+	runs map[int]*run
+	// final is set as soon as it is decided; it is shown when the store has it.
+	final State
+	// shown is the final state that the store has, or empty.
+	shown State
+	// started is true once a task was started.
+	started bool
+	// revision is that of the stored progress, 0 for none.
+	revision int64
+	// version counts changes that the store must have; noted is the highest that it has.
+	version, noted int64
+	// adopted is true when the job was read at a take-over, so that an earlier leader may have started its tasks.
+	adopted bool
+	// cancelKey is true when the store holds a request to cancel.
+	cancelKey bool
+	// arrived is when this process learned of the job.
+	arrived ms
+	// live counts the attempts that hold room somewhere.
+	live int
+}
+
+// run is one scheduled run of a job.
+type run struct {
+	number int
+	stages []*stage
+	done   bool
+}
+
+// failure counts the failed attempts of a task.
+type failure struct {
+	count   int
+	attempt int64
+}
+
+// stage is a stage of one run.
+type stage struct {
+	id   StageID
+	job  *job
+	spec *Stage
+	// need is what a task takes of a worker's room.
+	need ccwork.Size
+	done bitset
+	// tasks holds the live attempts of each task.
+	tasks    [][]*attempt
+	failures map[int]failure
+	// saved holds the newest checkpoint of each task; a gang's stands under task 0.
+	saved map[int]string
+	// avoid holds the workers on which a task of the stage failed.
+	avoid map[string]int
+	// ready is true when the stages before it are done.
+	ready   bool
+	readyAt ms
+	// perWorker counts the live attempts on a worker.
+	perWorker map[*worker]int
+	tickets   tickets
+	// notBefore delays the next attempt of a stage that failed to start.
+	notBefore ms
+	// missing is the number of tasks that wait.
+	missing int
+}
+
+// waits reports whether task i has to be started.
+func (s *stage) waits(i int) bool {
+	return !s.done.has(i) && len(s.tasks[i]) == 0
+}
+
+// finished reports whether every task is done.
+func (s *stage) finished() bool {
+	return s.done.count() >= s.spec.Count
+}
+
+// attemptState is what is known of an attempt.
+type attemptState int
+
+const (
+	// ordered means that a start was sent and not answered yet.
+	ordered attemptState = iota
+	// inDoubt means that a start was sent and its answer was lost: it may be carried out at any time.
+	inDoubt
+	// running means that the worker has confirmed the start.
+	running
+)
+
+// attempt is one start of a task on a worker. It holds room there until its end is certain.
+type attempt struct {
+	task    TaskID
+	number  int64
+	stage   *stage // nil when the job is unknown
+	worker  *worker
+	need    ccwork.Size
+	state   attemptState
+	saved   string
+	percent int
+	// movedAt is when percent last grew.
+	movedAt ms
+	sentAt  ms
+	// doubtSince is when the start was given up without an answer.
+	doubtSince ms
+	// surelySince is when the worker confirmed the start, or a stop: a look sent later shows the attempt, or it does not exist.
+	surelySince ms
+	// stopping is true when a stop is wanted; stopSent is when one was last sent and stopped when one was confirmed.
+	stopping   bool
+	stopSent   ms
+	stopped    bool
+	stopInCall bool
+	// tail is the rough figure of the last half second: tail in ms of a serving task, cores of any other.
+	tail int
+	pace int
+}
+
+// attemptKey names an attempt on a worker.
+type attemptKey struct {
+	task   TaskID
+	number int64
+}
--- /dev/null
+++ b/core/cccell/order.go
@@ -0,0 +1,174 @@
+package cccell
+
+// StartOrder asks for the start of one attempt at a task.
+type StartOrder struct {
+	WorkerID, Address string
+	BornMs            int64
+	Task              TaskID
+	Attempt           int64
+	Spec              string
+	Checkpoint        string
+	Ticket            string
+	// UntilMs ends the lease of everything on the worker, on the worker's clock.
+	UntilMs int64
+	Token   int64
+
+	attempt *attempt
+}
+
+// StopOrder asks for the end of one attempt. An attempt that is not there will be refused from then on.
+type StopOrder struct {
+	WorkerID, Address string
+	BornMs            int64
+	Task              TaskID
+	Attempt           int64
+	Token             int64
+
+	attempt *attempt
+}
+
+// LookOrder renews a worker's lease, lets it forget the ends up to Seen, and asks for its lists.
+type LookOrder struct {
+	WorkerID, Address string
+	BornMs            int64
+	// UntilMs is 0 when the lease shall not be renewed.
+	UntilMs int64
+	Seen    int64
+	Token   int64
+	// WaitMs lets the answer wait for an end.
+	WaitMs int64
+
+	worker *worker
+}
+
+// PaceOrder lets a task work at a share of its speed.
+type PaceOrder struct {
+	WorkerID, Address string
+	BornMs            int64
+	Task              TaskID
+	Attempt           int64
+	Percent           int
+	Token             int64
+
+	attempt *attempt
+}
+
+// AskOrder asks the policy service which workers may run a stage.
+type AskOrder struct {
+	Stage   StageID
+	Workers []string
+	// CallMs is the time that the call is expected to take.
+	CallMs int64
+	// Priority is that of the queue.
+	Priority int
+}
+
+// Change tells the state of a job to whoever answers callers.
+type Change struct {
+	Job   string `cbor:"1,keyasint"`
+	State State  `cbor:"2,keyasint"`
+}
+
+// Orders is what a cell wants sent.
+type Orders struct {
+	Starts  []StartOrder
+	Stops   []StopOrder
+	Looks   []LookOrder
+	Paces   []PaceOrder
+	Asks    []AskOrder
+	Changes []Change
+}
+
+// Outcome says what became of a call to a worker.
+type Outcome int
+
+const (
+	// Carried means that the worker has carried the call out.
+	Carried Outcome = iota
+	// Refused means that the worker has done nothing, for the reason given.
+	Refused
+	// Unsent means that the call did not reach the worker.
+	Unsent
+	// Lost means that the answer was lost: the call may be carried out, now or seconds later.
+	Lost
+)
+
+// Reason says why a worker refused a call.
+type Reason string
+
+// Reasons.
+const (
+	// Fenced: the worker has seen a higher token; this process leads no more.
+	Fenced Reason = "Fenced"
+	// OldAttempt: the worker has ended or stopped an attempt that is not lower.
+	OldAttempt Reason = "OldAttempt"
+	// LateLease: the lease ends in the past of the worker's clock.
+	LateLease Reason = "LateLease"
+	// NoRoom: the worker guards its room and has none.
+	NoRoom Reason = "NoRoom"
+	// NoTicket: the ticket is missing or has expired.
+	NoTicket Reason = "NoTicket"
+	// Busy: the worker can't take work now.
+	Busy Reason = "Busy"
+	// OtherLife: the worker has started again.
+	OtherLife Reason = "OtherLife"
+	// Malformed: the worker does not accept the order.
+	Malformed Reason = "Malformed"
+)
+
+// Reply is the answer to a call.
+type Reply struct {
+	Outcome Outcome
+	Reason  Reason
+	// ClockMs is the worker's clock, 0 when the answer has none.
+	ClockMs int64
+	// BornMs is the start of the worker's present life, 0 when the answer has none.
+	BornMs int64
+	// Sent and Received frame the call.
+	Sent, Received ms
+}
+
+// End says how an attempt ended.
+type End string
+
+// Ends.
+const (
+	EndDone End = "Done"
+	// EndFailed: by its own fault or the worker's.
+	EndFailed End = "Failed"
+	// EndStopped: by a stop.
+	EndStopped End = "Stopped"
+	// EndLapsed: the lease ended.
+	EndLapsed End = "Lapsed"
+	// EndBroken: another member of the gang ended.
+	EndBroken End = "Broken"
+	// EndAlone: the other members of the gang did not come in time.
+	EndAlone End = "Alone"
+	// EndVanished: the worker does not have the attempt, or has left or crashed; decided here, never sent by a worker.
+	EndVanished End = "Vanished"
+)
+
+// RunningTask is a row of a worker's list of what runs.
+type RunningTask struct {
+	Task       TaskID
+	Attempt    int64
+	Checkpoint string
+	Percent    int
+	// Load is the tail in ms of a serving task, the cores in use of any other.
+	Load float64
+}
+
+// EndedTask is a row of a worker's list of ends.
+type EndedTask struct {
+	Number     int64
+	Task       TaskID
+	Attempt    int64
+	End        End
+	Checkpoint string
+}
+
+// Lists is what a worker tells on a look.
+type Lists struct {
+	Running []RunningTask
+	Ended   []EndedTask
+}
--- /dev/null
+++ b/core/cccell/progress.go
@@ -0,0 +1,134 @@
+package cccell
+
+import (
+	"math/bits"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBadProgress reports a stored progress that does not fit its job.
+var ErrBadProgress = errors.New("stored progress does not fit the job")
+
+// Progress is what the store keeps of a job beside the job itself. It is written before a worker
+// forgets the ends that it covers, so that a new leader never repeats them.
+type Progress struct {
+	// State is final, or empty while the job goes on.
+	State State `cbor:"1,keyasint,omitempty"`
+	// Runs holds the progress of each scheduled run that has begun.
+	Runs map[int]RunProgress `cbor:"2,keyasint,omitempty"`
+	// EndedMs is the time of day of the final state in Unix milliseconds; it decides when the record is removed.
+	EndedMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// RunProgress is the progress of one run of a job.
+type RunProgress struct {
+	Done   bool                  `cbor:"1,keyasint,omitempty"`
+	Stages map[int]StageProgress `cbor:"2,keyasint,omitempty"`
+}
+
+// StageProgress is the progress of one stage.
+type StageProgress struct {
+	// Done has bit i set when task i is done.
+	Done []uint64 `cbor:"1,keyasint,omitempty"`
+	// Failures holds the tasks that failed; a gang counts under task 0.
+	Failures []Failure `cbor:"2,keyasint,omitempty"`
+}
+
+// Failure counts the failed runs of a task. Attempt is the highest one counted, so that an end that
+// a worker lists twice is counted once.
+type Failure struct {
+	Index   int   `cbor:"1,keyasint"`
+	Count   int   `cbor:"2,keyasint"`
+	Attempt int64 `cbor:"3,keyasint"`
+}
+
+// Check returns ErrBadProgress for a state that does not exist.
+func (p *Progress) Check() error {
+	if err := p.State.Check(); err != nil {
+		return errors.Mark(err, ErrBadProgress)
+	}
+	return nil
+}
+
+// bitset is a set of task numbers.
+type bitset []uint64
+
+const wordBits = 64
+
+// newBitset returns an empty set for n tasks.
+func newBitset(n int) bitset {
+	return make(bitset, (n+wordBits-1)/wordBits)
+}
+
+// has reports whether i is in the set.
+func (b bitset) has(i int) bool {
+	return i/wordBits < len(b) && b[i/wordBits]&(1<<(i%wordBits)) != 0
+}
+
+// add puts i into the set.
+func (b bitset) add(i int) {
+	b[i/wordBits] |= 1 << (i % wordBits)
+}
+
+// count returns the size of the set.
+func (b bitset) count() int {
+	n := 0
+	for _, w := range b {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
+
+// progress returns what the store has to keep of a job now.
+func (j *job) progress(nowUnixMs int64) Progress {
+	p := Progress{State: j.final}
+	if j.final != "" {
+		p.EndedMs = nowUnixMs
+		return p
+	}
+	p.Runs = map[int]RunProgress{}
+	for n, o := range j.runs {
+		if o.done {
+			p.Runs[n] = RunProgress{Done: true}
+			continue
+		}
+		rp := RunProgress{Stages: map[int]StageProgress{}}
+		for _, s := range o.stages {
+			if sp, ok := s.progress(); ok {
+				rp.Stages[s.id.Stage] = sp
+			}
+		}
+		if len(rp.Stages) > 0 {
+			p.Runs[n] = rp
+		}
+	}
+	return p
+}
+
+// progress returns what the store has to keep of a stage, and false when that is nothing.
+func (s *stage) progress() (StageProgress, bool) {
+	var sp StageProgress
+	if s.done.count() > 0 {
+		sp.Done = append([]uint64(nil), s.done...)
+	}
+	for i, f := range s.failures {
+		sp.Failures = append(sp.Failures, Failure{Index: i, Count: f.count, Attempt: f.attempt})
+	}
+	sort.Slice(sp.Failures, func(a, b int) bool { return sp.Failures[a].Index < sp.Failures[b].Index })
+	return sp, len(sp.Done)+len(sp.Failures) > 0
+}
+
+// restore sets a stage from what the store kept. Bits and failures beyond the stage are left out.
+func (s *stage) restore(sp StageProgress) {
+	for i := 0; i < s.spec.Count; i++ {
+		if bitset(sp.Done).has(i) {
+			s.done.add(i)
+		}
+	}
+	for _, f := range sp.Failures {
+		if f.Index >= 0 && f.Index < s.spec.Count {
+			s.failures[f.Index] = failure{count: f.Count, attempt: f.Attempt}
+		}
+	}
+}
--- /dev/null
+++ b/core/cccell/registry.go
@@ -0,0 +1,122 @@
+package cccell
+
+// SetWorker takes in what a worker says of itself.
+func (c *Cell) SetWorker(info WorkerInfo, now ms) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}}
+		// An earlier leader may have given it a lease as long as the longest.
+		w.freeAt = now + ms(float64(c.cfg.MaxLeaseMs)/slowestClock) + lapseMarginMs
+		c.workers[info.ID] = w
+	}
+	if info.Draining && w.drainSince == 0 {
+		w.drainSince = now
+		c.cfg.Log("worker drains", "Worker", info.ID, "LeftMs", info.DrainLeftMs, "Attempts", len(w.attempts))
+		c.evacuate(w, info.DrainLeftMs, now)
+	}
+	if !info.Draining {
+		w.drainSince = 0
+	}
+	if w.life != 0 && info.BornMs != w.life && info.BornMs > w.life {
+		w.looked = false // It has started again; what it runs is read first.
+	}
+	w.info, w.rack, w.kind, w.listed = info, info.Rack(), info.Kind(), true
+}
+
+// LoseWorker tells that the store has no entry of a worker any more. Its lease is not renewed.
+func (c *Cell) LoseWorker(id string) {
+	w := c.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	c.cfg.Log("worker not listed", "Worker", id, "Attempts", len(w.attempts), "Draining", w.drainSince != 0, "Reached", w.silentSince == 0)
+}
+
+// Roster returns the workers that may run something, for the next leader.
+func (c *Cell) Roster() []WorkerInfo {
+	out := make([]WorkerInfo, 0, len(c.workers))
+	for _, w := range c.workers {
+		out = append(out, w.info)
+	}
+	return out
+}
+
+// AddUnlisted takes in a worker that an earlier leader used and that the store does not list: tasks
+// may run there until their leases lapse.
+func (c *Cell) AddUnlisted(info WorkerInfo, now ms) {
+	if c.workers[info.ID] != nil {
+		return
+	}
+	c.SetWorker(info, now)
+	w := c.workers[info.ID]
+	w.listed = false
+}
+
+// evacuate stops what a draining worker can't finish in the time that it leaves, so that the work is
+// saved and goes on elsewhere.
+func (c *Cell) evacuate(w *worker, leftMs int64, now ms) {
+	for _, a := range w.attempts {
+		s := a.stage
+		if s == nil || a.stopping {
+			continue
+		}
+		if s.spec.Lasting || (s.spec.Checkpoints && a.remainingMs(now) > leftMs) {
+			a.stopping = true
+		}
+	}
+}
+
+// remainingMs guesses how long an attempt will run on.
+func (a *attempt) remainingMs(now ms) int64 {
+	ran := int64(now - a.sentAt)
+	if a.percent > 0 && a.percent < 100 {
+		return ran * int64(100-a.percent) / int64(a.percent)
+	}
+	return max(a.stage.spec.EstimateMs-ran, 0)
+}
+
+// settled reports whether everything that an earlier leader may have started is known by now.
+func (c *Cell) settled(now ms) bool {
+	for _, w := range c.workers {
+		if w.looked || now >= w.freeAt {
+			continue
+		}
+		return false
+	}
+	return true
+}
+
+// lapse frees what a worker that can't be reached, or is gone, can't be running any more.
+func (c *Cell) lapse(now ms) {
+	for id, w := range c.workers {
+		if w.silentSince == 0 && w.listed {
+			continue
+		}
+		if w.lapsed(now) {
+			if len(w.attempts) > 0 {
+				c.cfg.Log("worker lapsed", "Worker", id, "Attempts", len(w.attempts), "Listed", w.listed, "SilentMs", now-w.silentSince)
+			}
+			for _, a := range w.attempts {
+				c.ended(a, EndVanished, "", now)
+			}
+			if !w.listed {
+				delete(c.workers, id)
+			}
+		}
+	}
+}
+
+// SetWorkers takes in all workers that the store lists.
+func (c *Cell) SetWorkers(list []WorkerInfo, now ms) {
+	listed := map[string]bool{}
+	for i := range list {
+		listed[list[i].ID] = true
+		c.SetWorker(list[i], now)
+	}
+	for id := range c.workers {
+		if !listed[id] {
+			c.LoseWorker(id)
+		}
+	}
+}
--- /dev/null
+++ b/core/cccell/summary.go
@@ -0,0 +1,46 @@
+package cccell
+
+import "sort"
+
+// Summary is the state of a cell for people.
+type Summary struct {
+	Token   int64
+	Jobs    int
+	Open    int
+	Unnoted int
+	Stats   Stats
+	Workers []WorkerSummary
+}
+
+// WorkerSummary is the state of a worker for people.
+type WorkerSummary struct {
+	ID          string
+	Listed      bool
+	Taken       bool
+	Draining    bool
+	SilentMs    int64
+	Attempts    int
+	FreeCores   int64
+	FreeMB      int64
+	Health      float64
+	Quarantined bool
+	Unnoted     int
+}
+
+// Summary returns the state of the cell.
+func (c *Cell) Summary(now ms) *Summary {
+	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), Unnoted: len(c.dirty), Stats: c.stats}
+	for id, w := range c.workers {
+		free := w.free()
+		ws := WorkerSummary{
+			ID: id, Listed: w.listed, Taken: w.looked, Draining: w.drainSince != 0, Attempts: len(w.attempts),
+			FreeCores: free.MilliCores, FreeMB: free.MemoryMB, Health: w.health.score, Quarantined: now < w.health.until, Unnoted: len(w.ends),
+		}
+		if w.silentSince != 0 {
+			ws.SilentMs = int64(now - w.silentSince)
+		}
+		s.Workers = append(s.Workers, ws)
+	}
+	sort.Slice(s.Workers, func(a, b int) bool { return s.Workers[a].ID < s.Workers[b].ID })
+	return s
+}
--- /dev/null
+++ b/io/cccontrol/callers.go
@@ -0,0 +1,212 @@
+package cccontrol
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors told to callers.
+var (
+	// ErrNoRoute reports a request that no route of the configuration takes.
+	ErrNoRoute = errors.New("no route takes the request")
+	// ErrNoConfig reports a process that has no configuration yet.
+	ErrNoConfig = errors.New("no configuration is in force yet")
+	// ErrNoJob reports a job that was never accepted, or whose final state is no longer kept.
+	ErrNoJob = errors.New("no such job")
+	// ErrNotKnown reports a question that can't be answered now.
+	ErrNotKnown = errors.New("not known at the moment")
+)
+
+// Refusal is the error of a job that was not accepted and never runs.
+type Refusal struct {
+	// Reason says why.
+	Reason error
+	// AfterMs is the time after which a return can help.
+	AfterMs int64
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return r.Reason.Error()
+}
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error {
+	return r.Reason
+}
+
+const (
+	// storeBackMs is the time after which callers may return while the store is lost: outages last for seconds.
+	storeBackMs = 1500
+	// answerMarginMs is kept of a caller's time for the way back.
+	answerMarginMs ms = 150
+	// doorTrustMs is the age of the leader's figures up to which a closed door refuses work.
+	doorTrustMs ms = 1000
+	// figuresTrustMs is the age of the leader's figures up to which the number of waiting jobs is told.
+	figuresTrustMs ms = 1800
+	// staleAnswerMs is the age of the leader's figures from which the store is asked for a job that has not ended.
+	staleAnswerMs ms = 1500
+)
+
+// Route returns the route of a request. It fails with ErrNoConfig or ErrNoRoute.
+func (p *Process) Route(host, path string) (*cccell.Route, error) {
+	c := p.config.Load()
+	if c == nil {
+		return nil, ErrNoConfig
+	}
+	if r := c.config.Find(host, path); r != nil {
+		return r, nil
+	}
+	return nil, ErrNoRoute
+}
+
+// Configuration returns the configuration in force, nil when there is none.
+func (p *Process) Configuration() *cccell.Configuration {
+	if c := p.config.Load(); c != nil {
+		return c.config
+	}
+	return nil
+}
+
+// Submit accepts a job: it returns nil once the store has it. It fails with *Refusal when the job never runs, and with
+// ccstore.ErrInDoubt when that is not known.
+func (p *Process) Submit(ctx context.Context, j *cccell.Job, budgetMs ms) error {
+	began := p.now()
+	err := p.submit(ctx, j, began+budgetMs)
+	outcome := "accepted"
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal):
+		outcome = "refused"
+	case err != nil:
+		outcome = "in doubt"
+	}
+	p.cfg.Metrics.submitted.WithLabelValues(j.Queue.Name, outcome).Observe(float64(p.now() - began))
+	if err != nil {
+		p.cfg.Log.Info("hand-in "+outcome, "Job", j.ID, "Queue", j.Queue.Name, "TookMs", p.now()-began, "BudgetMs", budgetMs, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+	}
+	return err
+}
+
+// submit keeps a job or says why not.
+func (p *Process) submit(ctx context.Context, j *cccell.Job, until ms) error {
+	if s, known := p.board.state(j.ID); known {
+		_ = s
+		return nil // The same job again.
+	}
+	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
+		return &Refusal{Reason: ccwork.ErrOverload, AfterMs: spread(door.ClosedMs)}
+	}
+	if p.cfg.Store.Lost() {
+		return &Refusal{Reason: ccwork.ErrStore, AfterMs: spread(storeBackMs)}
+	}
+	j.AcceptedMs = int64(unixNow())
+	if err := p.intake.keep(ctx, j, until-answerMarginMs); err != nil {
+		if errors.Is(err, ccstore.ErrInDoubt) {
+			return err
+		}
+		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), AfterMs: spread(storeBackMs)}
+	}
+	p.board.learn(j.ID, cccell.Queued, p.now())
+	p.tell.job(j)
+	return nil
+}
+
+// spread spreads returns over the second half of a time and as much beyond it, so that they don't come together.
+func spread(afterMs int64) int64 {
+	return afterMs/2 + rand.Int64N(afterMs+1)
+}
+
+// Status returns the state of a job. It fails with ErrNoJob or ErrNotKnown.
+func (p *Process) Status(ctx context.Context, id string) (cccell.State, error) {
+	s, known := p.board.state(id)
+	_, at := p.board.waiting("")
+	if known && (s.Final() || p.leading() != nil || p.now()-at < staleAnswerMs || p.cfg.Store.Lost()) {
+		return s, nil
+	}
+	stored, err := p.readState(ctx, id)
+	if err != nil {
+		if known {
+			return s, nil
+		}
+		return "", err
+	}
+	p.board.learn(id, stored, p.now())
+	if known && !stored.Final() {
+		return s, nil
+	}
+	return stored, nil
+}
+
+// readState reads the state of a job from the store.
+func (p *Process) readState(ctx context.Context, id string) (cccell.State, error) {
+	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
+	if err == nil {
+		var pr cccell.Progress
+		if err := decode(item.Key, item.Value, &pr); err != nil {
+			return "", err
+		}
+		if pr.State.Final() {
+			return pr.State, nil
+		}
+		return cccell.Running, nil
+	}
+	if !errors.Is(err, ErrNoKey) {
+		return "", errors.Mark(err, ErrNotKnown)
+	}
+	if _, err = p.cfg.Store.Get(ctx, prefixJobs+id); err == nil {
+		return cccell.Queued, nil
+	}
+	if errors.Is(err, ErrNoKey) {
+		return "", ErrNoJob
+	}
+	return "", errors.Mark(err, ErrNotKnown)
+}
+
+// Cancel cancels a job: it returns nil once the store has the request, or the job has ended. It fails with ErrNoJob or
+// ErrNotKnown.
+func (p *Process) Cancel(ctx context.Context, id string) error {
+	s, known := p.board.state(id)
+	if known && s.Final() {
+		return nil
+	}
+	if !known {
+		stored, err := p.readState(ctx, id)
+		if err != nil {
+			return err
+		}
+		if stored.Final() {
+			p.board.learn(id, stored, p.now())
+			return nil
+		}
+	}
+	for {
+		_, err := p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + id, Value: []byte{}}}})
+		if err == nil {
+			break
+		}
+		// The same write again does no harm, whatever became of the first.
+		if p.cfg.Store.Lost() || !sleep(ctx, jitter(retryMs)) {
+			p.cfg.Log.Info("cancel not kept", "Job", id, "Error", err)
+			return errors.Mark(err, ErrNotKnown)
+		}
+	}
+	p.tell.cancel(id)
+	p.cfg.Log.Info("cancel accepted", "Job", id)
+	return nil
+}
+
+// Pending returns the number of accepted jobs of a queue that have not begun. It fails with ErrNotKnown.
+func (p *Process) Pending(queue string) (int, error) {
+	n, at := p.board.waiting(queue)
+	if at == 0 || p.now()-at > figuresTrustMs {
+		return 0, ErrNotKnown
+	}
+	return n, nil
+}
--- /dev/null
+++ b/io/cccontrol/configs.go
@@ -0,0 +1,111 @@
+package cccontrol
+
+import (
+	"context"
+
+	"coriandercross/core/cccell"
+	"coriandercross/io/ccfellow"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// configWatchMs is how long a watch of the configuration waits. It bounds the time to notice a connection that went
+	// silent, within the few seconds in which a change has to be in force.
+	configWatchMs ms = 1000
+	// configRetryMs is the pause after a watch that failed.
+	configRetryMs ms = 200
+)
+
+// inForce is the configuration in force.
+type inForce struct {
+	config *cccell.Configuration
+	// raw is the document as the operators wrote it, for fellows that can't reach the store.
+	raw      []byte
+	revision int64
+}
+
+// watchConfig keeps the newest configuration in force.
+func (p *Process) watchConfig(ctx context.Context) {
+	var after int64
+	for ctx.Err() == nil {
+		var raw []byte
+		var rev int64
+		var err error
+		if after == 0 {
+			if raw, rev, err = p.cfg.Configs.Read(ctx); errors.Is(err, ErrNoKey) {
+				sleep(ctx, configRetryMs)
+				continue
+			}
+		} else {
+			raw, rev, err = p.cfg.Configs.Watch(ctx, after, configWatchMs)
+		}
+		if errors.Is(err, ErrCompacted) {
+			after = 0
+			continue
+		}
+		if err != nil {
+			p.askFellows(ctx)
+			sleep(ctx, jitter(configRetryMs))
+			continue
+		}
+		after = max(after, rev)
+		if raw != nil {
+			p.enforce(raw, rev, "store")
+		}
+	}
+}
+
+// askFellows fetches the configuration from another process while the store can't be reached.
+func (p *Process) askFellows(ctx context.Context) {
+	for i, address := range p.others() {
+		if i == 2 || p.fetchConfig(ctx, address) {
+			return
+		}
+	}
+}
+
+// fetchConfig fetches the configuration of another process. It returns false when that did not answer.
+func (p *Process) fetchConfig(ctx context.Context, address string) bool {
+	in := &ccfellow.DocumentRequest{}
+	if c := p.config.Load(); c != nil {
+		in.Above = c.config.Version
+	}
+	out, err := p.cfg.Fellows.Document(ctx, address, in)
+	if err != nil {
+		return false
+	}
+	if len(out.Raw) > 0 {
+		p.enforce(out.Raw, out.Revision, "fellow")
+	}
+	return true
+}
+
+// enforce puts a configuration in force, unless it is older than the present one or malformed.
+func (p *Process) enforce(raw []byte, revision int64, source string) {
+	c, err := p.cfg.Configs.Decode(raw)
+	if err != nil {
+		p.cfg.Log.Error("configuration not read", "Revision", revision, "Source", source, "Error", err)
+		return
+	}
+	next := &inForce{config: c, raw: raw, revision: revision}
+	for {
+		old := p.config.Load()
+		if old != nil && old.config.Version >= c.Version {
+			return
+		}
+		if p.config.CompareAndSwap(old, next) {
+			p.cfg.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Revision", revision, "Source", source)
+			return
+		}
+	}
+}
+
+// Document implements ccfellow.CellHandler: it hands on the configuration in force.
+func (p *Process) Document(_ context.Context, in *ccfellow.DocumentRequest) (*ccfellow.DocumentReply, error) {
+	c := p.config.Load()
+	if c == nil || c.config.Version <= in.Above {
+		return &ccfellow.DocumentReply{}, nil
+	}
+	return &ccfellow.DocumentReply{Raw: c.raw, Revision: c.revision}, nil
+}
--- /dev/null
+++ b/io/cccontrol/follow.go
@@ -0,0 +1,195 @@
+package cccontrol
+
+import (
+	"context"
+	"time"
+
+	"coriandercross/core/cccell"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// syncWaitMs is how long a leader lets a fellow wait when nothing changes; it is also the leader's heartbeat.
+	syncWaitMs ms = 250
+	// syncTimeoutMs is the time without an answer after which the leader counts as lost: a wait, and twice a slow round trip.
+	syncTimeoutMs ms = 800
+	// syncGapMs is the least time between two answers to a fellow, so that changes travel together.
+	syncGapMs ms = 30
+	// rankDelayMs is the time that each process leaves to those that rank before it.
+	rankDelayMs ms = 120
+	// leaderStoreMs is the age of the leader's last call to the store after which a fellow that reaches the store takes over.
+	leaderStoreMs = 1500
+	// hearsayMs is how recently another process must have heard a leader to speak against its replacement.
+	hearsayMs = 500
+	// hearsayMax is the number of failed rounds after which hearsay counts no more.
+	hearsayMax = 4
+	// retryMs is the pause after a round that led to nothing.
+	retryMs ms = 100
+)
+
+// follow keeps to the leader, and takes over when there is none.
+func (p *Process) follow(ctx context.Context) {
+	misses := 0
+	for ctx.Err() == nil {
+		if l := p.leading(); l != nil {
+			select {
+			case <-ctx.Done():
+			case <-l.ended:
+			}
+			misses = 0
+			continue
+		}
+		leader, _ := p.leaderView()
+		if leader.Token == 0 {
+			p.campaign(ctx, leader, "no leader is known", misses)
+			sleep(ctx, retryMs)
+			continue
+		}
+		why := p.syncOnce(ctx, leader)
+		if why == "" {
+			misses = 0
+			continue
+		}
+		if misses++; misses == 1 && why == "lost" {
+			continue // The connection may have been reset: a fresh one tells.
+		}
+		if !p.campaign(ctx, leader, why, misses) {
+			sleep(ctx, retryMs)
+		}
+	}
+}
+
+// syncOnce copies what changed from the leader. It returns why the leader should be replaced, "" when it should not.
+func (p *Process) syncOnce(ctx context.Context, leader leaderRecord) string {
+	if leader.VM == p.cfg.VM {
+		return "this process led before its restart"
+	}
+	token, seq := p.board.position()
+	in := &ccfellow.SyncRequest{VM: p.cfg.VM, Token: token, Seq: seq, Draining: p.draining.Load()}
+	if c := p.config.Load(); c != nil {
+		in.Version = c.config.Version
+	}
+	callCtx, cancel := context.WithTimeout(ctx, syncTimeoutMs.Duration())
+	defer cancel()
+	out, err := p.cfg.Fellows.Sync(callCtx, leader.Address, in)
+	now := p.now()
+	if err != nil {
+		if errors.Is(err, ccfellow.ErrUnreachable) {
+			return "unreachable"
+		}
+		return "lost"
+	}
+	if !out.Leading || out.Token < leader.Token {
+		return "leads no more"
+	}
+	p.mu.Lock()
+	p.heardAt = now
+	p.mu.Unlock()
+	p.board.follow(out.Token, out.Seq, out.Changes, now)
+	p.board.figures(out.Pending, out.Doors, now)
+	for _, ask := range out.Asks {
+		go p.askFor(ctx, ask)
+	}
+	if c := p.config.Load(); out.Version > 0 && (c == nil || c.config.Version < out.Version) {
+		go p.fetchConfig(ctx, leader.Address)
+	}
+	switch {
+	case out.Resign && !p.draining.Load():
+		return "resigns"
+	case out.StoreAgeMs > leaderStoreMs && !p.cfg.Store.Lost():
+		return "does not reach the store"
+	}
+	return ""
+}
+
+// askFor calls the policy service on the leader's behalf.
+func (p *Process) askFor(ctx context.Context, ask cccell.AskOrder) {
+	p.tell.answer(p.askPolicy(ctx, ask))
+}
+
+// askPolicy calls the policy service.
+func (p *Process) askPolicy(ctx context.Context, ask cccell.AskOrder) cccell.Answer {
+	tickets, validMs, err := p.cfg.Adviser.Ask(ctx, ask.Stage, ask.Workers)
+	if err != nil {
+		p.cfg.Log.Warn("policy service did not answer", "Job", ask.Stage.Job, "Stage", ask.Stage.Stage, "Workers", len(ask.Workers), "Error", err)
+		return cccell.Answer{Stage: ask.Stage, Failed: true}
+	}
+	return cccell.Answer{Stage: ask.Stage, Workers: ask.Workers, Tickets: tickets, ValidMs: validMs}
+}
+
+// campaign tries to take over from a leader that was lost. It returns true when there is another one.
+func (p *Process) campaign(ctx context.Context, lost leaderRecord, why string, misses int) bool {
+	if p.draining.Load() {
+		sleep(ctx, retryMs)
+		return false
+	}
+	if !sleep(ctx, ms(p.rank(lost))*rankDelayMs) {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	item, err := p.cfg.Store.Get(callCtx, keyLeader)
+	if err != nil && !errors.Is(err, ErrNoKey) {
+		return false
+	}
+	if err == nil {
+		p.readLeader(&item, "campaign")
+		if now, _ := p.leaderView(); now.Token > lost.Token {
+			return true
+		}
+	}
+	if (why == "lost" || why == "unreachable") && misses < hearsayMax && p.heardElsewhere(callCtx, lost) {
+		p.cfg.Log.Info("leader is heard by others", "Leader", lost.VM, "Token", lost.Token, "Why", why, "Misses", misses)
+		return false
+	}
+	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(lost.Token, 0) + 1}
+	rev, err := p.cfg.Store.Write(callCtx, &Txn{If: []Condition{{keyLeader, item.Revision}}, Puts: []Put{{Key: keyLeader, Value: encode(r)}}})
+	if errors.Is(err, ccstore.ErrInDoubt) {
+		// The record tells whether the write was carried out; if it comes later, the poll will.
+		if again, err := p.cfg.Store.Get(ctx, keyLeader); err == nil {
+			p.readLeader(&again, "campaign")
+			if seen, _ := p.leaderView(); seen.VM == p.cfg.VM && seen.StartMs == p.cfg.StartMs && seen.Token == r.Token {
+				p.takeLead(ctx, seen, why, misses)
+				return true
+			}
+		}
+		return false
+	}
+	if err != nil {
+		return false
+	}
+	r.revision = rev
+	p.believe(r, "campaign")
+	p.takeLead(ctx, r, why, misses)
+	return true
+}
+
+// heardElsewhere asks two others whether they hear the leader.
+func (p *Process) heardElsewhere(ctx context.Context, leader leaderRecord) bool {
+	asked := 0
+	for _, address := range p.others() {
+		if address == leader.Address || asked == 2 {
+			continue
+		}
+		asked++
+		callCtx, cancel := context.WithTimeout(ctx, hearsayMs*time.Millisecond/2)
+		out, err := p.cfg.Fellows.Heard(callCtx, address, &ccfellow.HeardRequest{Token: leader.Token})
+		cancel()
+		if err == nil && out.AgoMs >= 0 && out.AgoMs < hearsayMs {
+			return true
+		}
+	}
+	return false
+}
+
+// Heard implements ccfellow.CellHandler.
+func (p *Process) Heard(_ context.Context, in *ccfellow.HeardRequest) (*ccfellow.HeardReply, error) {
+	leader, at := p.leaderView()
+	if leader.Token != in.Token || at == 0 {
+		return &ccfellow.HeardReply{AgoMs: -1}, nil
+	}
+	return &ccfellow.HeardReply{AgoMs: int64(p.now() - at)}, nil
+}
--- /dev/null
+++ b/io/cccontrol/layout.go
@@ -0,0 +1,88 @@
+package cccontrol
+
+import (
+	"strings"
+
+	"coriandercross/core/cccell"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Keys of the store. One key a job keeps writes of different jobs apart; what several watch stands under one prefix.
+const (
+	// prefixShared holds members and the record of the leader; every process polls it.
+	prefixShared  = "cc/m/"
+	prefixMembers = prefixShared + "vm/"
+	keyLeader     = prefixShared + "leader"
+	// keyRoster holds the workers that the leader uses, for the next one.
+	keyRoster = "cc/roster"
+	// prefixIn holds accepted jobs and requests to cancel; the leader watches it.
+	prefixIn     = "cc/in/"
+	prefixJobs   = prefixIn + "j/"
+	prefixCancel = prefixIn + "x/"
+	// prefixProgress holds progress and final states.
+	prefixProgress = "cc/p/"
+)
+
+// ErrBadRecord reports a record of ours that can't be decoded.
+var ErrBadRecord = errors.New("record in the store is malformed")
+
+// member is what a process says of itself in the store.
+type member struct {
+	VM      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Region  string `cbor:"3,keyasint"`
+	// Share is the processor that the process has, in cores.
+	Share float64 `cbor:"4,keyasint"`
+	// StartMs tells one start of the process from the next: Unix milliseconds.
+	StartMs int64 `cbor:"5,keyasint"`
+}
+
+// leaderRecord names the leader.
+type leaderRecord struct {
+	VM      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	StartMs int64  `cbor:"3,keyasint"`
+	// Token rises with each leader; workers refuse a lower one.
+	Token int64 `cbor:"4,keyasint"`
+
+	revision int64
+}
+
+// rosterRecord lists workers.
+type rosterRecord struct {
+	Workers []cccell.WorkerInfo `cbor:"1,keyasint"`
+}
+
+// encode encodes a record. Our records always can be.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encoding a %T", v))
+	}
+	return data
+}
+
+// checker is a record that checks itself.
+type checker interface {
+	Check() error
+}
+
+// decode decodes a record and checks it. It fails with ErrBadRecord.
+func decode(key string, data []byte, v any) error {
+	if err := cbor.Unmarshal(data, v); err != nil {
+		return errors.Mark(errors.Wrapf(err, "key %s", key), ErrBadRecord)
+	}
+	if c, ok := v.(checker); ok {
+		if err := c.Check(); err != nil {
+			return errors.Mark(errors.Wrapf(err, "key %s", key), ErrBadRecord)
+		}
+	}
+	return nil
+}
+
+// cut returns the rest of a key after a prefix.
+func cut(key, prefix string) (string, bool) {
+	return strings.CutPrefix(key, prefix)
+}
--- /dev/null
+++ b/io/cccontrol/members.go
@@ -0,0 +1,166 @@
+package cccontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// memberPollMs is the time between two reads of the members: a stale read costs a tenth.
+	memberPollMs ms = 1000
+	// memberLeaseMs is how long a process that is gone stays listed.
+	memberLeaseMs ms = 6000
+	// memberKeepMs is the time between renewals of the own entry, a third of its lease.
+	memberKeepMs ms = 2000
+	// pollSpread spreads the polls of the processes, as a share.
+	pollSpread = 0.2
+)
+
+// keepMember keeps the own entry in the store and reads those of the others.
+func (p *Process) keepMember(ctx context.Context) {
+	var lease int64
+	var keptAt ms
+	for {
+		now := p.now()
+		if lease == 0 || now-keptAt >= memberKeepMs {
+			lease = p.keepEntry(ctx, lease)
+			if lease != 0 {
+				keptAt = now
+			}
+		}
+		if !p.pollShared(ctx) {
+			// The store lists others but not this process: its entry was taken away.
+			lease = 0
+		}
+		if !sleep(ctx, jitter(memberPollMs)) {
+			return
+		}
+	}
+}
+
+// jitter spreads a time by pollSpread either way.
+func jitter(d ms) ms {
+	return ms(float64(d) * (1 + pollSpread*(2*rand.Float64()-1)))
+}
+
+// keepEntry renews the own entry, or writes it anew, and returns its store lease, 0 when that failed.
+func (p *Process) keepEntry(ctx context.Context, lease int64) int64 {
+	if lease != 0 {
+		err := p.cfg.Store.Keep(ctx, lease)
+		if err == nil || !errors.Is(err, ErrNoLease) {
+			return lease
+		}
+	}
+	lease, err := p.cfg.Store.Lease(ctx, memberLeaseMs)
+	if err == nil {
+		m := member{VM: p.cfg.VM, Address: p.cfg.Address, Region: p.cfg.Region, Share: p.cfg.Share, StartMs: p.cfg.StartMs}
+		_, err = p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixMembers + p.cfg.VM, Value: encode(m), Lease: lease}}})
+	}
+	if err != nil {
+		p.cfg.Log.Debug("own entry not written", "Error", err)
+		return 0
+	}
+	return lease
+}
+
+// pollShared reads the members and the leader. It returns false when the store lists members without this process.
+func (p *Process) pollShared(ctx context.Context) bool {
+	items, _, err := p.cfg.Store.Range(ctx, prefixShared, true)
+	if err != nil {
+		return true
+	}
+	members := map[string]member{}
+	for i := range items {
+		name, ok := cut(items[i].Key, prefixMembers)
+		if !ok {
+			p.readLeader(&items[i], "poll")
+			continue
+		}
+		var m member
+		if err := decode(items[i].Key, items[i].Value, &m); err != nil {
+			p.cfg.Log.Warn("member not read", "Key", items[i].Key, "Error", err)
+			continue
+		}
+		members[name] = m
+	}
+	p.mu.Lock()
+	p.members = members
+	p.mu.Unlock()
+	_, listed := members[p.cfg.VM]
+	return listed || len(members) == 0
+}
+
+// readLeader takes in the record of the leader.
+func (p *Process) readLeader(item *Item, source string) {
+	if item.Key != keyLeader {
+		return
+	}
+	var r leaderRecord
+	if err := decode(item.Key, item.Value, &r); err != nil {
+		p.cfg.Log.Warn("record of the leader not read", "Error", err)
+		return
+	}
+	r.revision = item.Revision
+	p.believe(r, source)
+}
+
+// rank returns the place of this process among those that may lead next: the leader's region first, since the store and
+// most workers stand there, then by processor share. The leader that was lost does not count.
+func (p *Process) rank(lost leaderRecord) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []member
+	for _, m := range p.members {
+		if m.VM == lost.VM && m.StartMs == lost.StartMs {
+			continue
+		}
+		list = append(list, m)
+	}
+	home := lost.Region(p.members)
+	sort.Slice(list, func(a, b int) bool {
+		x, y := &list[a], &list[b]
+		if (x.Region == home) != (y.Region == home) {
+			return x.Region == home
+		}
+		if x.Share != y.Share {
+			return x.Share > y.Share
+		}
+		return x.VM < y.VM
+	})
+	for i := range list {
+		if list[i].VM == p.cfg.VM {
+			return i
+		}
+	}
+	return len(list)
+}
+
+// Region returns the region of the leader, "" when it is not listed.
+func (r *leaderRecord) Region(members map[string]member) string {
+	return members[r.VM].Region
+}
+
+// others returns the addresses of the other processes; the seeds while none are listed.
+func (p *Process) others() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, m := range p.members {
+		if m.VM != p.cfg.VM {
+			out = append(out, m.Address)
+		}
+	}
+	if len(out) == 0 {
+		for _, s := range p.cfg.Seeds {
+			if s != p.cfg.Address {
+				out = append(out, s)
+			}
+		}
+	}
+	sort.Strings(out)
+	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+	return out
+}
--- /dev/null
+++ b/io/cccontrol/notes.go
@@ -0,0 +1,110 @@
+package cccontrol
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"coriandercross/core/cccell"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// noteGapMs is the least time between two writes of progress while few jobs wait for one: calls are priced.
+	noteGapMs ms = 40
+	// noteRows is the number of rows of one write, of the 32 that the store takes; one is the leader's own condition.
+	noteRows = 31
+	// noteFull is the number of waiting notes that are written without a pause.
+	noteFull = 10
+	// noteTimeout bounds one write.
+	noteTimeout = 1500 * time.Millisecond
+)
+
+// note writes progress to the store, one write at a time.
+func (l *leadership) note(now ms) {
+	waiting := l.cell.Waiting()
+	if l.noting || waiting == 0 || (now-l.notedAt < noteGapMs && waiting < noteFull) {
+		return
+	}
+	notes := l.cell.Notes(noteRows, unixNow())
+	if len(notes) == 0 {
+		return
+	}
+	l.noting, l.notedAt = true, now
+	go l.writeNotes(notes)
+}
+
+// writeNotes repeats one write until its outcome is known. A repeat does no harm: what is written stays the same, and a
+// write that comes late finds its conditions broken.
+func (l *leadership) writeNotes(notes []cccell.Note) {
+	t := &Txn{If: []Condition{{keyLeader, l.record.revision}}}
+	for i := range notes {
+		n := &notes[i]
+		key := prefixProgress + n.Job
+		t.If = append(t.If, Condition{key, n.Revision})
+		t.Puts = append(t.Puts, Put{Key: key, Value: encode(n.Progress)})
+		if n.Progress.State.Final() {
+			t.Remove = append(t.Remove, prefixJobs+n.Job)
+			if n.CancelAsked {
+				t.Remove = append(t.Remove, prefixCancel+n.Job)
+			}
+		}
+	}
+	began := l.p.now()
+	for l.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(l.ctx, noteTimeout)
+		rev, err := l.p.cfg.Store.Write(ctx, t)
+		cancel()
+		var conflict *Conflict
+		switch {
+		case err == nil:
+			l.p.cfg.Metrics.noteMs.Observe(float64(l.p.now() - began))
+			l.post(func(now ms) { l.noted(notes, rev, now) })
+			return
+		case errors.As(err, &conflict):
+			l.post(func(now ms) { l.conflict(notes, t, conflict, now) })
+			return
+		case !errors.Is(err, ccstore.ErrInDoubt) && !errors.Is(err, ccstore.ErrUnavailable):
+			l.p.cfg.Log.Error("progress not written", "Notes", len(notes), "Error", err)
+		}
+		sleep(l.ctx, jitter(retryMs))
+	}
+}
+
+// noted takes in that the store has the notes.
+func (l *leadership) noted(notes []cccell.Note, rev int64, now ms) {
+	l.noting = false
+	l.cell.Noted(notes, rev, now)
+}
+
+// conflict takes in that a write's conditions did not hold: another process leads, or an earlier try was carried out.
+func (l *leadership) conflict(notes []cccell.Note, t *Txn, c *Conflict, now ms) {
+	l.noting = false
+	found := map[string]Item{}
+	for _, item := range c.Found {
+		found[item.Key] = item
+	}
+	if found[keyLeader].Revision != l.record.revision {
+		item := found[keyLeader]
+		l.p.readLeader(&item, "conflict")
+		l.end("the record names another leader")
+		return
+	}
+	var missing []cccell.Note
+	revisions := map[string]int64{}
+	for i := range notes {
+		item := found[t.Puts[i].Key]
+		if bytes.Equal(item.Value, t.Puts[i].Value) {
+			l.cell.Noted(notes[i:i+1], item.Revision, now)
+			continue
+		}
+		missing = append(missing, notes[i])
+		revisions[notes[i].Job] = item.Revision
+	}
+	if len(missing) > 0 {
+		l.p.cfg.Log.Warn("progress in the store is another than known", "Jobs", len(missing), "First", missing[0].Job)
+		l.cell.NotNoted(missing, revisions)
+	}
+}
--- /dev/null
+++ b/io/cccontrol/tell.go
@@ -0,0 +1,60 @@
+package cccontrol
+
+import (
+	"context"
+	"time"
+
+	"coriandercross/io/ccfellow"
+)
+
+const (
+	// tellTimeout bounds one call to the leader.
+	tellTimeout = 600 * time.Millisecond
+	// tellTries bounds the tries: later the store tells the leader.
+	tellTries = 4
+)
+
+// run tells the leader what waits, one call at a time: what comes meanwhile travels together.
+func (t *teller) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		}
+		t.mu.Lock()
+		out := t.out
+		t.out = ccTell{}
+		t.mu.Unlock()
+		if len(out.jobs)+len(out.cancels)+len(out.answers) == 0 {
+			continue
+		}
+		in := &ccfellow.TellRequest{VM: t.p.cfg.VM, Jobs: out.jobs, Cancels: out.cancels, Answers: out.answers}
+		if !t.deliver(ctx, in) {
+			t.p.cfg.Log.Warn("leader not told", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Answers", len(in.Answers))
+		}
+	}
+}
+
+// deliver tells the leader, wherever it is.
+func (t *teller) deliver(ctx context.Context, in *ccfellow.TellRequest) bool {
+	for try := 0; try < tellTries; try++ {
+		if l := t.p.leading(); l != nil {
+			l.told(in)
+			return true
+		}
+		leader, _ := t.p.leaderView()
+		if leader.Token > 0 && leader.VM != t.p.cfg.VM {
+			callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
+			out, err := t.p.cfg.Fellows.Tell(callCtx, leader.Address, in)
+			cancel()
+			if err == nil && out.Leading {
+				return true
+			}
+		}
+		if !sleep(ctx, retryMs) {
+			return false
+		}
+	}
+	return false
+}
