A new leader counts failures by attempt, not by the highest one

Ruled out: a lost write of progress; the first leader had written none of the ends. Change: the progress keeps the attempts that failed, at most as many as are permitted. Test: TestFailuresReadInAnyOrder, which fails with the old rule.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -210,7 +210,7 @@
 		spec := &j.spec.Stages[i]
 		o.stages = append(o.stages, &stage{
 			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
-			tasks: make([][]*attempt, spec.Count), failures: map[int]failure{}, saved: map[int]string{}, avoid: map[string]int{},
+			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, saved: map[int]string{}, avoid: map[string]int{},
 			perWorker: map[*worker]int{}, tickets: newTickets(),
 		})
 	}
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "slices"
+
 // listedEnd takes in an end that a worker lists, and notes what the store must have before the
 // worker may forget it.
 func (c *Cell) listedEnd(w *worker, e *EndedTask, now ms) {
@@ -97,15 +99,20 @@
 	if s.spec.Gang {
 		i = 0
 	}
-	f := s.failures[i]
-	if a.number <= f.attempt {
-		return // Counted already, by this leader or an earlier one.
+	if slices.Contains(s.failures[i], a.number) {
+		return // Counted already, by this leader or an earlier one, or for another member of the gang.
 	}
-	f.count++
-	f.attempt = a.number
-	s.failures[i] = f
+	s.failures[i] = append(s.failures[i], a.number)
 	c.touch(s.job)
-	if f.count >= max(c.queue(s.job).MaxAttempts, 1) && !s.done.has(a.task.Index) {
+	c.exhaust(s, a.task.Index, now)
+}
+
+// exhaust fails a job when a task of it has no attempts left.
+func (c *Cell) exhaust(s *stage, index int, now ms) {
+	if s.spec.Gang {
+		index = 0
+	}
+	if len(s.failures[index]) >= max(c.queue(s.job).MaxAttempts, 1) && !s.done.has(index) && !s.spec.Lasting {
 		c.finish(s.job, Failed, now)
 	}
 }
--- a/core/cccell/model.go
+++ b/core/cccell/model.go
@@ -34,12 +34,6 @@
 	done   bool
 }
 
-// failure counts the failed attempts of a task.
-type failure struct {
-	count   int
-	attempt int64
-}
-
 // stage is a stage of one run.
 type stage struct {
 	id   StageID
@@ -49,8 +43,9 @@
 	need ccwork.Size
 	done bitset
 	// tasks holds the live attempts of each task.
-	tasks    [][]*attempt
-	failures map[int]failure
+	tasks [][]*attempt
+	// failures holds the failed attempts of each task; those of a gang stand under task 0.
+	failures map[int][]int64
 	// saved holds the newest checkpoint of each task; a gang's stands under task 0.
 	saved map[int]string
 	// avoid holds the workers on which a task of the stage failed.
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -35,12 +35,11 @@
 	Failures []Failure `cbor:"2,keyasint,omitempty"`
 }
 
-// Failure counts the failed runs of a task. Attempt is the highest one counted, so that an end that
-// a worker lists twice is counted once.
+// Failure holds the attempts of a task that failed. They are kept by number, since a new leader reads the ends from
+// several workers, in any order, and some of them were counted before.
 type Failure struct {
-	Index   int   `cbor:"1,keyasint"`
-	Count   int   `cbor:"2,keyasint"`
-	Attempt int64 `cbor:"3,keyasint"`
+	Index    int     `cbor:"1,keyasint"`
+	Attempts []int64 `cbor:"2,keyasint"`
 }
 
 // Check returns ErrBadProgress for a state that does not exist.
@@ -113,7 +112,7 @@
 		sp.Done = append([]uint64(nil), s.done...)
 	}
 	for i, f := range s.failures {
-		sp.Failures = append(sp.Failures, Failure{Index: i, Count: f.count, Attempt: f.attempt})
+		sp.Failures = append(sp.Failures, Failure{Index: i, Attempts: f})
 	}
 	sort.Slice(sp.Failures, func(a, b int) bool { return sp.Failures[a].Index < sp.Failures[b].Index })
 	return sp, len(sp.Done)+len(sp.Failures) > 0
@@ -128,7 +127,7 @@
 	}
 	for _, f := range sp.Failures {
 		if f.Index >= 0 && f.Index < s.spec.Count {
-			s.failures[f.Index] = failure{count: f.Count, attempt: f.Attempt}
+			s.failures[f.Index] = f.Attempts
 		}
 	}
 }
--- /dev/null
+++ b/core/cccell/takeover_test.go
@@ -0,0 +1,102 @@
+package cccell
+
+import (
+	"testing"
+
+	"coriandercross/core/ccwork"
+
+	"gotest.tools/v3/assert"
+)
+
+// testQueue is a queue without a policy service.
+func testQueue() Queue {
+	return Queue{Name: "q", Service: "s", MaxAttempts: 3, TargetMs: 500, Stretch: 1.5}
+}
+
+// testJob returns a job of one stage.
+func testJob(id string, count int) *Job {
+	return &Job{ID: id, Queue: testQueue(), Spec: "spec", Stages: []Stage{{Count: count, Size: ccwork.Size{MilliCores: 1000, MemoryMB: 100}, EstimateMs: 500}}}
+}
+
+// testWorker returns a worker with room for 16 tasks of testJob.
+func testWorker(id string) WorkerInfo {
+	return WorkerInfo{
+		ID: id, Address: id + ":1", Service: "s", Labels: []string{"a", "r1-" + id}, BornMs: 1000,
+		Capacity: ccwork.Size{MilliCores: 16000, MemoryMB: 16000},
+	}
+}
+
+// testCell returns a cell of a leader with a token.
+func testCell(token int64, now ms) *Cell {
+	return New(Config{Token: token, LeaseMs: 4000, MaxLeaseMs: 6000, RemoteFactor: 2}, now)
+}
+
+// carried is the answer of a worker in its first life.
+func carried(now ms) Reply {
+	return Reply{Outcome: Carried, ClockMs: int64(now), BornMs: 1000, Sent: now - 2, Received: now}
+}
+
+// lookAt answers every look that the cell wants now with the lists of the worker.
+func lookAt(t *testing.T, c *Cell, now ms, lists map[string]*Lists) Orders {
+	t.Helper()
+	c.Schedule(now, now, true)
+	out := c.Take()
+	for i := range out.Looks {
+		l := lists[out.Looks[i].WorkerID]
+		if l == nil {
+			l = &Lists{}
+		}
+		c.OnLook(&out.Looks[i], carried(now), l, now)
+	}
+	return out
+}
+
+// A new leader reads the ends of one task from several workers, in any order. Each failure counts once, whether or not
+// the store had it already: seen on the bench as a task that was started again after its last permitted failure.
+func TestFailuresReadInAnyOrder(t *testing.T) {
+	task := TaskID{Job: "j"}
+	ended := func(attempt int64) *Lists {
+		return &Lists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: attempt, End: EndFailed}}}
+	}
+	tests := map[string]struct {
+		stored *Progress
+		lists  []map[string]*Lists
+		want   State
+	}{
+		"LatestFirst": {
+			lists: []map[string]*Lists{{"w2": ended(9)}, {"w1": ended(5)}, {"w3": ended(12)}},
+			want:  Failed,
+		},
+		"OneStored": {
+			stored: &Progress{Runs: map[int]RunProgress{0: {Stages: map[int]StageProgress{0: {Failures: []Failure{{Attempts: []int64{9}}}}}}}},
+			lists:  []map[string]*Lists{{"w2": ended(9)}, {"w1": ended(5)}},
+			want:   "",
+		},
+		"OneStoredAndAllListed": {
+			stored: &Progress{Runs: map[int]RunProgress{0: {Stages: map[int]StageProgress{0: {Failures: []Failure{{Attempts: []int64{9}}}}}}}},
+			lists:  []map[string]*Lists{{"w2": ended(9)}, {"w1": ended(5)}, {"w3": ended(12)}},
+			want:   Failed,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			for _, id := range []string{"w1", "w2", "w3"} {
+				c.SetWorker(testWorker(id), 1000)
+			}
+			c.Adopt(Stored{Job: testJob("j", 1), Progress: test.stored}, 1000, 1000)
+			c.Schedule(1000, 1000, true)
+			looks := map[string]*LookOrder{}
+			out := c.Take()
+			for i := range out.Looks {
+				looks[out.Looks[i].WorkerID] = &out.Looks[i]
+			}
+			for i, lists := range test.lists {
+				for id, l := range lists {
+					c.OnLook(looks[id], carried(ms(1020+i)), l, ms(1020+i))
+				}
+			}
+			assert.Equal(t, c.jobs["j"].final, test.want)
+		})
+	}
+}
