--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -44,8 +44,9 @@
 const (
 	// storeBackMs is the time after which callers may return while the store is lost: outages last for seconds.
 	storeBackMs = 1500
-	// answerMarginMs is kept of a caller's time for the way back.
-	answerMarginMs ms = 150
+	// doubtShare is the share of a caller's time after which a write in doubt is answered as such: more tries seldom help, and the
+	// caller can do something else with the rest.
+	doubtShare = 0.3
 	// doorTrustMs is the age of the leader's figures up to which a closed door refuses work.
 	doorTrustMs ms = 1000
 	// figuresTrustMs is the age of the leader's figures up to which the number of waiting jobs is told.
@@ -78,7 +79,7 @@
 // ccstore.ErrInDoubt when that is not known.
 func (p *Process) Submit(ctx context.Context, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
-	err := p.submit(ctx, j, began+budgetMs)
+	err := p.submit(ctx, j, began+ms(float64(budgetMs)*doubtShare))
 	outcome := "accepted"
 	var refusal *Refusal
 	switch {
@@ -103,11 +104,11 @@
 	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
 		return &Refusal{Reason: ccwork.ErrOverload, AfterMs: spread(door.ClosedMs)}
 	}
-	if p.cfg.Store.Lost() {
+	if p.storeLost() {
 		return &Refusal{Reason: ccwork.ErrStore, AfterMs: spread(storeBackMs)}
 	}
 	j.AcceptedMs = int64(unixNow())
-	if err := p.intake.keep(ctx, j, until-answerMarginMs); err != nil {
+	if err := p.intake.keep(ctx, j, until); err != nil {
 		if errors.Is(err, ccstore.ErrInDoubt) {
 			return err
 		}
@@ -118,6 +119,16 @@
 	return nil
 }
 
+// storeLost reports whether the store can't be reached, as far as this process or the leader knows.
+func (p *Process) storeLost() bool {
+	if p.cfg.Store.Lost() {
+		return true
+	}
+	// The leader writes all the time and notices first; this process may not have called since.
+	age := ms(p.leaderStoreMs.Load())
+	return age > storeLostMs && ms(p.cfg.Store.AgeMs()) > age-syncWaitMs
+}
+
 // spread spreads returns over the second half of a time and as much beyond it, so that they don't come together.
 func spread(afterMs int64) int64 {
 	return afterMs/2 + rand.Int64N(afterMs+1)
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -42,6 +42,9 @@
 			misses = 0
 			continue
 		}
+		if misses > 0 {
+			p.leaderStoreMs.Store(0)
+		}
 		leader, _ := p.leaderView()
 		if leader.Token == 0 {
 			p.campaign(ctx, leader, "no leader is known", misses)
@@ -88,6 +91,7 @@
 	p.mu.Lock()
 	p.heardAt = now
 	p.mu.Unlock()
+	p.leaderStoreMs.Store(out.StoreAgeMs)
 	p.board.follow(out.Token, out.Seq, out.Changes, now)
 	p.board.figures(out.Pending, out.Doors, now)
 	for _, ask := range out.Asks {
--- a/io/cccontrol/intake.go
+++ b/io/cccontrol/intake.go
@@ -14,8 +14,8 @@
 const (
 	// intakeBatch is the number of jobs in one write: three rows each, of the 32 that the store takes.
 	intakeBatch = 10
-	// writeTimeout bounds one write of a hand-in: far above the usual few ms, and below a caller's patience.
-	writeTimeout = 1200 * time.Millisecond
+	// writeTimeout bounds one write of a hand-in: twice the answer of a slow store, which takes 240 ms.
+	writeTimeout = 500 * time.Millisecond
 )
 
 // handIn is a job that waits for its write.
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -11,6 +11,9 @@
 const (
 	// memberPollMs is the time between two reads of the members: a stale read costs a tenth.
 	memberPollMs ms = 1000
+	// probeMs is the pause between calls to a store that is lost, and the time that each may take: its return should be
+	// noticed before the callers that were refused come back.
+	probeMs ms = 300
 	// memberLeaseMs is how long a process that is gone stays listed.
 	memberLeaseMs ms = 6000
 	// memberKeepMs is the time between renewals of the own entry, a third of its lease.
@@ -25,7 +28,7 @@
 	var keptAt ms
 	for {
 		now := p.now()
-		if lease == 0 || now-keptAt >= memberKeepMs {
+		if !p.cfg.Store.Lost() && (lease == 0 || now-keptAt >= memberKeepMs) {
 			lease = p.keepEntry(ctx, lease)
 			if lease != 0 {
 				keptAt = now
@@ -35,7 +38,11 @@
 			// The store lists others but not this process: its entry was taken away.
 			lease = 0
 		}
-		if !sleep(ctx, jitter(memberPollMs)) {
+		pause := memberPollMs
+		if p.cfg.Store.Lost() {
+			pause = probeMs
+		}
+		if !sleep(ctx, jitter(pause)) {
 			return
 		}
 	}
@@ -68,6 +75,11 @@
 
 // pollShared reads the members and the leader. It returns false when the store lists members without this process.
 func (p *Process) pollShared(ctx context.Context) bool {
+	if p.cfg.Store.Lost() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeMs.Duration())
+		defer cancel()
+	}
 	items, _, err := p.cfg.Store.Range(ctx, prefixShared, true)
 	if err != nil {
 		return true
--- a/io/cccontrol/notes.go
+++ b/io/cccontrol/notes.go
@@ -18,8 +18,8 @@
 	noteRows = 31
 	// noteFull is the number of waiting notes that are written without a pause.
 	noteFull = 10
-	// noteTimeout bounds one write.
-	noteTimeout = 1500 * time.Millisecond
+	// noteTimeout bounds one write: twice the answer of a slow store, which takes 240 ms.
+	noteTimeout = 500 * time.Millisecond
 )
 
 // note writes progress to the store, one write at a time.
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -56,9 +56,11 @@
 	heardAt ms
 	lead    *leadership
 
-	config   atomic.Pointer[inForce]
-	draining atomic.Bool
-	done     sync.WaitGroup
+	config atomic.Pointer[inForce]
+	// leaderStoreMs is the age of the leader's last call to the store, as it last told.
+	leaderStoreMs atomic.Int64
+	draining      atomic.Bool
+	done          sync.WaitGroup
 }
 
 // New returns a process; Serve makes it work.
--- a/io/cccontrol/store.go
+++ b/io/cccontrol/store.go
@@ -23,7 +23,7 @@
 
 const (
 	// storeLostMs is the time without an answer after which the store counts as lost, with storeLostCalls calls that failed.
-	storeLostMs    = 700
+	storeLostMs    = 400
 	storeLostCalls = 2
 )
 
