Take-overs in half a second, new leaders announce themselves, stragglers are moved

Ruled out: lack of room; stages waited for tickets or for the take-over, not for room. Change: heartbeat 150 ms, silence 400 ms, hearsay 300 ms; a term that begins keeps its fellows waiting; the record is announced and recent hand-ins are told again; tasks are measured against their siblings, moved or copied once; a stage logs what it waited for.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -56,12 +56,12 @@
 
 // ask orders a call to the policy service for a stage whose tasks can't all be placed with the tickets at hand.
 // Load pattern: batch stages whose calls take half a second each, with only a third of the workers allowed, so that
-// neither too many workers may be named nor the same ones twice.
-func (c *Cell) ask(s *stage, missing int, now ms) {
+// neither too many workers may be named nor the same ones twice. It reports whether an answer is awaited.
+func (c *Cell) ask(s *stage, missing int, now ms) bool {
 	t := &s.tickets
 	adv := c.queue(s.job).Advice
-	if adv == nil || t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*adv.CallMs(len(c.workers))) {
-		return
+	if t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*adv.CallMs(len(c.workers))) {
+		return true
 	}
 	want := int(math.Ceil(float64(missing) * spareRoom))
 	type candidate struct {
@@ -82,7 +82,7 @@
 		if room == 0 && (allowed || len(t.allowed) > 0) {
 			continue // Renewing a ticket makes no room.
 		}
-		k := candidate{w: w, room: room, cost: c.cost(s, w)}
+		k := candidate{w: w, room: room, cost: c.cost(s, w, now)}
 		if allowed {
 			known = append(known, k)
 		} else {
@@ -127,11 +127,12 @@
 		}
 	}
 	if len(names) == 0 {
-		return
+		return false
 	}
 	t.asking, t.askedAt = true, now
 	c.stats.Asks++
 	c.out.Asks = append(c.out.Asks, AskOrder{Stage: s.id, Workers: names, CallMs: adv.CallMs(len(names)), Priority: c.queue(s.job).Priority})
+	return true
 }
 
 // maxNamed is the largest number of workers that one call may name.
--- a/core/cccell/calls.go
+++ b/core/cccell/calls.go
@@ -251,7 +251,7 @@
 
 // adoptAttempt takes over an attempt that an earlier leader ordered. One that nobody needs is stopped.
 func (c *Cell) adoptAttempt(w *worker, t *RunningTask, now ms) *attempt {
-	a := &attempt{task: t.Task, number: t.Attempt, worker: w, state: running, sentAt: now, movedAt: now, surelySince: now}
+	a := &attempt{task: t.Task, number: t.Attempt, worker: w, state: running, sentAt: now, movedAt: now, surelySince: now, adopted: true}
 	s := c.stageOf(t.Task)
 	if s == nil {
 		a.stopping = true
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -31,13 +31,14 @@
 	// scheduled holds the jobs with scheduled runs that have not all begun.
 	scheduled map[*job]struct{}
 	// dirty holds the jobs that the store has to be told of, in the order of the changes.
-	dirty    []*job
-	inDirty  map[*job]bool
-	out      Orders
-	attempts int64
-	began    ms
-	deposed  bool
-	kinds    kindTable
+	dirty       []*job
+	inDirty     map[*job]bool
+	out         Orders
+	attempts    int64
+	began       ms
+	deposed     bool
+	straggledAt ms
+	kinds       kindTable
 	// registryAt is when the list of workers was last confirmed by the store.
 	registryAt ms
 	stats      Stats
@@ -45,7 +46,7 @@
 
 // Stats counts decisions since the start of the leader.
 type Stats struct {
-	Starts, Stops, Looks, Asks, Preempted, Quarantined, Vanished, Lapsed, Failures int64
+	Starts, Stops, Looks, Asks, Preempted, Quarantined, Vanished, Lapsed, Failures, Moved int64
 }
 
 // attemptBits leaves room for the attempts of one leader below its token.
@@ -157,7 +158,7 @@
 		return
 	}
 	j := c.insert(spec, now)
-	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "Lasting", spec.Lasting())
+	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.ChainMs(), "Lasting", spec.Lasting())
 	c.change(j)
 	c.begin(j, now, nowUnix)
 }
@@ -210,7 +211,7 @@
 		spec := &j.spec.Stages[i]
 		o.stages = append(o.stages, &stage{
 			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
-			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, saved: map[int]string{}, avoid: map[string]int{},
+			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, saved: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
 			perWorker: map[*worker]int{}, tickets: newTickets(),
 		})
 	}
@@ -235,7 +236,7 @@
 			s.ready = s.ready && o.stages[after].finished()
 		}
 		if s.ready {
-			s.readyAt = now
+			s.readyAt, s.waits.lastAt = now, now
 			c.open[s] = struct{}{}
 		}
 	}
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -45,7 +45,7 @@
 	}
 	if j.final == "" && (how != EndStopped || !a.stopping) {
 		c.cfg.Log("task ended early", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "End", how,
-			"RanMs", now-a.sentAt, "Percent", a.percent, "Saved", s.saved[a.task.Index] != "")
+			"RanMs", a.ranMs(now), "Percent", a.percent, "Saved", s.saved[a.task.Index] != "")
 	}
 	if s.spec.Gang && (how == EndVanished || how == EndLapsed || how == EndStopped || how == EndFailed) {
 		// The others can't work on alone.
@@ -53,6 +53,14 @@
 	}
 }
 
+// ranMs returns how long an attempt ran, 0 when its start is not known.
+func (a *attempt) ranMs(now ms) ms {
+	if a.sentAt == 0 || a.adopted {
+		return 0
+	}
+	return now - a.sentAt
+}
+
 // done notes that a task has ended as it should.
 func (c *Cell) done(a *attempt, now ms) {
 	s := a.stage
@@ -64,8 +72,12 @@
 	if s.done.has(i) {
 		return
 	}
-	if a.sentAt > 0 && s.saved[i] == "" && !s.spec.Fills {
+	if a.sentAt > 0 && !a.adopted && s.saved[i] == "" && !s.spec.Fills {
 		c.kinds.add(a.worker.kind, int64(now-a.sentAt), s.spec.EstimateMs)
+		if usual, known := c.usual(s, now); known {
+			a.worker.lag.add(a.pastMs(now)/(usual*c.factor(s, a.worker)), now)
+		}
+		s.took = append(s.took, a.pastMs(now)/c.factor(s, a.worker))
 	}
 	s.done.add(i)
 	if s.spec.Gang {
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -22,6 +22,9 @@
 		o := LookOrder{WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Seen: w.seen, Token: c.cfg.Token, worker: w}
 		if w.looked && w.silentSince == 0 && len(w.ends) == 0 {
 			o.WaitMs = lookWaitMs
+			if w.lag.now(now) > lagFactor {
+				o.WaitMs = hurryWaitMs
+			}
 		}
 		if w.listed && w.looked {
 			o.UntilMs = w.nextUntil(now, c.cfg.LeaseMs)
--- a/core/cccell/model.go
+++ b/core/cccell/model.go
@@ -48,6 +48,10 @@
 	failures map[int][]int64
 	// saved holds the newest checkpoint of each task; a gang's stands under task 0.
 	saved map[int]string
+	// took holds how long tasks that are done took, on the scale of the fastest kind beside the data.
+	took []float64
+	// moves counts how often each task was moved for lagging.
+	moves map[int]int
 	// avoid holds the workers on which a task of the stage failed.
 	avoid map[string]int
 	// ready is true when the stages before it are done.
@@ -60,11 +64,52 @@
 	notBefore ms
 	// missing is the number of tasks that wait.
 	missing int
+	// waits says for how long, since the stage's turn came, tasks could not be started, and why.
+	waits waits
 }
 
-// waits reports whether task i has to be started.
-func (s *stage) waits(i int) bool {
-	return !s.done.has(i) && len(s.tasks[i]) == 0
+// waits adds up what a stage waited for, in milliseconds.
+type waits struct {
+	// lastAt is the end of the time that is added up, lastWhy what it was waited for then.
+	lastAt  ms
+	lastWhy string
+	by      map[string]ms
+	told    bool
+}
+
+// What a stage waits for.
+const (
+	// waitSettle: workers that an earlier leader used were not read yet.
+	waitSettle = "Settle"
+	// waitPause: a try failed a moment ago.
+	waitPause = "Pause"
+	// waitTicket: the policy service has to answer.
+	waitTicket = "Ticket"
+	// waitRoom: no worker that may run the tasks has room.
+	waitRoom = "Room"
+	// waitTurn: the leader was busy with something else.
+	waitTurn = "Turn"
+)
+
+// waited adds the time since the last call to what was waited for then.
+func (w *waits) waited(now ms, why string) {
+	if w.by == nil {
+		w.by = map[string]ms{}
+		w.lastWhy = waitTurn
+	}
+	w.by[w.lastWhy] += now - w.lastAt
+	w.lastAt, w.lastWhy = now, why
+}
+
+// idle reports whether task i has to be started: it is not done, and no attempt is live, or only one that lags and may be copied.
+func (s *stage) idle(i int) bool {
+	switch live := s.tasks[i]; {
+	case s.done.has(i) || len(live) > 1:
+		return false
+	case len(live) == 1:
+		return s.spec.Copies && live[0].moved && !live[0].stopping && s.moves[i] == 1
+	}
+	return true
 }
 
 // finished reports whether every task is done.
@@ -109,6 +154,10 @@
 	// tail is the rough figure of the last half second: tail in ms of a serving task, cores of any other.
 	tail int
 	pace int
+	// moved is true when the attempt was found to lag.
+	moved bool
+	// adopted is true when an earlier leader started the attempt, so that the time of its start is not known.
+	adopted bool
 }
 
 // attemptKey names an attempt on a worker.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -13,6 +13,7 @@
 		c.begin(j, now, nowUnix)
 	}
 	c.lapse(now)
+	c.straggle(now)
 	settled := c.settled(now)
 	if starting {
 		for _, s := range c.waiting(now, settled) {
@@ -27,11 +28,13 @@
 func (c *Cell) waiting(now ms, settled bool) []*stage {
 	var list []*stage
 	for s := range c.open {
-		if now < s.notBefore || (s.job.adopted && !settled) {
-			continue
-		}
-		s.missing = s.countMissing()
-		if s.missing > 0 {
+		switch s.missing = s.countMissing(); {
+		case s.missing == 0:
+		case s.job.adopted && !settled:
+			s.waits.waited(now, waitSettle)
+		case now < s.notBefore:
+			s.waits.waited(now, waitPause)
+		default:
 			list = append(list, s)
 		}
 	}
@@ -59,7 +62,7 @@
 func (s *stage) countMissing() int {
 	n := 0
 	for i := range s.tasks {
-		if s.waits(i) {
+		if s.idle(i) {
 			n++
 		}
 	}
@@ -114,11 +117,8 @@
 }
 
 // cost ranks workers for a stage by the time that a task would take there, against the best place.
-func (c *Cell) cost(s *stage, w *worker) float64 {
-	cost := c.kinds.slowness(w.kind)
-	if s.spec.DataRack != "" && s.spec.DataRack != w.rack {
-		cost *= c.cfg.RemoteFactor
-	}
+func (c *Cell) cost(s *stage, w *worker, now ms) float64 {
+	cost := c.factor(s, w) * w.lag.now(now)
 	if n := s.avoid[w.info.ID]; n > 0 {
 		cost *= 1 + float64(n)
 	}
@@ -144,27 +144,32 @@
 			rooms += n
 		}
 	}
-	if s.spec.Gang && rooms < s.spec.Count || rooms < s.missing {
-		if advised {
-			c.ask(s, s.missing, now)
+	if rooms < s.missing {
+		why := waitRoom
+		if advised && c.ask(s, s.missing, now) {
+			why = waitTicket
 		}
-		if s.spec.Gang && rooms < s.spec.Count {
+		s.waits.waited(now, why)
+		if s.spec.Gang || len(list) == 0 {
 			return
 		}
-	}
-	if len(list) == 0 {
-		return
+	} else {
+		s.waits.waited(now, "")
+		c.tellWaits(s, now)
 	}
 	number := int64(0)
 	if s.spec.Gang {
 		number = c.nextAttempt()
 	}
 	for i := 0; i < s.spec.Count && len(list) > 0; i++ {
-		if !s.waits(i) {
+		if !s.idle(i) {
 			continue
 		}
-		k := c.best(s, list)
+		k := c.best(s, list, now)
 		w := list[k]
+		if len(s.tasks[i]) > 0 && s.tasks[i][0].worker == w {
+			continue // A copy beside what lags would lag, too.
+		}
 		if number == 0 || !s.spec.Gang {
 			number = c.nextAttempt()
 		}
@@ -175,14 +180,29 @@
 	}
 }
 
+// tellWaits logs, once, what the stage waited for until all its tasks could be started.
+func (c *Cell) tellWaits(s *stage, now ms) {
+	if s.waits.told {
+		return
+	}
+	s.waits.told = true
+	kv := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrived, "WaitMs", now - s.readyAt}
+	for _, why := range []string{waitSettle, waitPause, waitTicket, waitRoom, waitTurn} {
+		if d := s.waits.by[why]; d > 0 {
+			kv = append(kv, why+"Ms", d)
+		}
+	}
+	c.cfg.Log("stage placed", kv...)
+}
+
 // best returns the place in the list of the worker that should get the next task: the soonest end first,
 // then the fullest, so that room for large tasks stays in one piece.
-func (c *Cell) best(s *stage, list []*worker) int {
+func (c *Cell) best(s *stage, list []*worker, now ms) int {
 	best, bestScore := 0, 0.0
 	for i, w := range list {
 		free := w.free()
 		left := leftShare(free.Minus(s.need), w.info.Capacity)
-		score := c.cost(s, w)*costWeight + left
+		score := c.cost(s, w, now)*costWeight + left
 		if s.spec.SameRack && s.perWorkerRack(w.rack) {
 			score -= costWeight
 		}
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -89,6 +89,7 @@
 	// freeAt is when every lease of an earlier leader must have lapsed, for a worker that was never reached.
 	freeAt ms
 	health health
+	lag    lag
 }
 
 // endDep says that an end may be forgotten when the store has a version of a job.
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -104,7 +104,7 @@
 	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
 		return &Refusal{Reason: ccwork.ErrOverload, AfterMs: spread(door.ClosedMs)}
 	}
-	if p.storeLost() {
+	if p.cfg.Store.Lost() {
 		return &Refusal{Reason: ccwork.ErrStore, AfterMs: spread(storeBackMs)}
 	}
 	j.AcceptedMs = int64(unixNow())
@@ -119,16 +119,6 @@
 	return nil
 }
 
-// storeLost reports whether the store can't be reached, as far as this process or the leader knows.
-func (p *Process) storeLost() bool {
-	if p.cfg.Store.Lost() {
-		return true
-	}
-	// The leader writes all the time and notices first; this process may not have called since.
-	age := ms(p.leaderStoreMs.Load())
-	return age > storeLostMs && ms(p.cfg.Store.AgeMs()) > age-syncWaitMs
-}
-
 // spread spreads returns over the second half of a time and as much beyond it, so that they don't come together.
 func spread(afterMs int64) int64 {
 	return afterMs/2 + rand.Int64N(afterMs+1)
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -13,19 +13,23 @@
 
 const (
 	// syncWaitMs is how long a leader lets a fellow wait when nothing changes; it is also the leader's heartbeat.
-	syncWaitMs ms = 250
-	// syncTimeoutMs is the time without an answer after which the leader counts as lost: a wait, and twice a slow round trip.
-	syncTimeoutMs ms = 800
+	syncWaitMs ms = 150
+	// syncTimeoutMs is the time without an answer after which the leader counts as lost: a wait, a round trip between regions,
+	// and as much again as a busy leader may take. Urgent work has about a second of slack.
+	syncTimeoutMs ms = 400
 	// syncGapMs is the least time between two answers to a fellow, so that changes travel together.
 	syncGapMs ms = 30
 	// rankDelayMs is the time that each process leaves to those that rank before it.
 	rankDelayMs ms = 120
 	// leaderStoreMs is the age of the leader's last call to the store after which a fellow that reaches the store takes over.
-	leaderStoreMs = 1500
-	// hearsayMs is how recently another process must have heard a leader to speak against its replacement.
-	hearsayMs = 500
+	leaderStoreMs = 600
+	// storeCheckMs is the time that a candidate gives the store, and the least time between two checks of a leader that does not reach it.
+	storeCheckMs ms = 300
+	// hearsayMs is how recently another process must have heard a leader to speak against its replacement: more than a wait, less
+	// than the time-out, so that a leader that is gone is not heard by anybody.
+	hearsayMs = 300
 	// hearsayMax is the number of failed rounds after which hearsay counts no more.
-	hearsayMax = 4
+	hearsayMax = 6
 	// retryMs is the pause after a round that led to nothing.
 	retryMs ms = 100
 )
@@ -42,9 +46,6 @@
 			misses = 0
 			continue
 		}
-		if misses > 0 {
-			p.leaderStoreMs.Store(0)
-		}
 		leader, _ := p.leaderView()
 		if leader.Token == 0 {
 			p.campaign(ctx, leader, "no leader is known", misses)
@@ -56,8 +57,8 @@
 			misses = 0
 			continue
 		}
-		if misses++; misses == 1 && why == "lost" {
-			continue // The connection may have been reset: a fresh one tells.
+		if misses++; misses == 1 && why == "reset" {
+			continue // A fresh connection tells whether the process is there.
 		}
 		if !p.campaign(ctx, leader, why, misses) {
 			sleep(ctx, retryMs)
@@ -80,10 +81,13 @@
 	out, err := p.cfg.Fellows.Sync(callCtx, leader.Address, in)
 	now := p.now()
 	if err != nil {
-		if errors.Is(err, ccfellow.ErrUnreachable) {
+		switch {
+		case errors.Is(err, ccfellow.ErrUnreachable):
 			return "unreachable"
+		case callCtx.Err() != nil:
+			return "silent"
 		}
-		return "lost"
+		return "reset"
 	}
 	if !out.Leading || out.Token < leader.Token {
 		return "leads no more"
@@ -91,7 +95,9 @@
 	p.mu.Lock()
 	p.heardAt = now
 	p.mu.Unlock()
-	p.leaderStoreMs.Store(out.StoreAgeMs)
+	if out.StoreAgeMs > storeLostMs {
+		go p.probeStore(ctx) // The leader writes all the time and notices an outage first.
+	}
 	p.board.follow(out.Token, out.Seq, out.Changes, now)
 	p.board.figures(out.Pending, out.Doors, now)
 	for _, ask := range out.Asks {
@@ -103,12 +109,26 @@
 	switch {
 	case out.Resign && !p.draining.Load():
 		return "resigns"
-	case out.StoreAgeMs > leaderStoreMs && !p.cfg.Store.Lost():
+	case out.StoreAgeMs > leaderStoreMs && ms(p.cfg.Store.AgeMs()) < 2*storeCheckMs && !p.draining.Load():
 		return "does not reach the store"
 	}
 	return ""
 }
 
+// probeStore finds out whether this process reaches the store, at most once in storeCheckMs.
+func (p *Process) probeStore(ctx context.Context) {
+	now := int64(p.now())
+	last := p.checkedAt.Load()
+	if ms(now-last) < storeCheckMs || !p.checkedAt.CompareAndSwap(last, now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCheckMs.Duration())
+	defer cancel()
+	if item, err := p.cfg.Store.Get(ctx, keyLeader); err == nil {
+		p.readLeader(&item, "probe")
+	}
+}
+
 // askFor calls the policy service on the leader's behalf.
 func (p *Process) askFor(ctx context.Context, ask cccell.AskOrder) {
 	p.tell.answer(p.askPolicy(ctx, ask))
@@ -130,10 +150,10 @@
 		sleep(ctx, retryMs)
 		return false
 	}
-	if !sleep(ctx, ms(p.rank(lost))*rankDelayMs) {
-		return false
+	if !p.sleepTurn(ctx, lost) {
+		return true
 	}
-	callCtx, cancel := context.WithTimeout(ctx, time.Second)
+	callCtx, cancel := context.WithTimeout(ctx, (storeCheckMs * 2).Duration())
 	defer cancel()
 	item, err := p.cfg.Store.Get(callCtx, keyLeader)
 	if err != nil && !errors.Is(err, ErrNoKey) {
@@ -145,7 +165,7 @@
 			return true
 		}
 	}
-	if (why == "lost" || why == "unreachable") && misses < hearsayMax && p.heardElsewhere(callCtx, lost) {
+	if (why == "reset" || why == "silent" || why == "unreachable") && misses < hearsayMax && p.heardElsewhere(callCtx, lost) {
 		p.cfg.Log.Info("leader is heard by others", "Leader", lost.VM, "Token", lost.Token, "Why", why, "Misses", misses)
 		return false
 	}
@@ -171,6 +191,43 @@
 	return true
 }
 
+// sleepTurn waits for the turn of this process to take over. It returns false when another one has done so.
+func (p *Process) sleepTurn(ctx context.Context, lost leaderRecord) bool {
+	p.mu.Lock()
+	changed := p.changed
+	p.mu.Unlock()
+	if now, _ := p.leaderView(); now.Token > lost.Token {
+		return false
+	}
+	t := time.NewTimer((ms(p.rank(lost)) * rankDelayMs).Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// announce tells all others of this process's term, so that they turn to it at once.
+func (p *Process) announce(ctx context.Context, r leaderRecord) {
+	in := &ccfellow.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision}
+	for _, address := range p.others() {
+		go func() {
+			// Who does not hear it finds the record.
+			_ = p.cfg.Fellows.Announce(ctx, address, in)
+		}()
+	}
+}
+
+// Announce implements ccfellow.CellHandler.
+func (p *Process) Announce(_ context.Context, in *ccfellow.AnnounceRequest) (*ccfellow.HeardReply, error) {
+	p.believe(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, revision: in.Revision}, "announcement")
+	return &ccfellow.HeardReply{}, nil
+}
+
 // heardElsewhere asks two others whether they hear the leader.
 func (p *Process) heardElsewhere(ctx context.Context, leader leaderRecord) bool {
 	asked := 0
--- a/io/cccontrol/intake.go
+++ b/io/cccontrol/intake.go
@@ -146,8 +146,19 @@
 	mu   sync.Mutex
 	out  ccTell
 	wake chan struct{}
+	// recent holds what was told lately: a leader that is lost may not have heard it, or not have told the next one.
+	recent []toldJob
 }
 
+// toldJob is a job that was told of.
+type toldJob struct {
+	job *cccell.Job
+	at  ms
+}
+
+// retellMs is the time for which jobs are told again to a new leader; later ones are in the store when it reads.
+const retellMs ms = 2500
+
 // ccTell is what waits to be told.
 type ccTell struct {
 	jobs    []*cccell.Job
@@ -162,7 +173,26 @@
 
 // job tells of an accepted job.
 func (t *teller) job(j *cccell.Job) {
-	t.add(func(out *ccTell) { out.jobs = append(out.jobs, j) })
+	now := t.p.now()
+	t.add(func(out *ccTell) {
+		out.jobs = append(out.jobs, j)
+		t.recent = append(t.recent, toldJob{j, now})
+		for len(t.recent) > 0 && now-t.recent[0].at > retellMs {
+			t.recent = t.recent[1:]
+		}
+	})
+}
+
+// again tells a new leader what the one before may not have handed on.
+func (t *teller) again() {
+	now := t.p.now()
+	t.add(func(out *ccTell) {
+		for _, r := range t.recent {
+			if now-r.at <= retellMs {
+				out.jobs = append(out.jobs, r.job)
+			}
+		}
+	})
 }
 
 // cancel tells of a request to cancel.
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -20,6 +20,8 @@
 	takeOverTries      = 20
 	takeOverPauseMs ms = 150
 	eventsQueued       = 1024
+	// loadPollMs is the time between two looks of a call of a fellow at a term that begins.
+	loadPollMs ms = 10
 	// inWatchMs is how long a watch of what was handed in waits; it bounds the time to notice a silent connection.
 	inWatchMs ms = 1000
 	// watchGapMs is the pause between watches of the workers, so that their heartbeats are read together.
@@ -58,6 +60,9 @@
 func (p *Process) takeLead(ctx context.Context, r leaderRecord, why string, misses int) {
 	p.cfg.Log.Info("taking the lead", "Token", r.Token, "Revision", r.revision, "Why", why, "Misses", misses)
 	began := p.now()
+	p.loading.Store(r.Token)
+	defer p.loading.Store(0)
+	p.announce(ctx, r)
 	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.cell = cccell.New(cccell.Config{
@@ -421,6 +426,13 @@
 // Sync implements ccfellow.CellHandler: the leader tells a fellow what changed.
 func (p *Process) Sync(ctx context.Context, in *ccfellow.SyncRequest) (*ccfellow.SyncReply, error) {
 	l := p.leading()
+	for l == nil && p.loading.Load() != 0 {
+		// The term has been won; a fellow that is told otherwise would campaign against it.
+		if !sleep(ctx, loadPollMs) {
+			return nil, ctx.Err()
+		}
+		l = p.leading()
+	}
 	if l == nil {
 		return &ccfellow.SyncReply{}, nil
 	}
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -55,17 +55,21 @@
 	// heardAt is when the leader last answered.
 	heardAt ms
 	lead    *leadership
+	// changed is closed, and replaced, when the leader changes.
+	changed chan struct{}
 
 	config atomic.Pointer[inForce]
-	// leaderStoreMs is the age of the leader's last call to the store, as it last told.
-	leaderStoreMs atomic.Int64
-	draining      atomic.Bool
-	done          sync.WaitGroup
+	// checkedAt is when this process last checked the store on behalf of a leader that does not reach it.
+	checkedAt atomic.Int64
+	// loading is the token of a term that this process has won and is still reading the store for, 0 for none.
+	loading  atomic.Int64
+	draining atomic.Bool
+	done     sync.WaitGroup
 }
 
 // New returns a process; Serve makes it work.
 func New(cfg Config) *Process {
-	p := &Process{cfg: cfg, board: newBoard(), members: map[string]member{}}
+	p := &Process{cfg: cfg, board: newBoard(), members: map[string]member{}, changed: make(chan struct{})}
 	p.intake = newIntake(p)
 	p.tell = newTeller(p)
 	return p
@@ -135,12 +139,15 @@
 	if newer {
 		p.leader = r
 		p.heardAt = 0
+		close(p.changed)
+		p.changed = make(chan struct{})
 	}
 	l := p.lead
 	p.mu.Unlock()
 	if !newer {
 		return
 	}
+	p.tell.again()
 	p.cfg.Log.Info("leader changed", "Leader", r.VM, "Token", r.Token, "Before", old.Token, "Source", source)
 	if l != nil && l.token < r.Token {
 		l.end("a newer leader is recorded")
--- a/io/cccontrol/tell.go
+++ b/io/cccontrol/tell.go
@@ -9,9 +9,9 @@
 
 const (
 	// tellTimeout bounds one call to the leader.
-	tellTimeout = 600 * time.Millisecond
-	// tellTries bounds the tries: later the store tells the leader.
-	tellTries = 4
+	tellTimeout = 300 * time.Millisecond
+	// tellTries bounds the tries: a leader that was lost is replaced meanwhile, and later the store tells.
+	tellTries = 15
 )
 
 // run tells the leader what waits, one call at a time: what comes meanwhile travels together.
--- a/io/ccfellow/cell.go
+++ b/io/ccfellow/cell.go
@@ -16,6 +16,7 @@
 	methodTell     = "/coriandercross/Tell"
 	methodHeard    = "/coriandercross/Heard"
 	methodDocument = "/coriandercross/Document"
+	methodAnnounce = "/coriandercross/Announce"
 )
 
 // SyncRequest asks the leader for what changed. The answer waits until there is something.
@@ -123,6 +124,23 @@
 	return nil
 }
 
+// AnnounceRequest tells of a new leader.
+type AnnounceRequest struct {
+	VM       string `cbor:"1,keyasint"`
+	Address  string `cbor:"2,keyasint"`
+	StartMs  int64  `cbor:"3,keyasint"`
+	Token    int64  `cbor:"4,keyasint"`
+	Revision int64  `cbor:"5,keyasint"`
+}
+
+// Check implements Message.
+func (m *AnnounceRequest) Check() error {
+	if m.VM == "" || m.Address == "" || m.Token <= 0 {
+		return errors.Wrap(ErrBadMessage, "announcement lacks VM, Address or Token")
+	}
+	return nil
+}
+
 // DocumentRequest asks for the configuration in force.
 type DocumentRequest struct {
 	// Above is the version that the asker has.
@@ -151,12 +169,13 @@
 	Tell(ctx context.Context, in *TellRequest) (*TellReply, error)
 	Heard(ctx context.Context, in *HeardRequest) (*HeardReply, error)
 	Document(ctx context.Context, in *DocumentRequest) (*DocumentReply, error)
+	Announce(ctx context.Context, in *AnnounceRequest) (*HeardReply, error)
 }
 
 // ServeCell answers calls on a listener until ctx ends.
 func ServeCell(ctx context.Context, l net.Listener, h CellHandler) error {
 	mux := handlers{
-		methodSync: unary(h.Sync), methodTell: unary(h.Tell), methodHeard: unary(h.Heard), methodDocument: unary(h.Document),
+		methodSync: unary(h.Sync), methodTell: unary(h.Tell), methodHeard: unary(h.Heard), methodDocument: unary(h.Document), methodAnnounce: unary(h.Announce),
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return errors.Wrap(server.Serve(ctx, l), "serving fellows")
@@ -181,3 +200,9 @@
 func (c *Client) Document(ctx context.Context, address string, in *DocumentRequest) (*DocumentReply, error) {
 	return call[DocumentRequest, DocumentReply](ctx, c, c.control, address, methodDocument, in)
 }
+
+// Announce tells a fellow of a new leader.
+func (c *Client) Announce(ctx context.Context, address string, in *AnnounceRequest) error {
+	_, err := call[AnnounceRequest, HeardReply](ctx, c, c.control, address, methodAnnounce, in)
+	return err
+}
