--- a/core/cccell/calls.go
+++ b/core/cccell/calls.go
@@ -141,7 +141,11 @@
 // OnLook takes in the answer to a look.
 func (c *Cell) OnLook(o *LookOrder, r Reply, lists *Lists, now ms) {
 	w := o.worker
-	w.looking = false
+	if o.hurried {
+		w.hurried = false
+	} else {
+		w.looking = false
+	}
 	w.lookDone = now
 	if r.Outcome != Carried {
 		switch {
@@ -172,6 +176,11 @@
 		w.heard = e.Number
 		c.listedEnd(w, e, now)
 	}
+	if r.ClockMs < w.listedAt {
+		w.forget()
+		return // A newer list was read already: what this one shows as running may have ended.
+	}
+	w.listedAt = r.ClockMs
 	present := make(map[attemptKey]bool, len(lists.Running))
 	for i := range lists.Running {
 		t := &lists.Running[i]
@@ -199,7 +208,7 @@
 	}
 	w.life = born
 	w.seen, w.heard, w.told, w.ends = 0, 0, 0, nil
-	w.clockAt, w.until = 0, 0
+	w.clockAt, w.until, w.listedAt = 0, 0, 0
 	w.health = health{score: 1}
 	for _, a := range w.attempts {
 		if a.state == running {
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -16,11 +16,12 @@
 // look orders the looks that are due.
 func (c *Cell) look(now ms) {
 	for _, w := range c.workers {
-		if w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now) {
+		hurried := w.looking && !w.hurried && w.doubtSettled()
+		if !hurried && (w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now)) {
 			continue
 		}
-		o := LookOrder{WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Seen: w.seen, Token: c.cfg.Token, worker: w}
-		if w.looked && w.silentSince == 0 && len(w.ends) == 0 {
+		o := LookOrder{hurried: hurried, WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Seen: w.seen, Token: c.cfg.Token, worker: w}
+		if w.looked && w.silentSince == 0 && len(w.ends) == 0 && !hurried {
 			o.WaitMs = lookWaitMs
 			if w.lag.now(now) > lagFactor {
 				o.WaitMs = hurryWaitMs
@@ -30,12 +31,27 @@
 			o.UntilMs = w.nextUntil(now, c.cfg.LeaseMs)
 			w.until = max(w.until, o.UntilMs)
 		}
-		w.looking, w.lookSent = true, now
+		if hurried {
+			w.hurried = true
+		} else {
+			w.looking = true
+		}
+		w.lookSent = now
 		c.stats.Looks++
 		c.out.Looks = append(c.out.Looks, o)
 	}
 }
 
+// doubtSettled reports whether a stop was confirmed, after the look under way was sent, for a start in doubt.
+func (w *worker) doubtSettled() bool {
+	for _, a := range w.attempts {
+		if a.stopped && a.state == inDoubt && a.surelySince >= w.lookSent {
+			return true
+		}
+	}
+	return false
+}
+
 // wantsLook reports whether a worker has to be looked at now.
 func (c *Cell) wantsLook(w *worker, now ms) bool {
 	since := now - w.lookDone
--- a/core/cccell/order.go
+++ b/core/cccell/order.go
@@ -38,7 +38,8 @@
 	// WaitMs lets the answer wait for an end.
 	WaitMs int64
 
-	worker *worker
+	worker  *worker
+	hurried bool
 }
 
 // PaceOrder lets a task work at a share of its speed.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -77,9 +77,13 @@
 	// seen is the number of the last end that the store and this process are done with, heard the last one read.
 	seen, heard int64
 	// told is the highest number that the worker was told to forget up to.
-	told     int64
-	ends     []endDep
-	looking  bool
+	told    int64
+	ends    []endDep
+	looking bool
+	// hurried is true while a second look, that does not wait, is under way: one that waits can't tell what a stop has settled.
+	hurried bool
+	// listedAt is the worker's clock at the newest lists that were read. Older ones may arrive later.
+	listedAt int64
 	lookSent ms
 	lookDone ms
 	// silentSince is when calls began to go unanswered, 0 while they are answered.
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -6,6 +6,7 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccwork"
+	"coriandercross/io/ccfellow"
 	"coriandercross/io/ccstore"
 
 	"github.com/cockroachdb/errors"
@@ -104,11 +105,12 @@
 	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
 		return &Refusal{Reason: ccwork.ErrOverload, AfterMs: spread(door.ClosedMs)}
 	}
+	j.AcceptedMs = int64(unixNow())
+	keep := p.intake.keep
 	if p.cfg.Store.Lost() {
-		return &Refusal{Reason: ccwork.ErrStore, AfterMs: spread(storeBackMs)}
+		keep = p.relay
 	}
-	j.AcceptedMs = int64(unixNow())
-	if err := p.intake.keep(ctx, j, until); err != nil {
+	if err := keep(ctx, j, until); err != nil {
 		if errors.Is(err, ccstore.ErrInDoubt) {
 			return err
 		}
@@ -187,22 +189,31 @@
 			return nil
 		}
 	}
-	for {
-		_, err := p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + id, Value: []byte{}}}})
-		if err == nil {
-			break
-		}
-		// The same write again does no harm, whatever became of the first.
-		if p.cfg.Store.Lost() || !sleep(ctx, jitter(retryMs)) {
-			p.cfg.Log.Info("cancel not kept", "Job", id, "Error", err)
-			return errors.Mark(err, ErrNotKnown)
-		}
+	if err := p.keepCancel(ctx, id); err != nil {
+		p.cfg.Log.Info("cancel not kept", "Job", id, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+		return errors.Mark(err, ErrNotKnown)
 	}
 	p.tell.cancel(id)
 	p.cfg.Log.Info("cancel accepted", "Job", id)
 	return nil
 }
 
+// keepCancel writes a request to cancel, through a fellow while the store is lost here. The same write again does no
+// harm, whatever became of the first.
+func (p *Process) keepCancel(ctx context.Context, id string) error {
+	for {
+		var err error
+		if p.cfg.Store.Lost() {
+			err = p.relayKeep(ctx, &ccfellow.KeepRequest{Cancel: id})
+		} else {
+			_, err = p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + id, Value: []byte{}}}})
+		}
+		if err == nil || !sleep(ctx, jitter(retryMs)) {
+			return err
+		}
+	}
+}
+
 // Pending returns the number of accepted jobs of a queue that have not begun. It fails with ErrNotKnown.
 func (p *Process) Pending(queue string) (int, error) {
 	n, at := p.board.waiting(queue)
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -97,7 +97,7 @@
 
 // Ready reports whether the process can answer callers.
 func (p *Process) Ready() bool {
-	return !p.draining.Load() && p.config.Load() != nil
+	return !p.draining.Load() && p.config.Load() != nil && !p.isolated()
 }
 
 // SetSeeds changes the addresses of fellows that are asked while none are listed.
--- /dev/null
+++ b/io/cccontrol/relay.go
@@ -0,0 +1,72 @@
+package cccontrol
+
+import (
+	"context"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// While the store turns a process away, the leader writes for it: it reaches the store, or fellows that do replace it.
+
+// isolatedMs is the time without the leader after which a process that does not reach the store either sends callers elsewhere.
+const isolatedMs ms = 700
+
+// relay has a fellow keep a job. It fails as intake.keep does.
+func (p *Process) relay(ctx context.Context, j *cccell.Job, until ms) error {
+	return p.relayKeep(ctx, &ccfellow.KeepRequest{Job: j, BudgetMs: int64(until - p.now())})
+}
+
+// relayKeep has the leader write something.
+func (p *Process) relayKeep(ctx context.Context, in *ccfellow.KeepRequest) error {
+	leader, heard := p.leaderView()
+	if p.leading() != nil || heard == 0 || p.now()-heard > isolatedMs {
+		return errors.Mark(errors.New("neither store nor leader is reached"), ccstore.ErrUnavailable)
+	}
+	out, err := p.cfg.Fellows.Keep(ctx, leader.Address, in)
+	switch {
+	case errors.Is(err, ccfellow.ErrUnreachable):
+		return errors.Mark(err, ccstore.ErrUnavailable)
+	case err != nil || out.Outcome == ccwork.Unknown:
+		return errors.Mark(errors.Wrapf(ccstore.ErrInDoubt, "through %s", leader.VM), ccstore.ErrInDoubt)
+	case out.Outcome == ccwork.NotRun:
+		return errors.Wrapf(ccstore.ErrUnavailable, "through %s", leader.VM)
+	}
+	return nil
+}
+
+// Keep implements ccfellow.CellHandler: it writes to the store for a fellow.
+func (p *Process) Keep(ctx context.Context, in *ccfellow.KeepRequest) (*ccfellow.KeepReply, error) {
+	if p.cfg.Store.Lost() {
+		return &ccfellow.KeepReply{Outcome: ccwork.NotRun}, nil
+	}
+	var err error
+	if in.Job != nil {
+		if err = p.intake.keep(ctx, in.Job, p.now()+ms(in.BudgetMs)); err == nil {
+			p.board.learn(in.Job.ID, cccell.Queued, p.now())
+			p.tell.job(in.Job)
+		}
+	} else if _, err = p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + in.Cancel, Value: []byte{}}}}); err == nil {
+		p.tell.cancel(in.Cancel)
+	}
+	switch {
+	case err == nil:
+		return &ccfellow.KeepReply{Outcome: ccwork.Ran}, nil
+	case errors.Is(err, ccstore.ErrUnavailable) && !errors.Is(err, ccstore.ErrInDoubt):
+		return &ccfellow.KeepReply{Outcome: ccwork.NotRun}, nil
+	}
+	return &ccfellow.KeepReply{Outcome: ccwork.Unknown}, nil
+}
+
+// isolated reports whether the process reaches neither the store nor the leader, so that it can serve nobody.
+func (p *Process) isolated() bool {
+	if !p.cfg.Store.Lost() || p.leading() != nil {
+		return false
+	}
+	_, heard := p.leaderView()
+	return p.now()-heard > isolatedMs
+}
--- a/io/ccfellow/cell.go
+++ b/io/ccfellow/cell.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/ccwork"
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcserver"
@@ -17,6 +18,7 @@
 	methodHeard    = "/coriandercross/Heard"
 	methodDocument = "/coriandercross/Document"
 	methodAnnounce = "/coriandercross/Announce"
+	methodKeep     = "/coriandercross/Keep"
 )
 
 // SyncRequest asks the leader for what changed. The answer waits until there is something.
@@ -141,6 +143,37 @@
 	return nil
 }
 
+// KeepRequest asks a fellow to write to the store for a process that does not reach it.
+type KeepRequest struct {
+	// Job is to be kept, or Cancel is the job to be cancelled.
+	Job    *cccell.Job `cbor:"1,keyasint,omitempty"`
+	Cancel string      `cbor:"2,keyasint,omitempty"`
+	// BudgetMs is the time left.
+	BudgetMs int64 `cbor:"3,keyasint"`
+}
+
+// Check implements Message.
+func (m *KeepRequest) Check() error {
+	if m.Job != nil {
+		return errors.Mark(m.Job.Check(), ErrBadMessage)
+	}
+	if m.Cancel == "" {
+		return errors.Wrap(ErrBadMessage, "nothing to keep")
+	}
+	return nil
+}
+
+// KeepReply says what became of it.
+type KeepReply struct {
+	// Outcome is Ran when the store has it, NotRun when it certainly does not, and else Unknown.
+	Outcome ccwork.Outcome `cbor:"1,keyasint"`
+}
+
+// Check implements Message.
+func (m *KeepReply) Check() error {
+	return m.Outcome.Check()
+}
+
 // DocumentRequest asks for the configuration in force.
 type DocumentRequest struct {
 	// Above is the version that the asker has.
@@ -170,12 +203,14 @@
 	Heard(ctx context.Context, in *HeardRequest) (*HeardReply, error)
 	Document(ctx context.Context, in *DocumentRequest) (*DocumentReply, error)
 	Announce(ctx context.Context, in *AnnounceRequest) (*HeardReply, error)
+	Keep(ctx context.Context, in *KeepRequest) (*KeepReply, error)
 }
 
 // ServeCell answers calls on a listener until ctx ends.
 func ServeCell(ctx context.Context, l net.Listener, h CellHandler) error {
 	mux := handlers{
 		methodSync: unary(h.Sync), methodTell: unary(h.Tell), methodHeard: unary(h.Heard), methodDocument: unary(h.Document), methodAnnounce: unary(h.Announce),
+		methodKeep: unary(h.Keep),
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return errors.Wrap(server.Serve(ctx, l), "serving fellows")
@@ -206,3 +241,8 @@
 	_, err := call[AnnounceRequest, HeardReply](ctx, c, c.control, address, methodAnnounce, in)
 	return err
 }
+
+// Keep asks a fellow to write to the store.
+func (c *Client) Keep(ctx context.Context, address string, in *KeepRequest) (*KeepReply, error) {
+	return call[KeepRequest, KeepReply](ctx, c, c.control, address, methodKeep, in)
+}
