Rounds of decisions cost what waits, not every worker for every stage

Change: a round lists usable workers once, an advised stage looks at its tickets only, a search that found nothing pauses 40 ms, and the loop leaves twice a round's length, at most 20 ms, to what comes meanwhile.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -12,6 +12,8 @@
 	denied  map[string]bool
 	asking  bool
 	askedAt ms
+	// idleUntil is the time before which no worker worth asking for is looked for again.
+	idleUntil ms
 }
 
 // ticket permits the tasks of a stage on one life of a worker.
@@ -37,7 +39,12 @@
 // valid returns the ticket for a worker, if it can still be used when a start sent now arrives.
 func (t *tickets) valid(w *worker, now ms) (string, bool) {
 	k, ok := t.allowed[w.info.ID]
-	return k.text, ok && k.life == w.info.BornMs && now+ticketMarginMs < k.until
+	return k.text, ok && k.usable(w, now)
+}
+
+// usable reports whether a ticket is for the worker's present life and valid for long enough.
+func (k *ticket) usable(w *worker, now ms) bool {
+	return k.life == w.info.BornMs && now+ticketMarginMs < k.until
 }
 
 const (
@@ -50,6 +57,8 @@
 	// askTimeoutMs is the time over the expected one after which a call is given up, and askSlack how many times longer it may take.
 	askTimeoutMs ms = 1500
 	askSlack        = 3
+	// askIdleMs is the pause after a search for workers to ask for that found none: each search looks at every worker.
+	askIdleMs ms = 40
 	// spareRoom is how much more room than needed is asked for, since other stages take part of it meanwhile.
 	spareRoom = 1.5
 )
@@ -63,6 +72,9 @@
 	if t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*adv.CallMs(len(c.workers))) {
 		return true
 	}
+	if now < t.idleUntil {
+		return false
+	}
 	want := int(math.Ceil(float64(missing) * spareRoom))
 	type candidate struct {
 		w    *worker
@@ -70,7 +82,7 @@
 		cost float64
 	}
 	var known, fresh []candidate
-	for _, w := range c.workers {
+	for _, w := range c.usable {
 		if t.denied[w.info.ID] || !c.suits(s, w, now) {
 			continue
 		}
@@ -127,6 +139,7 @@
 		}
 	}
 	if len(names) == 0 {
+		t.idleUntil = now + askIdleMs
 		return false
 	}
 	t.asking, t.askedAt = true, now
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -39,9 +39,9 @@
 	deposed     bool
 	straggledAt ms
 	kinds       kindTable
-	// registryAt is when the list of workers was last confirmed by the store.
-	registryAt ms
-	stats      Stats
+	// usable holds the workers that may get work in the present round.
+	usable []*worker
+	stats  Stats
 }
 
 // Stats counts decisions since the start of the leader.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -16,6 +16,12 @@
 	c.straggle(now)
 	settled := c.settled(now)
 	if starting {
+		c.usable = c.usable[:0]
+		for _, w := range c.workers {
+			if w.usable(now) {
+				c.usable = append(c.usable, w)
+			}
+		}
 		for _, s := range c.waiting(now, settled) {
 			c.place(s, now)
 		}
@@ -128,22 +134,7 @@
 // place starts as many tasks of a stage as fit, and asks for tickets where they are what is missing.
 func (c *Cell) place(s *stage, now ms) {
 	advised := c.queue(s.job).Advice != nil
-	var list []*worker
-	rooms := 0
-	for _, w := range c.workers {
-		if !c.suits(s, w, now) {
-			continue
-		}
-		if advised {
-			if _, ok := s.tickets.valid(w, now); !ok {
-				continue
-			}
-		}
-		if n := c.roomFor(s, w); n > 0 {
-			list = append(list, w)
-			rooms += n
-		}
-	}
+	list, rooms := c.candidates(s, advised, now)
 	if rooms < s.missing {
 		why := waitRoom
 		if advised && c.ask(s, s.missing, now) {
@@ -180,6 +171,31 @@
 	}
 }
 
+// candidates returns the workers with room for a stage that may run it now, and the number of its tasks that fit.
+func (c *Cell) candidates(s *stage, advised bool, now ms) (list []*worker, rooms int) {
+	add := func(w *worker) {
+		if !c.suits(s, w, now) {
+			return
+		}
+		if n := c.roomFor(s, w); n > 0 {
+			list = append(list, w)
+			rooms += n
+		}
+	}
+	if !advised {
+		for _, w := range c.usable {
+			add(w)
+		}
+		return list, rooms
+	}
+	for id, k := range s.tickets.allowed {
+		if w := c.workers[id]; w != nil && k.usable(w, now) {
+			add(w)
+		}
+	}
+	return list, rooms
+}
+
 // tellWaits logs, once, what the stage waited for until all its tasks could be started.
 func (c *Cell) tellWaits(s *stage, now ms) {
 	if s.waits.told {
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -20,6 +20,10 @@
 	takeOverTries      = 20
 	takeOverPauseMs ms = 150
 	eventsQueued       = 1024
+	// roundShare is the pause after a round of decisions, in lengths of the round, and maxRoundGap bounds it: a large cell spends at
+	// most a third of the processor on rounds, and a small one hardly waits.
+	roundShare  = 2
+	maxRoundGap = 20 * time.Millisecond
 	// loadPollMs is the time between two looks of a call of a fellow at a term that begins.
 	loadPollMs ms = 10
 	// inWatchMs is how long a watch of what was handed in waits; it bounds the time to notice a silent connection.
@@ -231,7 +235,10 @@
 			}
 		case <-tick.C:
 		}
+		began := time.Now()
 		l.step()
+		// Events that come meanwhile are decided on together: a round looks at all that waits.
+		time.Sleep(min(roundShare*time.Since(began), maxRoundGap))
 	}
 }
 
