--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -44,7 +44,7 @@
 
 // usable reports whether a ticket is for the worker's present life and valid for long enough.
 func (k *ticket) usable(w *worker, now ms) bool {
-	return k.life == w.info.BornMs && now+ticketMarginMs < k.until
+	return k.life == w.born() && now+ticketMarginMs < k.until
 }
 
 const (
@@ -180,7 +180,7 @@
 		case !ok:
 			s.tickets.denied[id] = true
 		case w != nil:
-			s.tickets.allowed[id] = ticket{text: text, life: w.info.BornMs, until: now - age + ms(a.ValidMs)}
+			s.tickets.allowed[id] = ticket{text: text, life: w.born(), until: now - age + ms(a.ValidMs)}
 		}
 	}
 }
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -12,8 +12,10 @@
 	// LeaseMs is the length of a lease at a worker. Longer ones outlive the loss of a leader, shorter ones let the tasks of
 	// a silent worker start again sooner.
 	LeaseMs ms
-	// MaxLeaseMs is the longest lease that any leader can have given.
-	MaxLeaseMs ms
+	// PriorLeaseMs is the length of the leases that the leader before gave.
+	PriorLeaseMs ms
+	// AuthorityMs is how long a leader goes on after it was last confirmed: the leader before may do so, unseen.
+	AuthorityMs ms
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
 	// Log takes one line for each decision; it may be nil.
@@ -31,12 +33,16 @@
 	// scheduled holds the jobs with scheduled runs that have not all begun.
 	scheduled map[*job]struct{}
 	// dirty holds the jobs that the store has to be told of, in the order of the changes.
-	dirty       []*job
-	inDirty     map[*job]bool
-	out         Orders
-	attempts    int64
-	began       ms
-	deposed     bool
+	dirty    []*job
+	inDirty  map[*job]bool
+	out      Orders
+	attempts int64
+	began    ms
+	deposed  bool
+	// authority is the time until which this leader may start tasks and renew leases.
+	authority ms
+	// handover is the time until which the leader before may learn of new jobs.
+	handover    ms
 	straggledAt ms
 	kinds       kindTable
 	// usable holds the workers that may get work in the present round.
@@ -60,7 +66,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, began: now,
-		kinds: kindTable{},
+		kinds: kindTable{}, handover: now + cfg.AuthorityMs, authority: now + cfg.AuthorityMs,
 	}
 }
 
@@ -69,6 +75,31 @@
 	return c.cfg.Token
 }
 
+// Authorize lets the leader go on until a time: its record was confirmed, or all others vouched for it, AuthorityMs before.
+func (c *Cell) Authorize(until ms) {
+	c.authority = max(c.authority, until)
+}
+
+// Authority returns the time until which the leader may start tasks and renew leases.
+func (c *Cell) Authority() ms {
+	return c.authority
+}
+
+// PriorEnded tells that the leader before is known to have ended.
+func (c *Cell) PriorEnded(now ms) {
+	c.handover = min(c.handover, now)
+	for _, w := range c.workers {
+		if !w.looked {
+			w.freeAt = min(w.freeAt, now+leaseEnd(c.cfg.PriorLeaseMs))
+		}
+	}
+}
+
+// leaseEnd returns the time in which a lease has ended for certain on the slowest clock.
+func leaseEnd(lease ms) ms {
+	return ms(float64(lease)/slowestClock) + lapseMarginMs
+}
+
 // Deposed reports whether a worker told of a higher token.
 func (c *Cell) Deposed() bool {
 	return c.deposed
@@ -158,6 +189,7 @@
 		return
 	}
 	j := c.insert(spec, now)
+	j.adopted = now < c.handover
 	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.ChainMs(), "Lasting", spec.Lasting())
 	c.change(j)
 	c.begin(j, now, nowUnix)
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -20,14 +20,14 @@
 		if !hurried && (w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now)) {
 			continue
 		}
-		o := LookOrder{hurried: hurried, WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Seen: w.seen, Token: c.cfg.Token, worker: w}
+		o := LookOrder{hurried: hurried, WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Seen: w.seen, Token: c.cfg.Token, worker: w}
 		if w.looked && w.silentSince == 0 && len(w.ends) == 0 && !hurried {
 			o.WaitMs = lookWaitMs
 			if w.lag.now(now) > lagFactor {
 				o.WaitMs = hurryWaitMs
 			}
 		}
-		if w.listed && w.looked {
+		if w.listed && w.looked && now < c.authority {
 			o.UntilMs = w.nextUntil(now, c.cfg.LeaseMs)
 			w.until = max(w.until, o.UntilMs)
 		}
@@ -85,7 +85,7 @@
 			a.stopInCall, a.stopSent = true, now
 			c.stats.Stops++
 			c.out.Stops = append(c.out.Stops, StopOrder{
-				WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Task: a.task, Attempt: a.number, Token: c.cfg.Token, attempt: a,
+				WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Task: a.task, Attempt: a.number, Token: c.cfg.Token, attempt: a,
 			})
 		}
 	}
--- a/core/cccell/model.go
+++ b/core/cccell/model.go
@@ -17,7 +17,7 @@
 	revision int64
 	// version counts changes that the store must have; noted is the highest that it has.
 	version, noted int64
-	// adopted is true when the job was read at a take-over, so that an earlier leader may have started its tasks.
+	// adopted is true when an earlier leader may have started tasks of the job.
 	adopted bool
 	// cancelKey is true when the store holds a request to cancel.
 	cancelKey bool
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -15,7 +15,7 @@
 	c.lapse(now)
 	c.straggle(now)
 	settled := c.settled(now)
-	if starting {
+	if starting && now < c.authority {
 		c.usable = c.usable[:0]
 		for _, w := range c.workers {
 			if w.usable(now) {
@@ -59,6 +59,9 @@
 		if x.id.Job != y.id.Job {
 			return x.id.Job < y.id.Job
 		}
+		if x.id.Run != y.id.Run {
+			return x.id.Run < y.id.Run
+		}
 		return x.id.Stage < y.id.Stage
 	})
 	return list
@@ -276,7 +279,7 @@
 	ticket, _ := s.tickets.valid(w, now)
 	c.stats.Starts++
 	c.out.Starts = append(c.out.Starts, StartOrder{
-		WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.info.BornMs, Task: a.task, Attempt: number, Spec: s.job.spec.Spec,
+		WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Task: a.task, Attempt: number, Spec: s.job.spec.Spec,
 		Checkpoint: saved, Ticket: ticket, UntilMs: until, Token: c.cfg.Token, attempt: a,
 	})
 }
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -5,8 +5,8 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}}
-		// An earlier leader may have given it a lease as long as the longest.
-		w.freeAt = now + ms(float64(c.cfg.MaxLeaseMs)/slowestClock) + lapseMarginMs
+		// The leader before may go on for a while where this one is not heard, and its leases outlast it.
+		w.freeAt = max(now, c.handover) + leaseEnd(c.cfg.PriorLeaseMs)
 		c.workers[info.ID] = w
 	}
 	if info.Draining && w.drainSince == 0 {
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -103,6 +103,11 @@
 	version int64
 }
 
+// born returns the start of the worker's present life, as far as it is known.
+func (w *worker) born() int64 {
+	return max(w.life, w.info.BornMs)
+}
+
 // free returns the room that is left.
 func (w *worker) free() ccwork.Size {
 	return w.info.Capacity.Minus(w.used)
@@ -175,8 +180,9 @@
 	if w.clockAt == 0 {
 		return 0
 	}
-	// The worker's clock may also be exact: the estimate at full speed is the later one.
-	return max(w.until, w.clock+int64(now-w.clockAt)+int64(lease))
+	// Counted from the lower bound, so that no lease is longer than its length on any clock.
+	clock, _ := w.clockNow(now)
+	return max(w.until, clock+int64(lease))
 }
 
 const (
--- /dev/null
+++ b/core/ccfleet/worker.go
@@ -0,0 +1,239 @@
+// Package ccfleet models workers by their published rules, and judges what they saw. Tests and stand-ins use it; it is free of
+// sockets and clocks.
+package ccfleet
+
+import (
+	"sort"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+)
+
+type ms = ccclock.Millis
+
+// Run is one attempt that a worker has begun.
+type Run struct {
+	Task    cccell.TaskID
+	Attempt int64
+	Size    ccwork.Size
+	// Begun and EndsAt are points of the test's time; a run that lasts has EndsAt 0.
+	Begun, EndsAt ms
+	// End is how the run ends at EndsAt.
+	End        cccell.End
+	Checkpoint string
+}
+
+// Worker is a worker that starts whatever it is told to. Its methods take the test's time.
+type Worker struct {
+	Info cccell.WorkerInfo
+	// MaxLeaseMs bounds a lease. ClockOffset is the worker's clock at time 0, Rate how fast it goes.
+	MaxLeaseMs  int64
+	ClockOffset int64
+	Rate        float64
+	// Plan says how long a task runs and how it ends; 0 lasts.
+	Plan func(t cccell.TaskID, attempt int64) (runMs ms, end cccell.End, size ccwork.Size)
+	// Judge may be nil.
+	Judge *Judge
+
+	token  int64
+	until  int64
+	runs   map[cccell.TaskID]map[int64]*Run
+	over   map[cccell.TaskID]int64
+	ended  []cccell.EndedTask
+	number int64
+	down   bool
+}
+
+// Clock returns the worker's own clock.
+func (w *Worker) Clock(now ms) int64 {
+	rate := w.Rate
+	if rate == 0 {
+		rate = 1
+	}
+	return w.ClockOffset + int64(float64(now)*rate)
+}
+
+// Up reports whether the worker's process runs.
+func (w *Worker) Up() bool {
+	return !w.down
+}
+
+// Crash ends the process and all that runs.
+func (w *Worker) Crash(now ms) {
+	w.settle(now)
+	w.down = true
+	for _, list := range w.runs {
+		for _, r := range list {
+			w.Judge.ended(w, r, cccell.EndVanished, now)
+		}
+	}
+	for i := range w.ended {
+		w.Judge.lost(&w.ended[i])
+	}
+	w.runs, w.over, w.ended = nil, nil, nil
+}
+
+// Restart begins a new life: it knows nothing of the one before.
+func (w *Worker) Restart(now ms) {
+	if !w.down {
+		w.Crash(now)
+	}
+	w.down = false
+	w.token, w.until, w.number = 0, 0, 0
+	w.Info.BornMs += int64(now) + 1
+}
+
+// Settle carries out what time brings: ends, and the lapse of the lease.
+func (w *Worker) settle(now ms) {
+	if w.down {
+		return
+	}
+	for _, r := range w.sorted() {
+		if r.EndsAt != 0 && r.EndsAt <= now && w.Clock(r.EndsAt) <= w.until {
+			w.finish(r, r.End, r.EndsAt)
+		}
+	}
+	if w.Clock(now) > w.until {
+		for _, r := range w.sorted() {
+			w.finish(r, cccell.EndLapsed, now)
+		}
+	}
+}
+
+// Settle carries out what time has brought.
+func (w *Worker) Settle(now ms) {
+	w.settle(now)
+}
+
+// sorted returns the runs in a fixed order.
+func (w *Worker) sorted() []*Run {
+	var out []*Run
+	for _, list := range w.runs {
+		for _, r := range list {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Attempt < out[b].Attempt })
+	return out
+}
+
+// finish ends a run and lists its end.
+func (w *Worker) finish(r *Run, how cccell.End, now ms) {
+	delete(w.runs[r.Task], r.Attempt)
+	w.over[r.Task] = max(w.over[r.Task], r.Attempt)
+	w.number++
+	w.ended = append(w.ended, cccell.EndedTask{Number: w.number, Task: r.Task, Attempt: r.Attempt, End: how, Checkpoint: r.Checkpoint})
+	w.Judge.ended(w, r, how, now)
+}
+
+// fenced takes in the token of a call. It returns true when the call comes from an earlier leader.
+func (w *Worker) fenced(token int64) bool {
+	if token < w.token {
+		return true
+	}
+	w.token = token
+	return false
+}
+
+// extend takes in the end of a lease.
+func (w *Worker) extend(until int64, now ms) {
+	w.until = max(w.until, min(until, w.Clock(now)+w.MaxLeaseMs))
+}
+
+// reply returns an answer.
+func (w *Worker) reply(now ms, o cccell.Outcome, r cccell.Reason) cccell.Reply {
+	return cccell.Reply{Outcome: o, Reason: r, ClockMs: w.Clock(now), BornMs: w.Info.BornMs, Sent: now, Received: now}
+}
+
+// Start begins an attempt.
+func (w *Worker) Start(o *cccell.StartOrder, now ms) cccell.Reply {
+	if w.down {
+		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}
+	}
+	w.settle(now)
+	switch {
+	case o.BornMs != w.Info.BornMs:
+		return w.reply(now, cccell.Refused, cccell.OtherLife)
+	case w.fenced(o.Token):
+		return w.reply(now, cccell.Refused, cccell.Fenced)
+	case o.UntilMs <= w.Clock(now):
+		return w.reply(now, cccell.Refused, cccell.LateLease)
+	}
+	w.extend(o.UntilMs, now)
+	if w.runs[o.Task][o.Attempt] != nil {
+		return w.reply(now, cccell.Carried, "")
+	}
+	if over, ok := w.over[o.Task]; ok && o.Attempt <= over {
+		return w.reply(now, cccell.Refused, cccell.OldAttempt)
+	}
+	runMs, end, size := w.Plan(o.Task, o.Attempt)
+	r := &Run{Task: o.Task, Attempt: o.Attempt, Size: size, Begun: now, End: end, Checkpoint: o.Checkpoint}
+	if runMs > 0 {
+		r.EndsAt = now + runMs
+	}
+	if w.runs == nil {
+		w.runs, w.over = map[cccell.TaskID]map[int64]*Run{}, map[cccell.TaskID]int64{}
+	}
+	if w.runs[o.Task] == nil {
+		w.runs[o.Task] = map[int64]*Run{}
+	}
+	w.runs[o.Task][o.Attempt] = r
+	w.Judge.started(w, r, now)
+	return w.reply(now, cccell.Carried, "")
+}
+
+// Stop ends an attempt, or makes sure that it never begins.
+func (w *Worker) Stop(o *cccell.StopOrder, now ms) cccell.Reply {
+	if w.down {
+		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}
+	}
+	w.settle(now)
+	switch {
+	case o.BornMs != w.Info.BornMs:
+		return w.reply(now, cccell.Refused, cccell.OtherLife)
+	case w.fenced(o.Token):
+		return w.reply(now, cccell.Refused, cccell.Fenced)
+	}
+	if r := w.runs[o.Task][o.Attempt]; r != nil {
+		w.finish(r, cccell.EndStopped, now)
+		return w.reply(now, cccell.Carried, "")
+	}
+	if w.over == nil {
+		w.runs, w.over = map[cccell.TaskID]map[int64]*Run{}, map[cccell.TaskID]int64{}
+	}
+	w.over[o.Task] = max(w.over[o.Task], o.Attempt)
+	return w.reply(now, cccell.Carried, "")
+}
+
+// Look renews the lease, forgets ends, and returns the lists.
+func (w *Worker) Look(o *cccell.LookOrder, now ms) (cccell.Reply, *cccell.Lists) {
+	if w.down {
+		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, &cccell.Lists{}
+	}
+	w.settle(now)
+	if w.fenced(o.Token) {
+		return w.reply(now, cccell.Refused, cccell.Fenced), &cccell.Lists{}
+	}
+	if o.UntilMs > 0 {
+		w.extend(o.UntilMs, now)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= o.Seen {
+		w.Judge.noted(w, &w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	lists := &cccell.Lists{Ended: append([]cccell.EndedTask(nil), w.ended...)}
+	for _, r := range w.sorted() {
+		t := cccell.RunningTask{Task: r.Task, Attempt: r.Attempt, Percent: 100}
+		if r.EndsAt > 0 {
+			t.Percent = int(100 * (now - r.Begun) / (r.EndsAt - r.Begun))
+		}
+		lists.Running = append(lists.Running, t)
+	}
+	return w.reply(now, cccell.Carried, ""), lists
+}
+
+// Waiting reports whether a look with this last number would be answered at once.
+func (w *Worker) Waiting(seen int64) bool {
+	return len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > seen
+}
