A leader goes on only while it is confirmed; found by the model of a cell

Cause: the random proof (core/cccell/model_test.go) let a leader that was replaced start tasks on workers that are new, or had just started again, and so have seen no token: one task ran twice. A look of an earlier life made a new life forget ends that nobody had written. Change: authority of 0.7 s from the record or from all others' vouching; a new leader waits for it unless the one before answers, refuses the connection or is itself; afterwards each worker is read again; a look at a new life names no end as seen; the clock that does not count suspension is compared with the one that does.

--- a/core/cccell/calls.go
+++ b/core/cccell/calls.go
@@ -168,6 +168,7 @@
 	}
 	w.heardFrom(&r)
 	w.told = max(w.told, o.Seen)
+	w.readAt = max(w.readAt, r.Sent)
 	for i := range lists.Ended {
 		e := &lists.Ended[i]
 		if e.Number <= w.heard {
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -80,6 +80,11 @@
 	c.authority = max(c.authority, until)
 }
 
+// Revoke takes the authority back until it is confirmed anew: the process stood still for a time that its clock did not count.
+func (c *Cell) Revoke() {
+	c.authority = 0
+}
+
 // Authority returns the time until which the leader may start tasks and renew leases.
 func (c *Cell) Authority() ms {
 	return c.authority
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -21,6 +21,9 @@
 			continue
 		}
 		o := LookOrder{hurried: hurried, WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Seen: w.seen, Token: c.cfg.Token, worker: w}
+		if w.life != w.born() {
+			o.Seen = 0 // Ends are numbered anew in each life.
+		}
 		if w.looked && w.silentSince == 0 && len(w.ends) == 0 && !hurried {
 			o.WaitMs = lookWaitMs
 			if w.lag.now(now) > lagFactor {
@@ -58,7 +61,7 @@
 	switch {
 	case w.silentSince != 0:
 		return since >= silentGapMs
-	case !w.looked:
+	case !w.looked || (w.readAt < c.handover && now >= c.handover):
 		return true
 	case len(w.ends) > 0:
 		return since >= unnotedGapMs
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -76,10 +76,15 @@
 	return max(a.stage.spec.EstimateMs-ran, 0)
 }
 
-// settled reports whether everything that an earlier leader may have started is known by now.
+// settled reports whether everything that an earlier leader may have started is known by now, and that it starts nothing
+// more: it could where a worker is new, or has just started again, and has seen no token yet.
 func (c *Cell) settled(now ms) bool {
+	if now < c.handover {
+		return false
+	}
 	for _, w := range c.workers {
-		if w.looked || now >= w.freeAt {
+		// A worker that was read before may have started again since, and taken orders of the leader before.
+		if (w.looked && w.readAt >= c.handover) || now >= w.freeAt {
 			continue
 		}
 		return false
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -82,6 +82,8 @@
 	looking bool
 	// hurried is true while a second look, that does not wait, is under way: one that waits can't tell what a stop has settled.
 	hurried bool
+	// readAt is when the last look that was answered was sent.
+	readAt ms
 	// listedAt is the worker's clock at the newest lists that were read. Older ones may arrive later.
 	listedAt int64
 	lookSent ms
--- a/core/ccfleet/worker.go
+++ b/core/ccfleet/worker.go
@@ -212,7 +212,10 @@
 		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, &cccell.Lists{}
 	}
 	w.settle(now)
-	if w.fenced(o.Token) {
+	switch {
+	case o.BornMs != w.Info.BornMs:
+		return w.reply(now, cccell.Refused, cccell.OtherLife), &cccell.Lists{}
+	case w.fenced(o.Token):
 		return w.reply(now, cccell.Refused, cccell.Fenced), &cccell.Lists{}
 	}
 	if o.UntilMs > 0 {
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -111,7 +111,7 @@
 		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
 		Configs: ccplatform.NewConfigs(store), Workers: ccplatform.NewWorkers(clock), Adviser: ccplatform.NewAdviser(s.PolicyService),
 		Fellows: ccfellow.NewClient(ccfellow.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
-		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), MaxLeaseMs: s.Bounds.MaxLeaseMs, RemoteFactor: max(s.Bounds.RemoteFactor, 1),
+		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
 		KeepFinalMs: ccclock.Millis(s.Bounds.KeepFinalS * msPerSecond),
 	})
 	return &entry{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg}
--- a/io/cccontrol/asks.go
+++ b/io/cccontrol/asks.go
@@ -37,6 +37,9 @@
 	outbox   []cccell.AskOrder
 	wake     chan struct{}
 	syncedAt ms
+	// replied is true once the fellow got an answer, vouchedAt the time of the answer after which it last followed this leader.
+	replied   bool
+	vouchedAt ms
 	// calls is the number of calls that are not answered, busyUntil when they should be.
 	calls     int
 	busyUntil ms
@@ -76,7 +79,7 @@
 func (s *askSlot) answered(now ms) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.syncedAt = now
+	s.syncedAt, s.replied = now, true
 }
 
 // hasAsks reports whether calls wait for the fellow.
--- /dev/null
+++ b/io/cccontrol/authority.go
@@ -0,0 +1,124 @@
+package cccontrol
+
+import (
+	"context"
+	"syscall"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/io/ccfellow"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A leader that was replaced may not know it: it is cut off, or stood still. Workers that the new leader has reached refuse it,
+// but those that are new, or have just started again, know of neither. So a leader goes on only while it was confirmed lately: by
+// its record in the store, or, while the store is away, by all other processes, any of which would have to take over.
+
+const (
+	// authorityMs is how long a leader goes on after it was last confirmed. A new leader waits as long for one that does not answer.
+	authorityMs ms = 700
+	// confirmMs is the time before the end of the authority at which the record is read; writes of progress confirm it as well.
+	confirmMs ms = 450
+	// suspendedMs is the growth of the time that the clock did not count from which the process counts as having been suspended.
+	suspendedMs ms = 100
+)
+
+// announce tells all others of this term, so that they turn to it at once, and finds out whether the leader before has ended.
+func (l *leadership) announce(prior leaderRecord) {
+	p, r := l.p, l.record
+	if prior.Token == 0 || (prior.VM == p.cfg.VM && prior.StartMs != p.cfg.StartMs) {
+		l.cell.PriorEnded(p.now())
+	}
+	in := &ccfellow.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision}
+	addresses := p.others()
+	if prior.Token != 0 && prior.VM != p.cfg.VM {
+		addresses = append(addresses, prior.Address)
+	}
+	for _, address := range addresses {
+		go func() {
+			err := p.cfg.Fellows.Announce(l.ctx, address, in)
+			if address != prior.Address || (err != nil && !errors.Is(err, syscall.ECONNREFUSED)) {
+				return // Who does not hear it finds the record.
+			}
+			// The process there has ended its term, or has ended itself.
+			l.post(func(now ms) {
+				p.cfg.Log.Info("leader before has ended", "Leader", prior.VM, "Token", prior.Token, "Refused", err != nil)
+				l.cell.PriorEnded(now)
+			})
+		}()
+	}
+}
+
+// watchAuthority keeps the authority of this term confirmed.
+func (l *leadership) watchAuthority(now ms) {
+	if s := ccclock.Suspended(); s > l.suspended+suspendedMs {
+		l.p.cfg.Log.Warn("process was suspended", "Token", l.token, "ForMs", s-l.suspended)
+		l.suspended = s
+		l.cell.Revoke()
+	}
+	l.cell.Authorize(l.desk.vouchedAt(l.p.memberNames()) + authorityMs)
+	if l.cell.Authority()-now > confirmMs || l.confirming {
+		return
+	}
+	l.confirming = true
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, storeCheckMs.Duration())
+		defer cancel()
+		sent := l.p.now()
+		item, err := l.p.cfg.Store.Get(ctx, keyLeader)
+		if err == nil && item.Revision != l.record.revision {
+			l.p.readLeader(&item, "confirmation")
+		}
+		l.post(func(ms) {
+			l.confirming = false
+			if err == nil && item.Revision == l.record.revision {
+				l.cell.Authorize(sent + authorityMs)
+			}
+		})
+	}()
+}
+
+// vouch notes that a fellow followed this leader after it got the last answer.
+func (s *askSlot) vouch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replied {
+		s.vouchedAt = s.syncedAt
+	}
+}
+
+// vouchedAt returns the time up to which every one of the others vouches, 0 when one never did.
+func (d *askDesk) vouchedAt(others []string) ms {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(others) == 0 {
+		return 0
+	}
+	oldest := ms(0)
+	for i, vm := range others {
+		s := d.slots[vm]
+		if s == nil {
+			return 0
+		}
+		s.mu.Lock()
+		at := s.vouchedAt
+		s.mu.Unlock()
+		if i == 0 || at < oldest {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// memberNames returns the names of the other members.
+func (p *Process) memberNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.members))
+	for vm := range p.members {
+		if vm != p.cfg.VM {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -169,14 +169,14 @@
 		p.cfg.Log.Info("leader is heard by others", "Leader", lost.VM, "Token", lost.Token, "Why", why, "Misses", misses)
 		return false
 	}
-	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(lost.Token, 0) + 1}
+	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(lost.Token, 0) + 1, LeaseMs: p.cfg.LeaseMs}
 	rev, err := p.cfg.Store.Write(callCtx, &Txn{If: []Condition{{keyLeader, item.Revision}}, Puts: []Put{{Key: keyLeader, Value: encode(r)}}})
 	if errors.Is(err, ccstore.ErrInDoubt) {
 		// The record tells whether the write was carried out; if it comes later, the poll will.
 		if again, err := p.cfg.Store.Get(ctx, keyLeader); err == nil {
 			p.readLeader(&again, "campaign")
 			if seen, _ := p.leaderView(); seen.VM == p.cfg.VM && seen.StartMs == p.cfg.StartMs && seen.Token == r.Token {
-				p.takeLead(ctx, seen, why, misses)
+				p.takeLead(ctx, seen, lost, why, misses)
 				return true
 			}
 		}
@@ -187,7 +187,7 @@
 	}
 	r.revision = rev
 	p.believe(r, "campaign")
-	p.takeLead(ctx, r, why, misses)
+	p.takeLead(ctx, r, lost, why, misses)
 	return true
 }
 
@@ -211,17 +211,6 @@
 	}
 }
 
-// announce tells all others of this process's term, so that they turn to it at once.
-func (p *Process) announce(ctx context.Context, r leaderRecord) {
-	in := &ccfellow.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision}
-	for _, address := range p.others() {
-		go func() {
-			// Who does not hear it finds the record.
-			_ = p.cfg.Fellows.Announce(ctx, address, in)
-		}()
-	}
-}
-
 // Announce implements ccfellow.CellHandler.
 func (p *Process) Announce(_ context.Context, in *ccfellow.AnnounceRequest) (*ccfellow.HeardReply, error) {
 	p.believe(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, revision: in.Revision}, "announcement")
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -46,6 +46,8 @@
 	StartMs int64  `cbor:"3,keyasint"`
 	// Token rises with each leader; workers refuse a lower one.
 	Token int64 `cbor:"4,keyasint"`
+	// LeaseMs is the length of the leases that the leader gives to workers.
+	LeaseMs ms `cbor:"5,keyasint"`
 
 	revision int64
 }
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/ccclock"
 	"coriandercross/io/ccfellow"
 
 	"github.com/cockroachdb/errors"
@@ -49,29 +50,32 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	desk      *askDesk
-	noting    bool
-	notedAt   ms
-	figuresAt ms
-	version   int64
-	resigning bool
-	roster    map[string]int64
-	rosterAt  ms
-	rostering bool
+	desk       *askDesk
+	noting     bool
+	notedAt    ms
+	figuresAt  ms
+	version    int64
+	resigning  bool
+	confirming bool
+	suspended  ms
+	roster     map[string]int64
+	rosterAt   ms
+	rostering  bool
 }
 
 // takeLead begins a term: it reads what lasts, and lets the loop take the workers.
-func (p *Process) takeLead(ctx context.Context, r leaderRecord, why string, misses int) {
+func (p *Process) takeLead(ctx context.Context, r, prior leaderRecord, why string, misses int) {
 	p.cfg.Log.Info("taking the lead", "Token", r.Token, "Revision", r.revision, "Why", why, "Misses", misses)
 	began := p.now()
 	p.loading.Store(r.Token)
 	defer p.loading.Store(0)
-	p.announce(ctx, r)
-	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}}
+	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}, suspended: ccclock.Suspended()}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.cell = cccell.New(cccell.Config{
-		Token: r.Token, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, RemoteFactor: p.cfg.RemoteFactor, Log: p.decision,
+		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, p.cfg.LeaseMs), AuthorityMs: authorityMs,
+		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision,
 	}, began)
+	l.announce(prior)
 	l.desk = newAskDesk(l)
 	var in, directory int64
 	var err error
@@ -246,6 +250,7 @@
 func (l *leadership) step() {
 	p := l.p
 	now := p.now()
+	l.watchAuthority(now)
 	if l.cell.Deposed() {
 		l.end("a worker obeys a higher token")
 		return
@@ -444,6 +449,9 @@
 		return &ccfellow.SyncReply{}, nil
 	}
 	slot := l.desk.slot(in.VM, in.Draining)
+	if in.Token == l.token {
+		slot.vouch()
+	}
 	deadline := time.NewTimer(syncWaitMs.Duration())
 	defer deadline.Stop()
 	if wait := slot.answeredAt() + syncGapMs - p.now(); wait > 0 && !slot.hasAsks() {
--- a/io/cccontrol/notes.go
+++ b/io/cccontrol/notes.go
@@ -55,13 +55,17 @@
 	began := l.p.now()
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, noteTimeout)
+		sent := l.p.now()
 		rev, err := l.p.cfg.Store.Write(ctx, t)
 		cancel()
 		var conflict *Conflict
 		switch {
 		case err == nil:
 			l.p.cfg.Metrics.noteMs.Observe(float64(l.p.now() - began))
-			l.post(func(now ms) { l.noted(notes, rev, now) })
+			l.post(func(now ms) {
+				l.cell.Authorize(sent + authorityMs)
+				l.noted(notes, rev, now)
+			})
 			return
 		case errors.As(err, &conflict):
 			l.post(func(now ms) { l.conflict(notes, t, conflict, now) })
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -35,9 +35,9 @@
 	Adviser   Adviser
 	Fellows   *ccfellow.Client
 
-	// LeaseMs is the length of a lease at a worker, MaxLeaseMs the longest that a worker takes.
-	LeaseMs, MaxLeaseMs ms
-	RemoteFactor        float64
+	// LeaseMs is the length of a lease at a worker.
+	LeaseMs      ms
+	RemoteFactor float64
 	// KeepFinalMs is how long the final state of a job is told.
 	KeepFinalMs ms
 }
