--- a/core/ccfleet/judge.go
+++ b/core/ccfleet/judge.go
@@ -131,3 +131,8 @@
 func (j *Judge) Live(t cccell.TaskID) int {
 	return len(j.live[t])
 }
+
+// Begun reports whether any attempt at a task ever began.
+func (j *Judge) Begun(t cccell.TaskID) bool {
+	return len(j.begun[t]) > 0
+}
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -30,6 +30,7 @@
 // entryCommand runs the process of an entry VM on the users' platform.
 type entryCommand struct {
 	Settings string `long:"settings" description:"file of the platform's settings; the environment names it when left out"`
+	Metrics  string `long:"metrics" description:"address for metrics and the state dump; the settings' IP and port 9464 when left out"`
 }
 
 const (
@@ -63,6 +64,10 @@
 		return err
 	}
 	p := newEntry(s, path, logger)
+	p.metrics = c.Metrics
+	if p.metrics == "" {
+		p.metrics = s.MetricsAddress()
+	}
 	return p.serve()
 }
 
@@ -78,6 +83,7 @@
 type entry struct {
 	settings *ccplatform.Settings
 	path     string
+	metrics  string
 	log      *log.Logger
 	process  *cccontrol.Process
 	ingress  *ccplatform.Ingress
@@ -124,7 +130,7 @@
 // serve opens the sockets and works until SIGTERM; then it hands over, answers on, and leaves within the grace period.
 func (p *entry) serve() error {
 	s := p.settings
-	handlers := map[string]http.Handler{s.Listen.Callers: p.ingress.Callers(), s.Listen.Ready: p.ingress.ReadyHandler(), s.MetricsAddress(): p.operators()}
+	handlers := map[string]http.Handler{s.Listen.Callers: p.ingress.Callers(), s.Listen.Ready: p.ingress.ReadyHandler(), p.metrics: p.operators()}
 	fellows, err := net.Listen("tcp", s.Listen.Fellows)
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", s.Listen.Fellows)
--- /dev/null
+++ b/io/ccstandin/cellstore.go
@@ -0,0 +1,275 @@
+package ccstandin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/io/cccontrol"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// CellStore is a store of keys with revisions, transactions, watches and leases, in memory. It implements cccontrol.Store.
+type CellStore struct {
+	mu       sync.Mutex
+	items    map[string]cccontrol.Item
+	history  []cccontrol.Item
+	floor    int64
+	revision int64
+	leases   map[int64]*storeLease
+	nextID   int64
+	changed  chan struct{}
+	// fault decides what becomes of the next call; nil lets all pass.
+	fault func(kind string) Fault
+}
+
+// storeLease binds keys to a time.
+type storeLease struct {
+	ttl   ccclock.Millis
+	until time.Time
+	keys  map[string]bool
+}
+
+// Fault is what becomes of a call.
+type Fault int
+
+const (
+	// Pass carries the call out.
+	Pass Fault = iota
+	// Refuse does nothing and says so.
+	Refuse
+	// LoseCall does nothing and does not answer.
+	LoseCall
+	// LoseReply carries the call out and does not answer.
+	LoseReply
+)
+
+// NewCellStore returns an empty store.
+func NewCellStore() *CellStore {
+	return &CellStore{items: map[string]cccontrol.Item{}, leases: map[int64]*storeLease{}, changed: make(chan struct{}), revision: 1}
+}
+
+// SetFault decides what becomes of further calls; nil lets all pass.
+func (s *CellStore) SetFault(f func(kind string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// enter applies the fault to a call. It returns true when the call is carried out but its answer is lost.
+func (s *CellStore) enter(ctx context.Context, kind string) (lost bool, err error) {
+	s.mu.Lock()
+	f := s.fault
+	s.mu.Unlock()
+	if f == nil {
+		return false, nil
+	}
+	switch f(kind) {
+	case Refuse:
+		return false, errors.Wrap(ccstore.ErrUnavailable, kind)
+	case LoseCall:
+		<-ctx.Done()
+		return false, errors.Mark(ctx.Err(), ccstore.ErrInDoubt)
+	case LoseReply:
+		return true, nil
+	}
+	return false, nil
+}
+
+// expire removes the keys of leases that have ended. The caller holds mu.
+func (s *CellStore) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.until) {
+			delete(s.leases, id)
+			for key := range l.keys {
+				s.drop(key)
+			}
+		}
+	}
+}
+
+// put writes a key at the present revision. The caller holds mu.
+func (s *CellStore) put(key string, value []byte) {
+	item := cccontrol.Item{Key: key, Value: append([]byte(nil), value...), Revision: s.revision}
+	s.items[key] = item
+	s.history = append(s.history, item)
+}
+
+// drop removes a key at a new revision. The caller holds mu.
+func (s *CellStore) drop(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, cccontrol.Item{Key: key, Revision: s.revision, Deleted: true})
+	s.wake()
+}
+
+// wake tells watches of a change. The caller holds mu.
+func (s *CellStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history.
+func (s *CellStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.floor = nil, s.revision
+}
+
+// Get implements cccontrol.Store.
+func (s *CellStore) Get(ctx context.Context, key string) (cccontrol.Item, error) {
+	if _, err := s.enter(ctx, "get"); err != nil {
+		return cccontrol.Item{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[key]
+	if !ok {
+		return item, cccontrol.ErrNoKey
+	}
+	return item, nil
+}
+
+// Range implements cccontrol.Store.
+func (s *CellStore) Range(ctx context.Context, prefix string, _ bool) ([]cccontrol.Item, int64, error) {
+	if _, err := s.enter(ctx, "range"); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var out []cccontrol.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, item)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out, s.revision, nil
+}
+
+// Watch implements cccontrol.Store.
+func (s *CellStore) Watch(ctx context.Context, prefix string, after int64, wait ccclock.Millis) ([]cccontrol.Item, int64, error) {
+	if _, err := s.enter(ctx, "watch"); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.NewTimer(wait.Duration())
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		s.expire()
+		if after < s.floor {
+			s.mu.Unlock()
+			return nil, 0, cccontrol.ErrCompacted
+		}
+		var out []cccontrol.Item
+		for _, item := range s.history {
+			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+				out = append(out, item)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, at, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, errors.Mark(ctx.Err(), ccstore.ErrUnavailable)
+		}
+	}
+}
+
+// Write implements cccontrol.Store.
+func (s *CellStore) Write(ctx context.Context, t *cccontrol.Txn) (int64, error) {
+	lost, err := s.enter(ctx, "write")
+	if err != nil {
+		return 0, err
+	}
+	rev, err := s.Commit(t)
+	if lost {
+		<-ctx.Done()
+		return 0, errors.Mark(ctx.Err(), ccstore.ErrInDoubt)
+	}
+	return rev, err
+}
+
+// Commit carries out a transaction, whatever the faults that calls meet.
+func (s *CellStore) Commit(t *cccontrol.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	conflict := &cccontrol.Conflict{}
+	holds := true
+	for _, c := range t.If {
+		item, ok := s.items[c.Key]
+		if ok {
+			conflict.Found = append(conflict.Found, item)
+		}
+		holds = holds && item.Revision == c.Revision
+	}
+	if !holds {
+		return 0, conflict
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		if p.Lease != 0 {
+			l := s.leases[p.Lease]
+			if l == nil {
+				return 0, cccontrol.ErrNoLease
+			}
+			l.keys[p.Key] = true
+		}
+		s.put(p.Key, p.Value)
+	}
+	rev := s.revision
+	for _, key := range t.Remove {
+		if _, ok := s.items[key]; ok {
+			delete(s.items, key)
+			s.history = append(s.history, cccontrol.Item{Key: key, Revision: rev, Deleted: true})
+		}
+	}
+	s.wake()
+	return rev, nil
+}
+
+// Lease implements cccontrol.Store.
+func (s *CellStore) Lease(ctx context.Context, ttl ccclock.Millis) (int64, error) {
+	if _, err := s.enter(ctx, "lease"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = &storeLease{ttl: ttl, until: time.Now().Add(ttl.Duration()), keys: map[string]bool{}}
+	return s.nextID, nil
+}
+
+// Keep implements cccontrol.Store.
+func (s *CellStore) Keep(ctx context.Context, lease int64) error {
+	if _, err := s.enter(ctx, "keep"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[lease]
+	if l == nil {
+		return cccontrol.ErrNoLease
+	}
+	l.until = time.Now().Add(l.ttl.Duration())
+	return nil
+}
