A silent worker's lease comes to its end; tests of each decision

Cause: a test for silent workers never saw the task again: each look that went unanswered carried a longer lease, so that the lapse moved ahead of the clock until the store dropped the worker. A second one showed that a worker's next quarantine took two failures, not one, and that no percent at all was not taken for a lag. Ruled out: the lapse arithmetic; it held once no lease was sent. Change: looks at a silent worker renew nothing; the score after a quarantine; no percent in most of the usual time is a lag.

--- /dev/null
+++ b/core/cccell/advice_test.go
@@ -0,0 +1,61 @@
+package cccell
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// advisedCell returns a cell with a job of a queue whose calls take a time.
+func advisedCell(t *testing.T, decideMs, perWorkerMs float64, workers, tasks int) (*Cell, []AskOrder) {
+	t.Helper()
+	var infos []WorkerInfo
+	for i := range workers {
+		infos = append(infos, testWorker(fmt.Sprintf("w%02d", i)))
+	}
+	c := ready(t, infos...)
+	j := testJob("a", tasks)
+	j.Queue.Advice = &Advice{DecideMs: decideMs, PerWorkerMs: perWorkerMs, ValidMs: 2000}
+	c.Add(j, 1100, 1100)
+	c.Schedule(1100, 1100, true)
+	return c, c.Take().Asks
+}
+
+// A dear call names the workers that the aim counts, a cheap one names all; nobody is asked twice while an answer is awaited.
+func TestAskNamesAsManyAsPay(t *testing.T) {
+	tests := map[string]struct {
+		decideMs, perWorkerMs float64
+		want                  int
+	}{
+		"Dear":  {370, 5.3, askWorkers},
+		"Cheap": {18, 0.26, 48},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, asks := advisedCell(t, test.decideMs, test.perWorkerMs, 48, 4)
+			assert.Equal(t, len(asks), 1)
+			assert.Equal(t, len(asks[0].Workers), test.want)
+			c.Schedule(1200, 1200, true)
+			assert.Equal(t, len(c.Take().Asks), 0)
+		})
+	}
+}
+
+// Who may run a stage never changes: a refusal is learned for good, and a permission is renewed alone.
+func TestTicketsAreLearnedAndRenewed(t *testing.T) {
+	c, asks := advisedCell(t, 370, 5.3, 3, 1)
+	assert.Equal(t, len(asks[0].Workers), 3)
+	c.OnAnswer(&Answer{Stage: asks[0].Stage, Workers: asks[0].Workers, Tickets: map[string]string{"w01": "ticket"}, ValidMs: 2000}, 0, 1500)
+	got := starts(c, 1510)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].WorkerID, "w01")
+	assert.Equal(t, got[0].Ticket, "ticket")
+	// The task ends without success after the ticket has expired.
+	c.ended(c.stageOf(got[0].Task).tasks[0][0], EndStopped, "", 5000)
+	c.Schedule(5000, 5000, true)
+	out := c.Take()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Asks), 1)
+	assert.DeepEqual(t, out.Asks[0].Workers, []string{"w01"})
+}
--- a/core/cccell/health.go
+++ b/core/cccell/health.go
@@ -45,6 +45,6 @@
 	h.until = now + min(quarantineMs<<h.strikes, quarantineMaxMs)
 	h.strikes = min(h.strikes+1, 4)
 	// One more failure after the quarantine begins the next one.
-	h.score = healthFloor / (1 - healthWeight) * 1.01
+	h.score = healthFloor / (1 - healthWeight) * 0.99
 	return true
 }
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -30,7 +30,8 @@
 				o.WaitMs = hurryWaitMs
 			}
 		}
-		if w.listed && w.looked && now < c.authority {
+		// A look that is not answered may renew the lease all the same: a silent worker's has to come to its end.
+		if w.listed && w.looked && w.silentSince == 0 && now < c.authority {
 			o.UntilMs = w.nextUntil(now, c.cfg.LeaseMs)
 			w.until = max(w.until, o.UntilMs)
 		}
--- a/core/cccell/straggle.go
+++ b/core/cccell/straggle.go
@@ -153,8 +153,8 @@
 	if a.pastMs(now) < judgeShare*here {
 		return // The first percents come late and are rounded: they say little.
 	}
-	if total == 0 {
-		total = a.pastMs(now) // At least that.
+	if shown := float64(w.lookDone - a.sentAt); total == 0 && shown > judgeShare*here {
+		total = lagCap * here // Not one percent in most of the usual time.
 	}
 	if total < lagFactor*here || total-a.pastMs(now) < gainFactor*usual+moveMs {
 		return
--- a/core/ccfleet/worker.go
+++ b/core/ccfleet/worker.go
@@ -42,6 +42,8 @@
 	over   map[cccell.TaskID]int64
 	ended  []cccell.EndedTask
 	number int64
+	// unsure is the number of the last end that was listed before the lease lapsed.
+	unsure int64
 	down   bool
 }
 
@@ -80,7 +82,7 @@
 		w.Crash(now)
 	}
 	w.down = false
-	w.token, w.until, w.number = 0, 0, 0
+	w.token, w.until, w.number, w.unsure = 0, 0, 0, 0
 	w.Info.BornMs += int64(now) + 1
 }
 
@@ -95,6 +97,11 @@
 		}
 	}
 	if w.Clock(now) > w.until {
+		// What is noted after the lease has lapsed does not count as noted: nobody could rely on it meanwhile.
+		for i := range w.ended {
+			w.unsure = max(w.unsure, w.ended[i].Number)
+			w.Judge.lost(&w.ended[i])
+		}
 		for _, r := range w.sorted() {
 			w.finish(r, cccell.EndLapsed, now)
 		}
@@ -222,7 +229,9 @@
 		w.extend(o.UntilMs, now)
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= o.Seen {
-		w.Judge.noted(w, &w.ended[0])
+		if w.ended[0].Number > w.unsure {
+			w.Judge.noted(w, &w.ended[0])
+		}
 		w.ended = w.ended[1:]
 	}
 	lists := &cccell.Lists{Ended: append([]cccell.EndedTask(nil), w.ended...)}
