Tests of hand-ins, of the wire and of callers' answers; a repeated hand-in no longer shows an ended job as queued

Cause: TestSubmitAgain; a hand-in whose job the store had already was taken for a new one, so that a process that had not heard of its end told 'queued' after 'completed'.

--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -98,8 +98,7 @@
 
 // submit keeps a job or says why not.
 func (p *Process) submit(ctx context.Context, j *cccell.Job, until ms) error {
-	if s, known := p.board.state(j.ID); known {
-		_ = s
+	if _, known := p.board.state(j.ID); known {
 		return nil // The same job again.
 	}
 	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
@@ -111,6 +110,9 @@
 		keep = p.relay
 	}
 	if err := keep(ctx, j, until); err != nil {
+		if errors.Is(err, errKept) {
+			return nil // Accepted before: the leader knows of it, or it has ended.
+		}
 		if errors.Is(err, ccstore.ErrInDoubt) {
 			return err
 		}
--- /dev/null
+++ b/io/cccontrol/control_test.go
@@ -0,0 +1,141 @@
+package cccontrol_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccclock"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/cccontrol"
+	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstandin"
+	"coriandercross/io/ccstore"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+)
+
+// newProcess returns a process that is not served, over a store in memory.
+func newProcess(t *testing.T) (*cccontrol.Process, *ccstandin.CellStore) {
+	t.Helper()
+	store := ccstandin.NewCellStore()
+	clock := ccclock.NewSystem()
+	return cccontrol.New(cccontrol.Config{
+		VM: "vm", Address: "127.0.0.1:1", Clock: clock, Log: log.New(io.Discard), Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()),
+		Store: cccontrol.NewTimedStore(store, clock, nil), Fellows: ccfellow.NewClient(ccfellow.ClientConfig{DialTimeout: time.Second, ControlTimeout: time.Second}),
+	}), store
+}
+
+// testJob returns a job of one task.
+func testJob(id string) *cccell.Job {
+	return &cccell.Job{ID: id, Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+}
+
+// What a caller is told of a hand-in is true, whatever the store does with the write: accepted when it is kept, refused only
+// when it is certainly not, and else in doubt, soon enough to do something about it.
+func TestSubmitTellsTheTruth(t *testing.T) {
+	first := func(f ccstandin.Fault) func(string) ccstandin.Fault {
+		var calls atomic.Int64
+		return func(kind string) ccstandin.Fault {
+			if kind == "write" && calls.Add(1) == 1 {
+				return f
+			}
+			return ccstandin.Pass
+		}
+	}
+	always := func(f ccstandin.Fault) func(string) ccstandin.Fault {
+		return func(string) ccstandin.Fault { return f }
+	}
+	tests := map[string]struct {
+		fault func(string) ccstandin.Fault
+		want  error
+		kept  bool
+	}{
+		"Kept":                 {nil, nil, true},
+		"ReplyLostThenFound":   {first(ccstandin.LoseReply), nil, true},
+		"CallLostThenKept":     {first(ccstandin.LoseCall), nil, true},
+		"Refused":              {always(ccstandin.Refuse), ccwork.ErrStore, false},
+		"SilentIsInDoubt":      {always(ccstandin.LoseCall), ccstore.ErrInDoubt, false},
+		"RepliesLostAreDoubts": {always(ccstandin.LoseReply), ccstore.ErrInDoubt, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, store := newProcess(t)
+			store.SetFault(test.fault)
+			began := time.Now()
+			err := p.Submit(context.Background(), testJob("j"), 3000)
+			if test.want == nil {
+				assert.NilError(t, err)
+			} else {
+				assert.Assert(t, errors.Is(err, test.want), "%v", err)
+			}
+			assert.Assert(t, time.Since(began) < 2*time.Second, "answered after %s", time.Since(began))
+			var refusal *cccontrol.Refusal
+			assert.Equal(t, errors.As(err, &refusal), errors.Is(test.want, ccwork.ErrStore))
+			store.SetFault(nil)
+			items, _, err := store.Range(context.Background(), "cc/in/j/", false)
+			assert.NilError(t, err)
+			assert.Equal(t, len(items) == 1, test.kept)
+		})
+	}
+}
+
+// A job that comes again, here or at another process, stays one job, also after it has ended.
+func TestSubmitAgain(t *testing.T) {
+	p, store := newProcess(t)
+	assert.NilError(t, p.Submit(context.Background(), testJob("j"), 3000))
+	assert.NilError(t, p.Submit(context.Background(), testJob("j"), 3000))
+	other := cccontrol.New(cccontrol.Config{
+		VM: "other", Clock: ccclock.NewSystem(), Log: log.New(io.Discard), Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()),
+		Store: cccontrol.NewTimedStore(store, ccclock.NewSystem(), nil),
+	})
+	assert.NilError(t, other.Submit(context.Background(), testJob("j"), 3000))
+	_, err := store.Commit(&cccontrol.Txn{Puts: []cccontrol.Put{{Key: "cc/p/done", Value: []byte{0xa1, 0x01, 0x69, 'C', 'o', 'm', 'p', 'l', 'e', 't', 'e', 'd'}}}})
+	assert.NilError(t, err)
+	assert.NilError(t, other.Submit(context.Background(), testJob("done"), 3000))
+	items, _, err := store.Range(context.Background(), "cc/in/j/", false)
+	assert.NilError(t, err)
+	assert.Equal(t, len(items), 1)
+	state, err := other.Status(context.Background(), "done")
+	assert.NilError(t, err)
+	assert.Equal(t, state, cccell.Completed)
+}
+
+// A job is unknown only when the store says so; while the store is away nobody is told that it does not exist.
+func TestStatusOfUnknownJobs(t *testing.T) {
+	p, store := newProcess(t)
+	_, err := p.Status(context.Background(), "nobody")
+	assert.Assert(t, errors.Is(err, cccontrol.ErrNoJob))
+	assert.Assert(t, errors.Is(p.Cancel(context.Background(), "nobody"), cccontrol.ErrNoJob))
+	store.SetFault(func(string) ccstandin.Fault { return ccstandin.Refuse })
+	_, err = p.Status(context.Background(), "nobody")
+	assert.Assert(t, errors.Is(err, cccontrol.ErrNotKnown))
+	_, err = p.Pending("q")
+	assert.Assert(t, errors.Is(err, cccontrol.ErrNotKnown))
+}
+
+// A fellow that asks this process to write for it learns what became of the write.
+func TestKeepForAFellow(t *testing.T) {
+	tests := map[string]struct {
+		fault ccstandin.Fault
+		want  ccwork.Outcome
+	}{
+		"Kept": {ccstandin.Pass, ccwork.Ran}, "Refused": {ccstandin.Refuse, ccwork.NotRun}, "ReplyLost": {ccstandin.LoseReply, ccwork.Unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, store := newProcess(t)
+			store.SetFault(func(string) ccstandin.Fault { return test.fault })
+			out, err := p.Keep(context.Background(), &ccfellow.KeepRequest{Job: testJob("j"), BudgetMs: 300})
+			assert.NilError(t, err)
+			assert.Equal(t, out.Outcome, test.want)
+		})
+	}
+}
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -150,6 +150,10 @@
 		sleep(ctx, retryMs)
 		return false
 	}
+	if p.knowsNobody() {
+		// After a loss of all power the members are still listed, and a small VM must not lead before a large one.
+		p.pollShared(ctx)
+	}
 	if !p.sleepTurn(ctx, lost) {
 		return true
 	}
--- a/io/cccontrol/intake.go
+++ b/io/cccontrol/intake.go
@@ -42,7 +42,10 @@
 	return &intake{p: p}
 }
 
-// keep writes a job and returns when the store has it. A job that the store has already is kept, too. It fails with
+// errKept reports a job that the store has already; it may have ended long ago.
+var errKept = errors.New("job is kept already")
+
+// keep writes a job and returns when the store has it. It fails with errKept when the store had it before, with
 // ccstore.ErrUnavailable when the job is certainly not kept, and with ccstore.ErrInDoubt when it may be.
 func (in *intake) keep(ctx context.Context, j *cccell.Job, until ms) error {
 	h := &handIn{job: j, data: encode(j), until: until, done: make(chan error, 1)}
@@ -132,7 +135,11 @@
 	var again []*handIn
 	for _, h := range batch {
 		if found[prefixJobs+h.job.ID] || found[prefixProgress+h.job.ID] {
-			h.done <- nil
+			if h.tried {
+				h.done <- nil // An earlier try of this hand-in was carried out.
+			} else {
+				h.done <- errKept
+			}
 			continue
 		}
 		again = append(again, h)
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -155,6 +155,13 @@
 	return members[r.VM].Region
 }
 
+// knowsNobody reports whether no member was read yet.
+func (p *Process) knowsNobody() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members) == 0
+}
+
 // others returns the addresses of the other processes; the seeds while none are listed.
 func (p *Process) others() []string {
 	p.mu.Lock()
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -54,7 +54,7 @@
 		p.tell.cancel(in.Cancel)
 	}
 	switch {
-	case err == nil:
+	case err == nil || errors.Is(err, errKept):
 		return &ccfellow.KeepReply{Outcome: ccwork.Ran}, nil
 	case errors.Is(err, ccstore.ErrUnavailable) && !errors.Is(err, ccstore.ErrInDoubt):
 		return &ccfellow.KeepReply{Outcome: ccwork.NotRun}, nil
