Bounded logs that never block; explain gathers the lines of one job

Cause: a take-over wrote hundreds of lines, and a reader that does not read standard output would have held the process up.

--- a/io/cccmds/command.go
+++ b/io/cccmds/command.go
@@ -66,6 +66,7 @@
 var commands = []command{
 	{"serve", "Run the process of an entry VM.", "Reads the settings, joins its fellows and serves until SIGTERM or SIGINT, which begin a planned stop. A wrong setting ends the process before any socket opens; a missing store does not.", func() runner { return &serveCommand{} }},
 	{"entry", "Run the process of an entry VM on the users' platform.", "Reads the platform's settings and serves until SIGTERM or SIGINT, which begin a planned stop. SIGHUP reads the settings again.", func() runner { return &entryCommand{} }},
+	{"explain", "Gather what logs say of a job.", "Reads the logs of several processes and prints, in order of time, the lines that name the job and those that concerned all jobs meanwhile.", func() runner { return &explainCommand{} }},
 	{"check", "Check a file of settings or configuration.", "Prints every fault at once with its file, line and what is accepted.", func() runner { return &checkCommand{} }},
 	{"apply", "Put a configuration in force.", "Sends the configuration as an edit of the revision given by --base, or of the one in force when it is left out. With --wait it returns once all living processes have it in force, or lists those that do not.", func() runner { return &applyCommand{} }},
 	{"get", "Print the configuration in force.", "Prints YAML that apply accepts.", func() runner { return &getCommand{} }},
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -61,11 +61,14 @@
 		return err
 	}
 	limitRuntime(s)
-	logger, err := cclog.New(cclog.Config{Out: e.out, Level: "info", Format: "logfmt", VM: s.VM}, "entry")
+	out := cclog.NewWriter(e.out)
+	defer out.Close()
+	logger, err := cclog.New(cclog.Config{Out: out, Level: "info", Format: "logfmt", VM: s.VM}, "entry")
 	if err != nil {
 		return err
 	}
 	p := newEntry(s, path, logger)
+	p.out = out
 	p.metrics = c.Metrics
 	if p.metrics == "" {
 		p.metrics = s.MetricsAddress()
@@ -86,6 +89,7 @@
 	settings *ccplatform.Settings
 	path     string
 	metrics  string
+	out      *cclog.Writer
 	log      *log.Logger
 	process  *cccontrol.Process
 	ingress  *ccplatform.Ingress
@@ -116,7 +120,7 @@
 	const msPerSecond = 1000
 	p := cccontrol.New(cccontrol.Config{
 		VM: s.VM, Region: s.Region, Address: s.Listen.Fellows, Seeds: s.Seeds, Share: s.Limits.CPUShare * float64(max(s.Limits.Cores, 1)),
-		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
+		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: cclog.NewSampler(clock), Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
 		Configs: ccplatform.NewConfigs(store), Workers: ccplatform.NewWorkers(clock), Adviser: ccplatform.NewAdviser(s.PolicyService),
 		Fellows: ccfellow.NewClient(ccfellow.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
@@ -163,6 +167,9 @@
 		case err := <-failed:
 			return errors.Wrap(err, "serving")
 		case <-poll.C:
+			if n := p.out.Dropped(); n > 0 {
+				p.log.Warn("lines were left out: the log is not read fast enough", "Lines", n)
+			}
 			p.reload("poll")
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -101,9 +101,18 @@
 	go l.watchDirectory(directory)
 }
 
-// decision logs a decision of the cell.
+// decision counts a decision of the cell and logs it, unless too many of its kind were logged lately.
 func (p *Process) decision(what string, kv ...any) {
 	p.cfg.Metrics.decisions.WithLabelValues(what).Inc()
+	if p.cfg.Sampler != nil {
+		ok, leftOut := p.cfg.Sampler.Allow(what)
+		if !ok {
+			return
+		}
+		if leftOut > 0 {
+			kv = append(kv, "LeftOut", leftOut)
+		}
+	}
 	p.cfg.Log.Info(what, kv...)
 }
 
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -9,6 +9,7 @@
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
 	"coriandercross/io/ccfellow"
+	"coriandercross/io/cclog"
 
 	"github.com/charmbracelet/log"
 )
@@ -25,8 +26,10 @@
 	// StartMs is the Unix time of the start in milliseconds.
 	StartMs int64
 
-	Clock     ccclock.Clock
-	Log       *log.Logger
+	Clock ccclock.Clock
+	Log   *log.Logger
+	// Sampler bounds the lines of each kind of decision; nil writes all.
+	Sampler   *cclog.Sampler
 	Metrics   *Metrics
 	Store     *TimedStore
 	Directory Directory
--- /dev/null
+++ b/io/cclog/bounded_test.go
@@ -0,0 +1,57 @@
+package cclog
+
+import (
+	"testing"
+
+	"coriandercross/core/ccclock"
+
+	"gotest.tools/v3/assert"
+)
+
+// clock is a clock that the test moves.
+type clock struct{ now ccclock.Millis }
+
+// Now implements ccclock.Clock.
+func (c *clock) Now() ccclock.Millis { return c.now }
+
+// blocked is a writer that blocks until it is released.
+type blocked struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// A reader that does not read holds nobody up; what does not fit is counted.
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := NewWriter(out)
+	for range writerLines + 100 {
+		_, err := w.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, w.Dropped() >= 99)
+	assert.Equal(t, w.Dropped(), int64(0))
+	close(out.release)
+	w.Close()
+}
+
+// One kind's flood leaves the others their lines, and says how much was left out.
+func TestSamplerBoundsEachKind(t *testing.T) {
+	c := &clock{now: 1000}
+	s := NewSampler(c)
+	written := 0
+	for range 5000 {
+		if ok, _ := s.Allow("flood"); ok {
+			written++
+		}
+	}
+	assert.Equal(t, written, linesBurst)
+	ok, _ := s.Allow("other")
+	assert.Assert(t, ok)
+	c.now += 100
+	ok, leftOut := s.Allow("flood")
+	assert.Assert(t, ok)
+	assert.Equal(t, leftOut, int64(5000-linesBurst))
+}
