--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -33,6 +33,8 @@
 	sessions = "./io/ccharness"
 	shards   = "./core/ccshard"
 	jobs     = "./core/ccjob"
+	cells    = "./core/cccell"
+	soak     = "./platform/ccsoak"
 )
 
 // promise is a promise with its proofs.
@@ -58,6 +60,10 @@
 		{sessions, "TestWorkersKilledAndFrozen", 2, false},
 		{sessions, "TestRequestsBehindLongWork", 1, false},
 	}, killsAndFreezes...)},
+	{"OnThePlatform", []proof{
+		{cells, "TestCellModel", 9, true},
+		{soak, "TestSoak", 10, false},
+	}},
 	{"NoTaskInTwoPlaces", append([]proof{
 		{shards, "TestOneOwner", 8, true},
 		{jobs, "TestNoTaskTwice", 7, true},
