--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -51,16 +51,16 @@
 	// ticketMarginMs is the longest way of a start to a worker for which a ticket must stay valid: a round trip between regions.
 	ticketMarginMs ms = 120
 	// askWorkers is the number of workers named in a first call. The platform's own aim counts a call for 30.
-	askWorkers = 30
+	askWorkers int = 30
 	// cheapCallMs is the length of a call up to which all workers are named at once.
-	cheapCallMs = 60
+	cheapCallMs int64 = 60
 	// askTimeoutMs is the time over the expected one after which a call is given up, and askSlack how many times longer it may take.
-	askTimeoutMs ms = 1500
-	askSlack        = 3
+	askTimeoutMs ms      = 1500
+	askSlack     float64 = 3
 	// askIdleMs is the pause after a search for workers to ask for that found none: each search looks at every worker.
 	askIdleMs ms = 40
 	// spareRoom is how much more room than needed is asked for, since other stages take part of it meanwhile.
-	spareRoom = 1.5
+	spareRoom float64 = 1.5
 )
 
 // ask orders a call to the policy service for a stage whose tasks can't all be placed with the tickets at hand.
@@ -69,7 +69,7 @@
 func (c *Cell) ask(s *stage, missing int, now ms) bool {
 	t := &s.tickets
 	adv := c.queue(s.job).Advice
-	if t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*adv.CallMs(len(c.workers))) {
+	if t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*float64(adv.CallMs(len(c.workers)))) {
 		return true
 	}
 	if now < t.idleUntil {
--- a/core/cccell/config.go
+++ b/core/cccell/config.go
@@ -23,13 +23,8 @@
 	// Version rises with each edit.
 	Version int64
 	Routes  []Route
-	// Guarded holds the services whose workers refuse what does not fit.
-	Guarded map[string]bool
-	// MaxBodyBytes bounds a request's body, MaxHeaderBytes its headers.
-	MaxBodyBytes   int64
-	MaxHeaderBytes int64
-	HeaderMs       int64
-	IdleMs         int64
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
 }
 
 // Check returns ErrBadConfig for a configuration without a version, or with a route that can't be told from others.
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -179,11 +179,6 @@
 	Stage int
 }
 
-// stage returns the stage of a task.
-func (t TaskID) stage() StageID {
-	return StageID{Job: t.Job, Run: t.Run, Stage: t.Stage}
-}
-
 // State is the state of a job as callers see it.
 type State string
 
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -20,7 +20,7 @@
 		if !hurried && (w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now)) {
 			continue
 		}
-		o := LookOrder{hurried: hurried, WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Seen: w.seen, Token: c.cfg.Token, worker: w}
+		o := LookOrder{Call: c.call(w), Seen: w.seen, worker: w, hurried: hurried}
 		if w.life != w.born() {
 			o.Seen = 0 // Ends are numbered anew in each life.
 		}
@@ -88,9 +88,7 @@
 			}
 			a.stopInCall, a.stopSent = true, now
 			c.stats.Stops++
-			c.out.Stops = append(c.out.Stops, StopOrder{
-				WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Task: a.task, Attempt: a.number, Token: c.cfg.Token, attempt: a,
-			})
+			c.out.Stops = append(c.out.Stops, StopOrder{Call: c.call(w), Task: a.task, Attempt: a.number, attempt: a})
 		}
 	}
 }
--- /dev/null
+++ b/core/cccell/notes.go
@@ -0,0 +1,90 @@
+package cccell
+
+// Note is the progress of a job that the store has to keep.
+type Note struct {
+	Job      string
+	Progress Progress
+	// Revision is that of the record to be replaced, 0 for none.
+	Revision int64
+	// CancelAsked is true when a request to cancel has to be removed with the job.
+	CancelAsked bool
+
+	job     *job
+	version int64
+}
+
+// Notes returns the oldest changes for the store, as many as fit into a budget of rows. Each must be passed to Noted or
+// NotNoted. A note takes two rows, and one or two more when it removes the job.
+func (c *Cell) Notes(budget int, nowUnix ms) []Note {
+	var out []Note
+	n := 0
+	for _, j := range c.dirty {
+		rows := 2
+		if j.final != "" {
+			rows++
+			if j.cancelKey {
+				rows++
+			}
+		}
+		if budget < rows {
+			break
+		}
+		budget -= rows
+		n++
+		delete(c.inDirty, j)
+		out = append(out, Note{
+			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelAsked: j.cancelKey, job: j, version: j.version,
+		})
+	}
+	c.dirty = append(c.dirty[:0:0], c.dirty[n:]...)
+	return out
+}
+
+// Waiting returns the number of changes for the store.
+func (c *Cell) Waiting() int {
+	return len(c.dirty)
+}
+
+// Noted tells that the store has the notes, at the given revision of the store.
+func (c *Cell) Noted(notes []Note, revision int64, now ms) {
+	for i := range notes {
+		n := &notes[i]
+		j := n.job
+		j.revision = revision
+		j.noted = max(j.noted, n.version)
+		if n.Progress.State.Final() && j.shown == "" {
+			j.shown = n.Progress.State
+			c.change(j)
+			c.cfg.Log("job shown", "Job", n.Job, "State", j.shown, "AgeMs", now-j.arrived, "Revision", revision)
+		}
+	}
+	for _, w := range c.workers {
+		w.forget()
+	}
+}
+
+// NotNoted tells that the store may not have the notes. The revisions that it really has are in found, if they were read.
+func (c *Cell) NotNoted(notes []Note, found map[string]int64) {
+	for i := range notes {
+		j := notes[i].job
+		if rev, ok := found[notes[i].Job]; ok {
+			j.revision = rev
+		}
+		if !c.inDirty[j] {
+			c.inDirty[j] = true
+			c.dirty = append(c.dirty, j)
+		}
+	}
+}
+
+// forget moves the number of the last end that is done with.
+func (w *worker) forget() {
+	for len(w.ends) > 0 {
+		e := w.ends[0]
+		if e.job != nil && e.job.noted < e.version {
+			return
+		}
+		w.seen = e.number
+		w.ends = w.ends[1:]
+	}
+}
--- a/core/cccell/order.go
+++ b/core/cccell/order.go
@@ -1,40 +1,48 @@
 package cccell
 
+// Call is what every order to a worker carries.
+type Call struct {
+	WorkerID, Address string
+	// BornMs is the start of the life of the worker that the order is for.
+	BornMs int64
+	// Token is that of the leader.
+	Token int64
+}
+
+// call returns what every order to a worker carries.
+func (c *Cell) call(w *worker) Call {
+	return Call{WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Token: c.cfg.Token}
+}
+
 // StartOrder asks for the start of one attempt at a task.
 type StartOrder struct {
-	WorkerID, Address string
-	BornMs            int64
-	Task              TaskID
-	Attempt           int64
-	Spec              string
-	Checkpoint        string
-	Ticket            string
+	Call
+	Task       TaskID
+	Attempt    int64
+	Spec       string
+	Checkpoint string
+	Ticket     string
 	// UntilMs ends the lease of everything on the worker, on the worker's clock.
 	UntilMs int64
-	Token   int64
 
 	attempt *attempt
 }
 
 // StopOrder asks for the end of one attempt. An attempt that is not there will be refused from then on.
 type StopOrder struct {
-	WorkerID, Address string
-	BornMs            int64
-	Task              TaskID
-	Attempt           int64
-	Token             int64
+	Call
+	Task    TaskID
+	Attempt int64
 
 	attempt *attempt
 }
 
 // LookOrder renews a worker's lease, lets it forget the ends up to Seen, and asks for its lists.
 type LookOrder struct {
-	WorkerID, Address string
-	BornMs            int64
+	Call
 	// UntilMs is 0 when the lease shall not be renewed.
 	UntilMs int64
 	Seen    int64
-	Token   int64
 	// WaitMs lets the answer wait for an end.
 	WaitMs int64
 
@@ -44,12 +52,10 @@
 
 // PaceOrder lets a task work at a share of its speed.
 type PaceOrder struct {
-	WorkerID, Address string
-	BornMs            int64
-	Task              TaskID
-	Attempt           int64
-	Percent           int
-	Token             int64
+	Call
+	Task    TaskID
+	Attempt int64
+	Percent int
 
 	attempt *attempt
 }
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -279,8 +279,7 @@
 	ticket, _ := s.tickets.valid(w, now)
 	c.stats.Starts++
 	c.out.Starts = append(c.out.Starts, StartOrder{
-		WorkerID: w.info.ID, Address: w.info.Address, BornMs: w.born(), Task: a.task, Attempt: number, Spec: s.job.spec.Spec,
-		Checkpoint: saved, Ticket: ticket, UntilMs: until, Token: c.cfg.Token, attempt: a,
+		Call: c.call(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: saved, Ticket: ticket, UntilMs: until, attempt: a,
 	})
 }
 
--- a/core/cccell/straggle.go
+++ b/core/cccell/straggle.go
@@ -9,30 +9,30 @@
 
 const (
 	// lagFactor is how many times longer than its siblings a task has to take to be moved. Tasks of a stage differ by a third.
-	lagFactor = 2.2
+	lagFactor float64 = 2.2
 	// judgeShare is the share of the usual time that a task must have run before it is judged.
-	judgeShare = 0.7
+	judgeShare float64 = 0.7
 	// gainFactor is how many times the usual time a task must still need for a move to pay.
-	gainFactor = 1.4
+	gainFactor float64 = 1.4
 	// moveMs is the time that a move itself takes: a stop, its end in a list, and a start.
-	moveMs = 200
+	moveMs float64 = 200
 	// minPeers is the number of siblings that make a reference.
-	minPeers = 3
+	minPeers int = 3
 	// standMs is the time without progress after which a task stands still, standShare the same as a share of its whole time.
-	standMs    ms = 1600
-	standShare    = 0.05
+	standMs    ms      = 1600
+	standShare float64 = 0.05
 	// startupMs is the time after which a task that lasts should be at work.
 	startupMs ms = 5000
 	// maxMoves bounds the moves of one task: work that is long by its own nature is long elsewhere, too.
-	maxMoves = 1
+	maxMoves int = 1
 	// lagWeight is the weight of one task in a worker's lag, lagCap bounds one sample, lagHalfMs is the time in which a lag halves.
-	lagWeight    = 0.35
-	lagCap       = 8
-	lagHalfMs ms = 4000
+	lagWeight float64 = 0.35
+	lagCap    float64 = 8
+	lagHalfMs ms      = 4000
 	// checkMs is the time between two checks.
 	checkMs ms = 100
 	// hurryWaitMs is how long a look waits at a worker that lags: its tasks' progress is needed soon.
-	hurryWaitMs = 250
+	hurryWaitMs int64 = 250
 )
 
 // lag is how many times longer tasks take on a worker than their siblings elsewhere.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -20,8 +20,6 @@
 	Draining bool
 	// DrainLeftMs is the least time until a draining worker leaves.
 	DrainLeftMs int64
-	// ClockMs is the worker's own clock when it wrote the entry.
-	ClockMs int64
 }
 
 // Rack returns the label that names the rack, "" when there is none. A rack's label has a dash.
--- a/core/ccfleet/worker.go
+++ b/core/ccfleet/worker.go
@@ -134,13 +134,21 @@
 	w.Judge.ended(w, r, how, now)
 }
 
-// fenced takes in the token of a call. It returns true when the call comes from an earlier leader.
-func (w *Worker) fenced(token int64) bool {
-	if token < w.token {
-		return true
+// refuses takes in what every call carries: one that does not reach the process, is meant for another life, or comes from an
+// earlier leader does nothing.
+func (w *Worker) refuses(c *cccell.Call, now ms) (cccell.Reply, bool) {
+	if w.down {
+		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, true
+	}
+	w.settle(now)
+	switch {
+	case c.BornMs != w.Info.BornMs:
+		return w.reply(now, cccell.Refused, cccell.OtherLife), true
+	case c.Token < w.token:
+		return w.reply(now, cccell.Refused, cccell.Fenced), true
 	}
-	w.token = token
-	return false
+	w.token = c.Token
+	return cccell.Reply{}, false
 }
 
 // extend takes in the end of a lease.
@@ -155,15 +163,10 @@
 
 // Start begins an attempt.
 func (w *Worker) Start(o *cccell.StartOrder, now ms) cccell.Reply {
-	if w.down {
-		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}
+	if r, refused := w.refuses(&o.Call, now); refused {
+		return r
 	}
-	w.settle(now)
 	switch {
-	case o.BornMs != w.Info.BornMs:
-		return w.reply(now, cccell.Refused, cccell.OtherLife)
-	case w.fenced(o.Token):
-		return w.reply(now, cccell.Refused, cccell.Fenced)
 	case o.UntilMs <= w.Clock(now):
 		return w.reply(now, cccell.Refused, cccell.LateLease)
 	}
@@ -192,15 +195,8 @@
 
 // Stop ends an attempt, or makes sure that it never begins.
 func (w *Worker) Stop(o *cccell.StopOrder, now ms) cccell.Reply {
-	if w.down {
-		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}
-	}
-	w.settle(now)
-	switch {
-	case o.BornMs != w.Info.BornMs:
-		return w.reply(now, cccell.Refused, cccell.OtherLife)
-	case w.fenced(o.Token):
-		return w.reply(now, cccell.Refused, cccell.Fenced)
+	if r, refused := w.refuses(&o.Call, now); refused {
+		return r
 	}
 	if r := w.runs[o.Task][o.Attempt]; r != nil {
 		w.finish(r, cccell.EndStopped, now)
@@ -215,15 +211,8 @@
 
 // Look renews the lease, forgets ends, and returns the lists.
 func (w *Worker) Look(o *cccell.LookOrder, now ms) (cccell.Reply, *cccell.Lists) {
-	if w.down {
-		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, &cccell.Lists{}
-	}
-	w.settle(now)
-	switch {
-	case o.BornMs != w.Info.BornMs:
-		return w.reply(now, cccell.Refused, cccell.OtherLife), &cccell.Lists{}
-	case w.fenced(o.Token):
-		return w.reply(now, cccell.Refused, cccell.Fenced), &cccell.Lists{}
+	if r, refused := w.refuses(&o.Call, now); refused {
+		return r, &cccell.Lists{}
 	}
 	if o.UntilMs > 0 {
 		w.extend(o.UntilMs, now)
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -7,10 +7,6 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
-	"coriandercross/io/ccfellow"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -116,92 +112,6 @@
 	p.cfg.Log.Info(what, kv...)
 }
 
-// load reads jobs, progress, roster and workers into the cell. It returns the revisions to watch from.
-func (l *leadership) load() (in, directory int64, err error) {
-	p := l.p
-	ctx, cancel := context.WithTimeout(l.ctx, 5*time.Second)
-	defer cancel()
-	var workers []cccell.WorkerInfo
-	var handed, progress []Item
-	var roster Item
-	// At once: a slow store takes a fifth of a second for each answer.
-	var reads errgroup.Group
-	reads.Go(func() (err error) {
-		workers, directory, err = p.cfg.Directory.List(ctx)
-		return err
-	})
-	reads.Go(func() (err error) {
-		handed, in, err = p.cfg.Store.Range(ctx, prefixIn, false)
-		return err
-	})
-	reads.Go(func() (err error) {
-		progress, _, err = p.cfg.Store.Range(ctx, prefixProgress, false)
-		return err
-	})
-	reads.Go(func() (err error) {
-		if roster, err = p.cfg.Store.Get(ctx, keyRoster); errors.Is(err, ErrNoKey) {
-			err = nil
-		}
-		return err
-	})
-	if err := reads.Wait(); err != nil {
-		return 0, 0, err
-	}
-	now := p.now()
-	for _, w := range workers {
-		l.cell.SetWorker(w, now)
-	}
-	var old rosterRecord
-	if roster.Revision > 0 && decode(keyRoster, roster.Value, &old) == nil {
-		for _, w := range old.Workers {
-			l.cell.AddUnlisted(w, now)
-		}
-	}
-	if c := p.config.Load(); c != nil {
-		l.cell.SetQueues(c.config.Queues())
-		l.version = c.config.Version
-	}
-	l.adopt(handed, progress, now)
-	return in, directory, nil
-}
-
-// adopt takes in the jobs of the store.
-func (l *leadership) adopt(handed, progress []Item, now ms) {
-	p := l.p
-	records := map[string]*cccell.Progress{}
-	revisions := map[string]int64{}
-	for i := range progress {
-		id, _ := cut(progress[i].Key, prefixProgress)
-		pr := &cccell.Progress{}
-		if err := decode(progress[i].Key, progress[i].Value, pr); err != nil {
-			p.cfg.Log.Error("progress not read", "Job", id, "Error", err)
-			continue
-		}
-		records[id], revisions[id] = pr, progress[i].Revision
-		if pr.State.Final() {
-			p.board.learn(id, pr.State, now)
-		}
-	}
-	cancels := map[string]bool{}
-	for i := range handed {
-		if id, ok := cut(handed[i].Key, prefixCancel); ok {
-			cancels[id] = true
-		}
-	}
-	for i := range handed {
-		id, ok := cut(handed[i].Key, prefixJobs)
-		if !ok {
-			continue
-		}
-		j := &cccell.Job{}
-		if err := decode(handed[i].Key, handed[i].Value, j); err != nil {
-			p.cfg.Log.Error("job not read", "Job", id, "Error", err)
-			continue
-		}
-		l.cell.Adopt(cccell.Stored{Job: j, Progress: records[id], Revision: revisions[id], CancelAsked: cancels[id]}, now, unixNow())
-	}
-}
-
 // post hands an event to the loop. It is dropped when the term has ended.
 func (l *leadership) post(e event) {
 	select {
@@ -291,249 +201,40 @@
 	}
 }
 
-// send carries out orders. Each call has a goroutine of its own and posts its answer.
+// carry does one call in a goroutine of its own and hands its answer to the loop.
+func (l *leadership) carry(kind string, call func() cccell.Reply, answer func(r cccell.Reply, now ms)) {
+	go func() {
+		r := call()
+		l.p.cfg.Metrics.call(kind, r)
+		l.post(func(now ms) { answer(r, now) })
+	}()
+}
+
+// send carries out orders.
 func (l *leadership) send(o cccell.Orders, now ms) {
 	p := l.p
 	if len(o.Changes) > 0 {
 		p.board.put(o.Changes, now)
 	}
 	for i := range o.Starts {
-		s := o.Starts[i]
-		go func() {
-			r := p.cfg.Workers.Start(l.ctx, &s)
-			p.cfg.Metrics.call("start", r)
-			l.post(func(now ms) { l.cell.OnStart(&s, r, now) })
-		}()
+		s := &o.Starts[i]
+		l.carry("start", func() cccell.Reply { return p.cfg.Workers.Start(l.ctx, s) }, func(r cccell.Reply, now ms) { l.cell.OnStart(s, r, now) })
 	}
 	for i := range o.Stops {
-		s := o.Stops[i]
-		go func() {
-			r := p.cfg.Workers.Stop(l.ctx, &s)
-			p.cfg.Metrics.call("stop", r)
-			l.post(func(now ms) { l.cell.OnStop(&s, r, now) })
-		}()
-	}
-	for i := range o.Looks {
-		s := o.Looks[i]
-		go func() {
-			r, lists := p.cfg.Workers.Look(l.ctx, &s)
-			p.cfg.Metrics.call("look", r)
-			l.post(func(now ms) { l.cell.OnLook(&s, r, lists, now) })
-		}()
+		s := &o.Stops[i]
+		l.carry("stop", func() cccell.Reply { return p.cfg.Workers.Stop(l.ctx, s) }, func(r cccell.Reply, now ms) { l.cell.OnStop(s, r, now) })
 	}
 	for i := range o.Paces {
-		s := o.Paces[i]
-		go func() {
-			r := p.cfg.Workers.Pace(l.ctx, &s)
-			p.cfg.Metrics.call("pace", r)
-			l.post(func(ms) { l.cell.OnPace(&s, r) })
-		}()
-	}
-	l.desk.add(o.Asks, now)
-}
-
-// watchIn takes in what other processes accepted, as a safety net under what they tell.
-func (l *leadership) watchIn(after int64) {
-	p := l.p
-	for l.ctx.Err() == nil {
-		items, at, err := p.cfg.Store.Watch(l.ctx, prefixIn, after, inWatchMs)
-		if errors.Is(err, ErrCompacted) {
-			if items, at, err = p.cfg.Store.Range(l.ctx, prefixIn, false); err == nil {
-				p.cfg.Log.Warn("history of hand-ins is gone: read anew", "From", after, "At", at, "Keys", len(items))
-			}
-		}
-		if err != nil {
-			sleep(l.ctx, jitter(retryMs*3))
-			continue
-		}
-		after = max(after, at)
-		if len(items) > 0 {
-			l.post(func(now ms) { l.takeIn(items, now) })
-		}
-		// What is urgent was told already.
-		sleep(l.ctx, watchGapMs)
-	}
-}
-
-// takeIn takes in hand-ins and cancels from the store.
-func (l *leadership) takeIn(items []Item, now ms) {
-	for i := range items {
-		if items[i].Deleted {
-			continue
-		}
-		if id, ok := cut(items[i].Key, prefixJobs); ok && !l.cell.Knows(id) {
-			j := &cccell.Job{}
-			if err := decode(items[i].Key, items[i].Value, j); err != nil {
-				l.p.cfg.Log.Error("job not read", "Job", id, "Error", err)
-				continue
-			}
-			l.add(j, now)
-		}
-	}
-	for i := range items {
-		if id, ok := cut(items[i].Key, prefixCancel); ok && !items[i].Deleted {
-			l.cell.Cancel(id, now)
-		}
-	}
-}
-
-// add takes in an accepted job, unless it has ended already.
-func (l *leadership) add(j *cccell.Job, now ms) {
-	if s, ok := l.p.board.state(j.ID); ok && s.Final() {
-		return
-	}
-	l.cell.Add(j, now, unixNow())
-}
-
-// watchDirectory takes in which workers there are.
-func (l *leadership) watchDirectory(after int64) {
-	p := l.p
-	for l.ctx.Err() == nil {
-		changes, at, err := p.cfg.Directory.Watch(l.ctx, after, inWatchMs)
-		if errors.Is(err, ErrCompacted) {
-			at, err = l.relist()
-		}
-		if err != nil {
-			sleep(l.ctx, jitter(retryMs*3))
-			continue
-		}
-		after = max(after, at)
-		if len(changes) > 0 {
-			l.post(func(now ms) {
-				for i := range changes {
-					if changes[i].Gone {
-						l.cell.LoseWorker(changes[i].ID)
-					} else {
-						l.cell.SetWorker(changes[i].Info, now)
-					}
-				}
-			})
-		}
-		sleep(l.ctx, watchGapMs)
-	}
-}
-
-// relist reads all workers after the history was lost.
-func (l *leadership) relist() (int64, error) {
-	workers, at, err := l.p.cfg.Directory.List(l.ctx)
-	if err != nil {
-		return 0, err
-	}
-	l.post(func(now ms) { l.cell.SetWorkers(workers, now) })
-	return at, nil
-}
-
-// writeRoster tells the next leader which workers may run something.
-func (l *leadership) writeRoster(now ms) {
-	if l.rostering || now-l.rosterAt < rosterGapMs {
-		return
-	}
-	l.rosterAt = now
-	list := l.cell.Roster()
-	same := len(list) == len(l.roster)
-	for i := range list {
-		same = same && l.roster[list[i].ID] == list[i].BornMs
+		s := &o.Paces[i]
+		l.carry("pace", func() cccell.Reply { return p.cfg.Workers.Pace(l.ctx, s) }, func(r cccell.Reply, _ ms) { l.cell.OnPace(s, r) })
 	}
-	if same {
-		return
-	}
-	l.rostering = true
-	go func() {
-		_, err := l.p.cfg.Store.Write(l.ctx, &Txn{
-			If: []Condition{{keyLeader, l.record.revision}}, Puts: []Put{{Key: keyRoster, Value: encode(rosterRecord{Workers: list})}},
-		})
-		l.post(func(ms) {
-			l.rostering = false
-			if err != nil {
-				return
-			}
-			l.roster = map[string]int64{}
-			for i := range list {
-				l.roster[list[i].ID] = list[i].BornMs
-			}
-		})
-	}()
-}
-
-// Sync implements ccfellow.CellHandler: the leader tells a fellow what changed.
-func (p *Process) Sync(ctx context.Context, in *ccfellow.SyncRequest) (*ccfellow.SyncReply, error) {
-	l := p.leading()
-	for began := p.now(); l == nil && p.loading.Load() != 0; l = p.leading() {
-		// The term has been won; a fellow that is told otherwise, or nothing, would campaign against it.
-		if p.now()-began > syncWaitMs {
-			return &ccfellow.SyncReply{Leading: true, Token: p.loading.Load(), Loading: true, StoreAgeMs: p.cfg.Store.AgeMs()}, nil
-		}
-		if !sleep(ctx, loadPollMs) {
-			return nil, ctx.Err()
-		}
-	}
-	if l == nil {
-		return &ccfellow.SyncReply{}, nil
-	}
-	slot := l.desk.slot(in.VM, in.Draining)
-	if in.Token == l.token {
-		slot.vouch()
-	}
-	deadline := time.NewTimer(syncWaitMs.Duration())
-	defer deadline.Stop()
-	if wait := slot.answeredAt() + syncGapMs - p.now(); wait > 0 && !slot.hasAsks() {
-		slot.sleep(ctx, wait)
-	}
-	for {
-		seq, whole, changes, next := p.board.since(in.Token, in.Seq)
-		asks := slot.take()
-		done := whole || len(changes) > 0 || len(asks) > 0 || p.draining.Load()
-		if !done {
-			select {
-			case <-next:
-				continue
-			case <-slot.wake:
-				continue
-			case <-deadline.C:
-			case <-l.ended:
-				return &ccfellow.SyncReply{}, nil
-			case <-ctx.Done():
-				return nil, ctx.Err()
-			}
-		}
-		p.board.mu.Lock()
-		out := &ccfellow.SyncReply{
-			Leading: true, Token: l.token, Seq: seq, Whole: whole, Changes: changes, Asks: asks, Pending: p.board.pending, Doors: p.board.doors,
-			StoreAgeMs: p.cfg.Store.AgeMs(), Resign: p.draining.Load(),
-		}
-		p.board.mu.Unlock()
-		if c := p.config.Load(); c != nil {
-			out.Version = c.config.Version
-		}
-		slot.answered(p.now())
-		return out, nil
-	}
-}
-
-// Tell implements ccfellow.CellHandler: a fellow tells what was accepted, and answers of the policy service.
-func (p *Process) Tell(_ context.Context, in *ccfellow.TellRequest) (*ccfellow.TellReply, error) {
-	l := p.leading()
-	if l == nil {
-		return &ccfellow.TellReply{}, nil
+	for i := range o.Looks {
+		s := &o.Looks[i]
+		var lists *cccell.Lists
+		l.carry("look", func() (r cccell.Reply) {
+			r, lists = p.cfg.Workers.Look(l.ctx, s)
+			return r
+		}, func(r cccell.Reply, now ms) { l.cell.OnLook(s, r, lists, now) })
 	}
-	l.told(in)
-	return &ccfellow.TellReply{Leading: true}, nil
-}
-
-// told hands what a process tells to the loop.
-func (l *leadership) told(in *ccfellow.TellRequest) {
-	l.post(func(now ms) {
-		for _, j := range in.Jobs {
-			if !l.cell.Knows(j.ID) {
-				l.add(j, now)
-			}
-		}
-		for _, id := range in.Cancels {
-			l.cell.Cancel(id, now)
-		}
-		for i := range in.Answers {
-			l.desk.answered(in.VM)
-			l.cell.OnAnswer(&in.Answers[i], 0, now)
-		}
-	})
+	l.desk.add(o.Asks, now)
 }
--- /dev/null
+++ b/io/cccontrol/sync.go
@@ -0,0 +1,91 @@
+package cccontrol
+
+import (
+	"context"
+	"time"
+
+	"coriandercross/io/ccfellow"
+)
+
+// Sync implements ccfellow.CellHandler: the leader tells a fellow what changed.
+func (p *Process) Sync(ctx context.Context, in *ccfellow.SyncRequest) (*ccfellow.SyncReply, error) {
+	l := p.leading()
+	for began := p.now(); l == nil && p.loading.Load() != 0; l = p.leading() {
+		// The term has been won; a fellow that is told otherwise, or nothing, would campaign against it.
+		if p.now()-began > syncWaitMs {
+			return &ccfellow.SyncReply{Leading: true, Token: p.loading.Load(), Loading: true, StoreAgeMs: p.cfg.Store.AgeMs()}, nil
+		}
+		if !sleep(ctx, loadPollMs) {
+			return nil, ctx.Err()
+		}
+	}
+	if l == nil {
+		return &ccfellow.SyncReply{}, nil
+	}
+	slot := l.desk.slot(in.VM, in.Draining)
+	if in.Token == l.token {
+		slot.vouch()
+	}
+	deadline := time.NewTimer(syncWaitMs.Duration())
+	defer deadline.Stop()
+	if wait := slot.answeredAt() + syncGapMs - p.now(); wait > 0 && !slot.hasAsks() {
+		slot.sleep(ctx, wait)
+	}
+	for {
+		seq, whole, changes, next := p.board.since(in.Token, in.Seq)
+		asks := slot.take()
+		done := whole || len(changes) > 0 || len(asks) > 0 || p.draining.Load()
+		if !done {
+			select {
+			case <-next:
+				continue
+			case <-slot.wake:
+				continue
+			case <-deadline.C:
+			case <-l.ended:
+				return &ccfellow.SyncReply{}, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		p.board.mu.Lock()
+		out := &ccfellow.SyncReply{
+			Leading: true, Token: l.token, Seq: seq, Whole: whole, Changes: changes, Asks: asks, Pending: p.board.pending, Doors: p.board.doors,
+			StoreAgeMs: p.cfg.Store.AgeMs(), Resign: p.draining.Load(),
+		}
+		p.board.mu.Unlock()
+		if c := p.config.Load(); c != nil {
+			out.Version = c.config.Version
+		}
+		slot.answered(p.now())
+		return out, nil
+	}
+}
+
+// Tell implements ccfellow.CellHandler: a fellow tells what was accepted, and answers of the policy service.
+func (p *Process) Tell(_ context.Context, in *ccfellow.TellRequest) (*ccfellow.TellReply, error) {
+	l := p.leading()
+	if l == nil {
+		return &ccfellow.TellReply{}, nil
+	}
+	l.told(in)
+	return &ccfellow.TellReply{Leading: true}, nil
+}
+
+// told hands what a process tells to the loop.
+func (l *leadership) told(in *ccfellow.TellRequest) {
+	l.post(func(now ms) {
+		for _, j := range in.Jobs {
+			if !l.cell.Knows(j.ID) {
+				l.add(j, now)
+			}
+		}
+		for _, id := range in.Cancels {
+			l.cell.Cancel(id, now)
+		}
+		for i := range in.Answers {
+			l.desk.answered(in.VM)
+			l.cell.OnAnswer(&in.Answers[i], 0, now)
+		}
+	})
+}
--- a/io/ccnode/metrics_test.go
+++ b/io/ccnode/metrics_test.go
@@ -1,6 +1,7 @@
 package ccnode
 
 import (
+	"bytes"
 	"os"
 	"regexp"
 	"slices"
@@ -38,8 +39,11 @@
 func TestEveryMetricIsOnTheOperatorsPage(t *testing.T) {
 	var n names
 	NewMetrics(&n)
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
+	// The page's first part is of the process on the platform; io/cccontrol has the like test for it.
+	_, page, found := bytes.Cut(page, []byte("# The product's own deployment"))
+	assert.Assert(t, found)
 	var listed []string
 	for _, m := range regexp.MustCompile("`(coriandercross_[a-z_]+)`").FindAllStringSubmatch(string(page), -1) {
 		listed = append(listed, m[1])
