--- a/io/ccharness/cluster.go
+++ b/io/ccharness/cluster.go
@@ -88,7 +88,7 @@
 
 // Start starts every process. The caller must call Stop, also after an error.
 func Start(cfg Config) (*Cluster, error) {
-	c := &Cluster{cfg: cfg, storeAddress: freeAddress(), vmsAddress: freeAddress()}
+	c := &Cluster{cfg: cfg, storeAddress: FreeAddress(), vmsAddress: FreeAddress()}
 	c.plan()
 	if err := c.startPlatform(); err != nil {
 		return c, err
@@ -124,7 +124,7 @@
 		c.Workers = append(c.Workers, &Worker{
 			Process: &Process{Name: id},
 			VM: ccvmlist.VM{
-				ID: id, Role: ccvmlist.Worker, Address: freeAddress(), Region: d.Region,
+				ID: id, Role: ccvmlist.Worker, Address: FreeAddress(), Region: d.Region,
 				FailureDomain: d.Name, Rack: rack, Capacity: c.cfg.Capacity,
 			},
 			Record: filepath.Join(c.cfg.Dir, id+".record"),
@@ -138,7 +138,7 @@
 	s.VM = vm
 	s.Region = d.Region
 	s.FailureDomain = d.Name
-	s.Listen = ccsettings.Listen{Callers: freeAddress(), Fellows: freeAddress(), Operators: freeAddress()}
+	s.Listen = ccsettings.Listen{Callers: FreeAddress(), Fellows: FreeAddress(), Operators: FreeAddress()}
 	s.Store = c.storeAddress
 	s.VMList = c.vmsAddress
 	if c.cfg.Settings != nil {
--- a/io/ccharness/process.go
+++ b/io/ccharness/process.go
@@ -26,9 +26,9 @@
 // lastHost counts the loopback IPs given out by this process.
 var lastHost atomic.Int64
 
-// freeAddress returns an address on loopback whose IP nothing else listens on: outgoing connections
+// FreeAddress returns an address on loopback whose IP nothing else listens on: outgoing connections
 // can't take it either, as they could take a port of 127.0.0.1.
-func freeAddress() string {
+func FreeAddress() string {
 	for {
 		n := int(lastHost.Add(1))
 		block := 2 + os.Getpid()%blocks
