A leader that resigns goes on until it is replaced

Ruled out: the take-over itself, 0.4 s. Change: starts go on; the successor's token and the announcement end the term.

--- a/core/cccell/advice_test.go
+++ b/core/cccell/advice_test.go
@@ -18,7 +18,7 @@
 	j := testJob("a", tasks)
 	j.Queue.Advice = &Advice{DecideMs: decideMs, PerWorkerMs: perWorkerMs, ValidMs: 2000}
 	c.Add(j, 1100, 1100)
-	c.Schedule(1100, 1100, true)
+	c.Schedule(1100, 1100)
 	return c, c.Take().Asks
 }
 
@@ -36,7 +36,7 @@
 			c, asks := advisedCell(t, test.decideMs, test.perWorkerMs, 48, 4)
 			assert.Equal(t, len(asks), 1)
 			assert.Equal(t, len(asks[0].Workers), test.want)
-			c.Schedule(1200, 1200, true)
+			c.Schedule(1200, 1200)
 			assert.Equal(t, len(c.Take().Asks), 0)
 		})
 	}
@@ -53,7 +53,7 @@
 	assert.Equal(t, got[0].Ticket, "ticket")
 	// The task ends without success after the ticket has expired.
 	c.ended(c.stageOf(got[0].Task).tasks[0][0], EndStopped, "", 5000)
-	c.Schedule(5000, 5000, true)
+	c.Schedule(5000, 5000)
 	out := c.Take()
 	assert.Equal(t, len(out.Starts), 0)
 	assert.Equal(t, len(out.Asks), 1)
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -235,7 +235,7 @@
 		// The record, or all others, confirm the newest leader only.
 		l.cell.Authorize(w.now + modelAuthority)
 	}
-	l.cell.Schedule(w.now, w.now, true)
+	l.cell.Schedule(w.now, w.now)
 	out := l.cell.Take()
 	// The same draws must meet the same orders.
 	slices.SortFunc(out.Starts, func(a, b cccell.StartOrder) int { return cmp.Compare(a.Attempt, b.Attempt) })
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -7,15 +7,15 @@
 )
 
 // Schedule places what waits, and orders every look, stop and call that is due. It is called after each batch of
-// events and at least every tick. A leader that is about to stop starts nothing.
-func (c *Cell) Schedule(now, nowUnix ms, starting bool) {
+// events and at least every tick.
+func (c *Cell) Schedule(now, nowUnix ms) {
 	for j := range c.scheduled {
 		c.begin(j, now, nowUnix)
 	}
 	c.lapse(now)
 	c.straggle(now)
 	settled := c.settled(now)
-	if starting && now < c.authority {
+	if now < c.authority {
 		c.usable = c.usable[:0]
 		for _, w := range c.workers {
 			if w.usable(now) {
--- a/core/cccell/place_test.go
+++ b/core/cccell/place_test.go
@@ -24,7 +24,7 @@
 
 // take returns what the cell orders at a time; looks count as not sent.
 func take(c *Cell, now ms) Orders {
-	c.Schedule(now, now, true)
+	c.Schedule(now, now)
 	out := c.Take()
 	for i := range out.Looks {
 		out.Looks[i].worker.looking = false // Each test answers the looks that matter to it.
@@ -75,14 +75,14 @@
 func TestRoomOfOrdersInDoubt(t *testing.T) {
 	c := ready(t, testWorker("w1"))
 	c.Add(testJob("a", 16), 1100, 1100)
-	c.Schedule(1100, 1100, true)
+	c.Schedule(1100, 1100)
 	out := c.Take()
 	assert.Equal(t, len(out.Starts), 16)
 	for i := range out.Starts {
 		c.OnStart(&out.Starts[i], Reply{Outcome: Lost, Sent: 1100, Received: 1400}, 1400)
 	}
 	c.Add(testJob("b", 1), 1400, 1400)
-	c.Schedule(1900, 1900, true)
+	c.Schedule(1900, 1900)
 	out = c.Take()
 	assert.Equal(t, len(out.Starts), 0)
 	assert.Equal(t, len(out.Stops), 16)
@@ -147,7 +147,7 @@
 	c.SetWorker(testWorker("w2"), 1100)
 	restarted := ms(0)
 	for now := ms(1150); now < 9000 && restarted == 0; now += 50 {
-		c.Schedule(now, now, true)
+		c.Schedule(now, now)
 		out := c.Take()
 		for i := range out.Looks {
 			if out.Looks[i].WorkerID == "w1" {
@@ -176,7 +176,7 @@
 	c.Add(testJob("new", 1), 1010, 1010)
 	read := ms(0)
 	for now := ms(1050); now < 9000; now += 50 {
-		c.Schedule(now, now, true)
+		c.Schedule(now, now)
 		out := c.Take()
 		for i := range out.Looks {
 			r := carried(now)
@@ -202,7 +202,7 @@
 	info := testWorker("w1")
 	info.BornMs = 2000
 	c.SetWorker(info, 1200)
-	c.Schedule(1300, 1300, true)
+	c.Schedule(1300, 1300)
 	out := c.Take()
 	assert.Equal(t, len(out.Looks), 1)
 	assert.Equal(t, out.Looks[0].Seen, int64(0))
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -39,7 +39,7 @@
 // lookAt answers every look that the cell wants now with the lists of the worker.
 func lookAt(t *testing.T, c *Cell, now ms, lists map[string]*Lists) Orders {
 	t.Helper()
-	c.Schedule(now, now, true)
+	c.Schedule(now, now)
 	out := c.Take()
 	for i := range out.Looks {
 		l := lists[out.Looks[i].WorkerID]
@@ -85,7 +85,7 @@
 				c.SetWorker(testWorker(id), 1000)
 			}
 			c.Adopt(Stored{Job: testJob("j", 1), Progress: test.stored}, 1000, 1000)
-			c.Schedule(1000, 1000, true)
+			c.Schedule(1000, 1000)
 			looks := map[string]*LookOrder{}
 			out := c.Take()
 			for i := range out.Looks {
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -52,7 +52,6 @@
 	notedAt    ms
 	figuresAt  ms
 	version    int64
-	resigning  bool
 	confirming bool
 	suspended  ms
 	roster     map[string]int64
@@ -132,13 +131,11 @@
 	})
 }
 
-// resign stops new starts; fellows are asked to take over.
+// resign asks fellows to take over. Until one has, this process goes on: its tokens fence it, and a pause would cost the work that
+// waits.
 func (l *leadership) resign() {
-	l.post(func(ms) {
-		l.resigning = true
-		l.p.cfg.Log.Info("resigning", "Token", l.token)
-	})
-	l.p.board.put(nil, l.p.now())
+	l.p.cfg.Log.Info("resigning", "Token", l.token)
+	l.p.board.put(nil, l.p.now()) // Wakes the fellows that wait for a change.
 }
 
 // summary returns the cell's state, nil when the term ends meanwhile.
@@ -189,7 +186,7 @@
 		l.version = c.config.Version
 		l.cell.SetQueues(c.config.Queues())
 	}
-	l.cell.Schedule(now, unixNow(), !l.resigning)
+	l.cell.Schedule(now, unixNow())
 	l.send(l.cell.Take(), now)
 	l.note(now)
 	l.writeRoster(now)
