--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -27,7 +27,7 @@
 	cfg     Config
 	jobs    map[string]*job
 	workers map[string]*worker
-	queues  map[string]Queue
+	queues  map[string]*Queue
 	// open holds the stages whose turn has come and that are not finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that have not all begun.
@@ -64,7 +64,7 @@
 		cfg.Log = func(string, ...any) {}
 	}
 	return &Cell{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, began: now,
 		kinds: kindTable{}, handover: now + cfg.AuthorityMs, authority: now + cfg.AuthorityMs,
 	}
@@ -124,18 +124,18 @@
 
 // SetQueues puts a configuration in force. Jobs of a queue that is gone go on as they were accepted.
 func (c *Cell) SetQueues(queues []Queue) {
-	c.queues = map[string]Queue{}
-	for _, q := range queues {
-		c.queues[q.Name] = q
+	c.queues = map[string]*Queue{}
+	for i := range queues {
+		c.queues[queues[i].Name] = &queues[i]
 	}
 }
 
 // queue returns the newest known configuration of a job's queue.
 func (c *Cell) queue(j *job) *Queue {
-	if q, ok := c.queues[j.spec.Queue.Name]; ok {
-		j.spec.Queue = q
+	if q := c.queues[j.spec.Queue.Name]; q != nil {
+		j.queue = q // Kept for the time when the queue is gone.
 	}
-	return &j.spec.Queue
+	return j.queue
 }
 
 // Stored is a job as the store has it.
@@ -207,7 +207,7 @@
 
 // insert puts a job into memory.
 func (c *Cell) insert(spec *Job, now ms) *job {
-	j := &job{spec: spec, runs: map[int]*run{}, arrived: now}
+	j := &job{spec: spec, queue: &spec.Queue, runs: map[int]*run{}, arrived: now}
 	c.jobs[spec.ID] = j
 	return j
 }
--- a/core/cccell/model.go
+++ b/core/cccell/model.go
@@ -4,7 +4,10 @@
 
 // job is a job in a cell's memory.
 type job struct {
+	// spec is shared with whoever accepted the job: it is never written.
 	spec *Job
+	// queue is the newest known configuration of its queue.
+	queue *Queue
 	// runs holds the scheduled runs that have begun, by number; a job without a schedule has run 0.
 	runs map[int]*run
 	// final is set as soon as it is decided; it is shown when the store has it.
