A term that was replaced while it read the store does not begin; doors that were never closed are gone

Cause: read in the code: a newer leader that was announced while this process read the store did not end the term, since it had not begun; the workers' tokens would have. Change: the leader is compared once more under the lock that begins the term; the stub and its messages are removed. No test: the race needs an announcement within the milliseconds of a read; the soak passes it.

--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -46,7 +46,7 @@
 	}
 	rank := make(map[*stage]float64, len(list))
 	for _, s := range list {
-		rank[s] = c.rank(s, now)
+		rank[s] = c.rank(s)
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a], list[b]
@@ -91,7 +91,7 @@
 // rank returns a stage's place in the order; the lowest goes first. Load pattern: bursts of short work over a base of
 // long work. Work goes by the time when it would miss its aim, with a head start for the higher priority, so that
 // nothing waits for ever.
-func (c *Cell) rank(s *stage, now ms) float64 {
+func (c *Cell) rank(s *stage) float64 {
 	if s.spec.Lasting {
 		return lastingRank + float64(s.readyAt)
 	}
--- a/io/cccontrol/board.go
+++ b/io/cccontrol/board.go
@@ -22,7 +22,6 @@
 	// log holds the changes with the numbers seq-len(log)+1 to seq.
 	log     []cccell.Change
 	pending map[string]int
-	doors   map[string]cccell.Door
 	// heardAt is when the figures were last confirmed, 0 for never.
 	heardAt ms
 	// changed is closed, and replaced, at each change.
@@ -65,10 +64,10 @@
 }
 
 // figures takes in the leader's figures.
-func (b *board) figures(pending map[string]int, doors map[string]cccell.Door, now ms) {
+func (b *board) figures(pending map[string]int, now ms) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pending, b.doors, b.heardAt = pending, doors, now
+	b.pending, b.heardAt = pending, now
 }
 
 // follow takes in what a leader told.
@@ -126,13 +125,6 @@
 	return b.pending[queue], b.heardAt
 }
 
-// door returns the door of a queue, and the time of the figure.
-func (b *board) door(queue string) (cccell.Door, ms) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.doors[queue], b.heardAt
-}
-
 // position returns the last change known.
 func (b *board) position() (token, seq int64) {
 	b.mu.Lock()
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -48,8 +48,6 @@
 	// doubtShare is the share of a caller's time after which a write in doubt is answered as such: more tries seldom help, and the
 	// caller can do something else with the rest.
 	doubtShare = 0.3
-	// doorTrustMs is the age of the leader's figures up to which a closed door refuses work.
-	doorTrustMs ms = 1000
 	// figuresTrustMs is the age of the leader's figures up to which the number of waiting jobs is told.
 	figuresTrustMs ms = 1800
 	// staleAnswerMs is the age of the leader's figures from which the store is asked for a job that has not ended.
@@ -101,9 +99,6 @@
 	if _, known := p.board.state(j.ID); known {
 		return nil // The same job again.
 	}
-	if door, at := p.board.door(j.Queue.Name); door.ClosedMs > 0 && p.now()-at < doorTrustMs {
-		return &Refusal{Reason: ccwork.ErrOverload, AfterMs: spread(door.ClosedMs)}
-	}
 	j.AcceptedMs = int64(unixNow())
 	keep := p.intake.keep
 	if p.cfg.Store.Lost() {
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -105,7 +105,7 @@
 		go p.probeStore(ctx) // The leader writes all the time and notices an outage first.
 	}
 	p.board.follow(out.Token, out.Seq, out.Changes, now)
-	p.board.figures(out.Pending, out.Doors, now)
+	p.board.figures(out.Pending, now)
 	for _, ask := range out.Asks {
 		go p.askFor(ctx, ask)
 	}
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -85,10 +85,18 @@
 			return
 		}
 	}
-	p.board.lead(r.Token, l.cell.States(), p.now())
+	p.board.lead(r.Token, l.cell.States(), p.now()) // Before fellows are answered from it.
 	p.mu.Lock()
-	p.lead = l
+	replaced := p.leader.Token != r.Token
+	if !replaced {
+		p.lead = l
+	}
 	p.mu.Unlock()
+	if replaced {
+		p.cfg.Log.Info("replaced before the term began", "Token", r.Token)
+		l.cancel()
+		return
+	}
 	p.cfg.Metrics.leads.Inc()
 	p.cfg.Log.Info("leading", "Token", r.Token, "Jobs", len(l.cell.States()), "TookMs", p.now()-began)
 	go l.loop()
@@ -192,7 +200,7 @@
 	l.writeRoster(now)
 	if now-l.figuresAt >= figuresMs {
 		l.figuresAt = now
-		p.board.figures(l.cell.Pending(), l.cell.Doors(now), now)
+		p.board.figures(l.cell.Pending(), now)
 		p.board.expire(p.cfg.KeepFinalMs, now)
 		l.cell.Forget(now - p.cfg.KeepFinalMs)
 	}
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -50,7 +50,7 @@
 		}
 		p.board.mu.Lock()
 		out := &ccfellow.SyncReply{
-			Leading: true, Token: l.token, Seq: seq, Whole: whole, Changes: changes, Asks: asks, Pending: p.board.pending, Doors: p.board.doors,
+			Leading: true, Token: l.token, Seq: seq, Whole: whole, Changes: changes, Asks: asks, Pending: p.board.pending,
 			StoreAgeMs: p.cfg.Store.AgeMs(), Resign: p.draining.Load(),
 		}
 		p.board.mu.Unlock()
--- a/io/ccfellow/cell.go
+++ b/io/ccfellow/cell.go
@@ -62,8 +62,6 @@
 	Resign bool `cbor:"10,keyasint,omitempty"`
 	// Loading is true while the leader still reads the store: it tells nothing yet.
 	Loading bool `cbor:"12,keyasint,omitempty"`
-	// Doors tells what may be handed in, by queue.
-	Doors map[string]cccell.Door `cbor:"11,keyasint,omitempty"`
 }
 
 // Check implements Message.
