--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -92,6 +92,14 @@
 	return true
 }
 
+// silentMs returns how long calls to a worker have gone unanswered.
+func (w *worker) silentMs(now ms) ms {
+	if w.silentSince == 0 {
+		return 0
+	}
+	return now - w.silentSince
+}
+
 // lapse frees what a worker that can't be reached, or is gone, can't be running any more.
 func (c *Cell) lapse(now ms) {
 	for id, w := range c.workers {
@@ -100,7 +108,7 @@
 		}
 		if w.lapsed(now) {
 			if len(w.attempts) > 0 {
-				c.cfg.Log("worker lapsed", "Worker", id, "Attempts", len(w.attempts), "Listed", w.listed, "SilentMs", now-w.silentSince)
+				c.cfg.Log("worker lapsed", "Worker", id, "Attempts", len(w.attempts), "Listed", w.listed, "SilentMs", w.silentMs(now))
 			}
 			for _, a := range w.attempts {
 				c.ended(a, EndVanished, "", now)
--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -36,9 +36,7 @@
 			ID: id, Listed: w.listed, Taken: w.looked, Draining: w.drainSince != 0, Attempts: len(w.attempts),
 			FreeCores: free.MilliCores, FreeMB: free.MemoryMB, Health: w.health.score, Quarantined: now < w.health.until, Unnoted: len(w.ends),
 		}
-		if w.silentSince != 0 {
-			ws.SilentMs = int64(now - w.silentSince)
-		}
+		ws.SilentMs = int64(w.silentMs(now))
 		s.Workers = append(s.Workers, ws)
 	}
 	sort.Slice(s.Workers, func(a, b int) bool { return s.Workers[a].ID < s.Workers[b].ID })
