--- a/core/cccell/calls.go
+++ b/core/cccell/calls.go
@@ -1,6 +1,6 @@
 package cccell
 
-// heard notes an answer of a worker: its clock, and that it can be reached.
+// heardFrom notes an answer of a worker: its clock, and that it can be reached.
 func (w *worker) heardFrom(r *Reply) {
 	if r.ClockMs > 0 && (w.clockAt == 0 || r.Received >= w.clockAt) {
 		w.clock, w.clockAt = r.ClockMs, r.Received
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -37,7 +37,6 @@
 	inDirty  map[*job]bool
 	out      Orders
 	attempts int64
-	began    ms
 	deposed  bool
 	// authority is the time until which this leader may start tasks and renew leases.
 	authority ms
@@ -65,16 +64,11 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, began: now,
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{},
 		kinds: kindTable{}, handover: now + cfg.AuthorityMs, authority: now + cfg.AuthorityMs,
 	}
 }
 
-// Token returns the leader's token.
-func (c *Cell) Token() int64 {
-	return c.cfg.Token
-}
-
 // Authorize lets the leader go on until a time: its record was confirmed, or all others vouched for it, AuthorityMs before.
 func (c *Cell) Authorize(until ms) {
 	c.authority = max(c.authority, until)
@@ -110,11 +104,6 @@
 	return c.deposed
 }
 
-// Stats returns the counters.
-func (c *Cell) Stats() Stats {
-	return c.stats
-}
-
 // Take returns the orders collected since the last call.
 func (c *Cell) Take() Orders {
 	out := c.out
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -116,15 +116,7 @@
 	}
 	s.failures[i] = append(s.failures[i], a.number)
 	c.touch(s.job)
-	c.exhaust(s, a.task.Index, now)
-}
-
-// exhaust fails a job when a task of it has no attempts left.
-func (c *Cell) exhaust(s *stage, index int, now ms) {
-	if s.spec.Gang {
-		index = 0
-	}
-	if len(s.failures[index]) >= max(c.queue(s.job).MaxAttempts, 1) && !s.done.has(index) && !s.spec.Lasting {
+	if len(s.failures[i]) >= max(c.queue(s.job).MaxAttempts, 1) && !s.done.has(i) {
 		c.finish(s.job, Failed, now)
 	}
 }
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -11,13 +11,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors of a job that can't be accepted.
-var (
-	// ErrBadJob reports a job that no order of its stages can run.
-	ErrBadJob = errors.New("job is malformed")
-	// ErrImpossible reports a task that no worker of the service could ever hold.
-	ErrImpossible = errors.New("no worker could hold a task of the job")
-)
+// ErrBadJob reports a job that no order of its stages can run.
+var ErrBadJob = errors.New("job is malformed")
 
 const (
 	// maxStages bounds the stages of a job; the largest job seen has 5.
