A process that waits for its turn to take over calls the leader meanwhile

Cause: at the start of 296 processes most reach the leader for the first time while it is busy with the first calls of all. Each that failed once waited for its turn, 120 ms for each one that ranks before it, that is up to 35 s, without calling the leader again; then it asked two others, which waited as well and had not heard the leader either, and replaced it. Ruled out: wrong members (the rank was right for the list), the store (leaders reached it until they were swamped). Change: the turn is waited for in slices of 400 ms, and counted from the first call that failed. A line says who misses a leader, why, and at which rank. Test: TestFollowerReturnsBeforeItsTurn, which failed before.

--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -21,6 +21,9 @@
 	syncGapMs ms = 30
 	// rankDelayMs is the time that each process leaves to those that rank before it.
 	rankDelayMs ms = 120
+	// turnSliceMs is how long a process waits for its turn to take over before it calls the leader again: the turn of one that ranks
+	// low may come many seconds after the first call that failed.
+	turnSliceMs ms = 400
 	// leaderStoreMs is the age of the leader's last call to the store after which a fellow that reaches the store takes over.
 	leaderStoreMs = 600
 	// storeCheckMs is the time that a candidate gives the store, and the least time between two checks of a leader that does not reach it.
@@ -36,36 +39,51 @@
 
 // follow keeps to the leader, and takes over when there is none.
 func (p *Process) follow(ctx context.Context) {
-	misses := 0
+	var lost loss
 	for ctx.Err() == nil {
 		if l := p.leading(); l != nil {
 			select {
 			case <-ctx.Done():
 			case <-l.ended:
 			}
-			misses = 0
+			lost = loss{}
 			continue
 		}
 		leader, _ := p.leaderView()
+		if leader.Token != lost.leader.Token || lost.sinceMs == 0 {
+			lost = loss{leader: leader, sinceMs: p.now()}
+		}
 		if leader.Token == 0 {
-			p.campaign(ctx, leader, "no leader is known", misses)
+			lost.why = "no leader is known"
+			p.campaign(ctx, &lost)
 			sleep(ctx, retryMs)
 			continue
 		}
-		why := p.syncOnce(ctx, leader)
-		if why == "" {
-			misses = 0
+		if lost.why = p.syncOnce(ctx, leader); lost.why == "" {
+			lost = loss{}
 			continue
 		}
-		if misses++; misses == 1 && why == "reset" {
-			continue // A fresh connection tells whether the process is there.
+		if lost.misses++; lost.misses == 1 {
+			lost.sinceMs = p.now()
+			if lost.why == "reset" {
+				continue // A fresh connection tells whether the process is there.
+			}
 		}
-		if !p.campaign(ctx, leader, why, misses) {
+		if !p.campaign(ctx, &lost) {
 			sleep(ctx, retryMs)
 		}
 	}
 }
 
+// loss is a leader that does not answer as it should.
+type loss struct {
+	leader leaderRecord
+	// sinceMs is when the first call failed, why says how the last one did, and misses counts them.
+	sinceMs ms
+	why     string
+	misses  int
+}
+
 // syncOnce copies what changed from the leader. It returns why the leader should be replaced, "" when it should not.
 func (p *Process) syncOnce(ctx context.Context, leader leaderRecord) string {
 	if leader.VM == p.cfg.VM {
@@ -151,17 +169,24 @@
 }
 
 // campaign tries to take over from a leader that was lost. It returns true when there is another one.
-func (p *Process) campaign(ctx context.Context, lost leaderRecord, why string, misses int) bool {
+func (p *Process) campaign(ctx context.Context, lost *loss) bool {
 	if p.draining.Load() {
 		sleep(ctx, retryMs)
 		return false
 	}
-	if p.knowsNobody() {
+	if p.memberCount() == 0 {
 		// After a loss of all power the members are still listed, and a small VM must not lead before a large one.
 		p.pollShared(ctx)
 	}
-	if !p.sleepTurn(ctx, lost) {
+	prior := lost.leader
+	rank := p.rank(prior)
+	p.cfg.Log.Info("leader is missed", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses,
+		"ForMs", p.now()-lost.sinceMs, "Rank", rank, "Members", p.memberCount())
+	switch p.awaitTurn(ctx, lost, rank) {
+	case turnReplaced:
 		return true
+	case turnLater:
+		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, (storeCheckMs * 2).Duration())
 	defer cancel()
@@ -171,22 +196,22 @@
 	}
 	if err == nil {
 		p.readLeader(&item, "campaign")
-		if now, _ := p.leaderView(); now.Token > lost.Token {
+		if now, _ := p.leaderView(); now.Token > prior.Token {
 			return true
 		}
 	}
-	if (why == "reset" || why == "silent" || why == "unreachable") && misses < hearsayMax && p.heardElsewhere(callCtx, lost) {
-		p.cfg.Log.Info("leader is heard by others", "Leader", lost.VM, "Token", lost.Token, "Why", why, "Misses", misses)
+	if (lost.why == "reset" || lost.why == "silent" || lost.why == "unreachable") && lost.misses < hearsayMax && p.heardElsewhere(callCtx, prior) {
+		p.cfg.Log.Info("leader is heard by others", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses)
 		return false
 	}
-	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(lost.Token, 0) + 1, LeaseMs: p.cfg.LeaseMs}
+	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(prior.Token, 0) + 1, LeaseMs: p.cfg.LeaseMs}
 	rev, err := p.cfg.Store.Write(callCtx, &Txn{If: []Condition{{keyLeader, item.Revision}}, Puts: []Put{{Key: keyLeader, Value: encode(r)}}})
 	if errors.Is(err, ccstore.ErrInDoubt) {
 		// The record tells whether the write was carried out; if it comes later, the poll will.
 		if again, err := p.cfg.Store.Get(ctx, keyLeader); err == nil {
 			p.readLeader(&again, "campaign")
 			if seen, _ := p.leaderView(); seen.VM == p.cfg.VM && seen.StartMs == p.cfg.StartMs && seen.Token == r.Token {
-				p.takeLead(ctx, seen, lost, why, misses)
+				p.takeLead(ctx, seen, lost)
 				return true
 			}
 		}
@@ -197,28 +222,41 @@
 	}
 	r.revision = rev
 	p.believe(r, "campaign")
-	p.takeLead(ctx, r, lost, why, misses)
+	p.takeLead(ctx, r, lost)
 	return true
 }
 
-// sleepTurn waits for the turn of this process to take over. It returns false when another one has done so.
-func (p *Process) sleepTurn(ctx context.Context, lost leaderRecord) bool {
+// turn says whether a process may take over from a leader that was lost.
+type turn int
+
+const (
+	turnNow      turn = iota // It may.
+	turnLater                // The turn is still to come; the leader may answer again until then.
+	turnReplaced             // Another process has taken over.
+)
+
+// awaitTurn waits for the turn of this process to take over, at most turnSliceMs.
+func (p *Process) awaitTurn(ctx context.Context, lost *loss, rank int) turn {
 	p.mu.Lock()
 	changed := p.changed
 	p.mu.Unlock()
-	if now, _ := p.leaderView(); now.Token > lost.Token {
-		return false
+	if now, _ := p.leaderView(); now.Token > lost.leader.Token {
+		return turnReplaced
 	}
-	t := time.NewTimer((ms(p.rank(lost)) * rankDelayMs).Duration())
+	wait := lost.sinceMs + ms(rank)*rankDelayMs - p.now()
+	t := time.NewTimer(min(wait, turnSliceMs).Duration())
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return turnLater
 	case <-changed:
-		return false
+		return turnReplaced
 	case <-t.C:
-		return true
 	}
+	if wait > turnSliceMs {
+		return turnLater
+	}
+	return turnNow
 }
 
 // Announce implements ccfellow.CellHandler.
--- /dev/null
+++ b/io/cccontrol/follow_test.go
@@ -0,0 +1,69 @@
+package cccontrol
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"coriandercross/core/ccclock"
+	"coriandercross/io/ccfellow"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// newFollower returns a process that is not served. Of the store it sees nothing but what the test puts into its view.
+func newFollower(t *testing.T, store Store) *Process {
+	t.Helper()
+	clock := ccclock.NewSystem()
+	return New(Config{
+		VM: "vm-99", Address: "127.0.0.1:1", Region: "r", Clock: clock, Log: log.New(io.Discard), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Store:   NewTimedStore(store, clock, nil),
+		Fellows: ccfellow.NewClient(ccfellow.ClientConfig{DialTimeout: time.Second, ControlTimeout: time.Second}),
+	})
+}
+
+// steadyLeader answers as a leader with nothing to tell does.
+type steadyLeader struct {
+	ccfellow.CellHandler
+}
+
+func (steadyLeader) Sync(context.Context, *ccfellow.SyncRequest) (*ccfellow.SyncReply, error) {
+	return &ccfellow.SyncReply{Leading: true, Token: 1, Seq: 1}, nil
+}
+
+// A process that ranks low finds its turn to take over many seconds away. It goes back to a leader that was out of reach for a
+// moment, rather than wait for its turn and replace it.
+func TestFollowerReturnsBeforeItsTurn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close()) // The leader refuses calls at first.
+	p := newFollower(t, nil)
+	for i := range 40 {
+		vm := fmt.Sprintf("vm-%d", i)
+		p.members[vm] = member{VM: vm, Address: "127.0.0.1:1", Region: "r", Share: 1}
+	}
+	p.members[p.cfg.VM] = member{VM: p.cfg.VM, Region: "r"}
+	leader := leaderRecord{VM: "vm-0", Address: address, StartMs: 1, Token: 1}
+	p.believe(leader, "test")
+	assert.Assert(t, ms(p.rank(leader))*rankDelayMs > 4000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.follow(ctx)
+	time.Sleep(100 * time.Millisecond)
+	l, err = net.Listen("tcp", address)
+	assert.NilError(t, err)
+	go ccfellow.ServeCell(ctx, l, steadyLeader{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, heardAt := p.leaderView(); heardAt > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the leader was not called again")
+	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(2*time.Second))
+}
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -60,8 +60,9 @@
 }
 
 // takeLead begins a term: it reads what lasts, and lets the loop take the workers.
-func (p *Process) takeLead(ctx context.Context, r, prior leaderRecord, why string, misses int) {
-	p.cfg.Log.Info("taking the lead", "Token", r.Token, "Revision", r.revision, "Why", why, "Misses", misses)
+func (p *Process) takeLead(ctx context.Context, r leaderRecord, lost *loss) {
+	prior := lost.leader
+	p.cfg.Log.Info("taking the lead", "Token", r.Token, "Revision", r.revision, "Why", lost.why, "Misses", lost.misses)
 	began := p.now()
 	p.loading.Store(r.Token)
 	defer p.loading.Store(0)
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -155,11 +155,11 @@
 	return members[r.VM].Region
 }
 
-// knowsNobody reports whether no member was read yet.
-func (p *Process) knowsNobody() bool {
+// memberCount returns the number of members known, this process among them; 0 when none was read yet.
+func (p *Process) memberCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.members) == 0
+	return len(p.members)
 }
 
 // others returns the addresses of the other processes; the seeds while none are listed.
