Calls between members slow down beyond a hundred of them

Ruled out: garbage collection (4 cycles in 30 s at 0.4 % of the time), the rounds of the cell (0.2 to 0.35 s a second, next). Change: heartbeat, gap between answers and polls of the members grow with their number; up to 100 members nothing changes. The record of a leader tells its authority, so that the next one waits for it. A leader that began with few members known keeps the short authority for its term, so that fellows can't vouch for it while the store is away.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -14,8 +14,8 @@
 	LeaseMs ms
 	// PriorLeaseMs is the length of the leases that the leader before gave.
 	PriorLeaseMs ms
-	// AuthorityMs is how long a leader goes on after it was last confirmed: the leader before may do so, unseen.
-	AuthorityMs ms
+	// AuthorityMs is how long this leader goes on after it was last confirmed; the leader before does so, unseen, for PriorAuthorityMs.
+	AuthorityMs, PriorAuthorityMs ms
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
 	// Log takes one line for each decision; it may be nil.
@@ -65,7 +65,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{},
-		kinds: kindTable{}, handover: now + cfg.AuthorityMs, authority: now + cfg.AuthorityMs,
+		kinds: kindTable{}, handover: now + cfg.PriorAuthorityMs, authority: now + cfg.AuthorityMs,
 	}
 }
 
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -120,7 +120,7 @@
 	}
 	w.token++
 	w.revision++
-	c := cccell.New(cccell.Config{Token: w.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: modelAuthority, RemoteFactor: 2, Log: w.log(w.token)}, w.now)
+	c := cccell.New(cccell.Config{Token: w.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: modelAuthority, PriorAuthorityMs: modelAuthority, RemoteFactor: 2, Log: w.log(w.token)}, w.now)
 	l := &leader{cell: c, token: w.token}
 	w.list(l)
 	for _, info := range w.roster {
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -28,7 +28,7 @@
 
 // testCell returns a cell of a leader with a token.
 func testCell(token int64, now ms) *Cell {
-	return New(Config{Token: token, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 3000, RemoteFactor: 2}, now)
+	return New(Config{Token: token, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 3000, PriorAuthorityMs: 3000, RemoteFactor: 2}, now)
 }
 
 // carried is the answer of a worker in its first life.
--- a/io/cccontrol/asks.go
+++ b/io/cccontrol/asks.go
@@ -25,7 +25,7 @@
 	longCallMs = 100
 	// shortBacklogMs is the wait up to which a short call is queued behind another.
 	shortBacklogMs ms = 60
-	// slotAliveMs is the time since its last sync for which a fellow counts as there.
+	// slotAliveMs is the time since its last sync for which a fellow counts as there, at the shortest heartbeat.
 	slotAliveMs ms = 700
 )
 
@@ -116,11 +116,12 @@
 		return
 	}
 	sort.SliceStable(d.queue, func(a, b int) bool { return d.queue[a].Priority < d.queue[b].Priority })
+	alive := slotAliveMs - syncWaitMs + heartbeatMs(d.l.p.memberCount())
 	d.mu.Lock()
 	var slots []*askSlot
 	for vm, s := range d.slots {
 		s.mu.Lock()
-		if vm == d.l.p.cfg.VM || (!s.draining && now-s.syncedAt < slotAliveMs) {
+		if vm == d.l.p.cfg.VM || (!s.draining && now-s.syncedAt < alive) {
 			slots = append(slots, s)
 		}
 		s.mu.Unlock()
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -15,7 +15,8 @@
 // its record in the store, or, while the store is away, by all other processes, any of which would have to take over.
 
 const (
-	// authorityMs is how long a leader goes on after it was last confirmed. A new leader waits as long for one that does not answer.
+	// authorityMs is how long a leader of few members goes on after it was last confirmed. A new leader waits as long for one that
+	// does not answer.
 	authorityMs ms = 700
 	// confirmMs is the time before the end of the authority at which the record is read; writes of progress confirm it as well.
 	confirmMs ms = 450
@@ -56,7 +57,7 @@
 		l.suspended = s
 		l.cell.Revoke()
 	}
-	l.cell.Authorize(l.desk.vouchedAt(l.p.memberNames()) + authorityMs)
+	l.cell.Authorize(l.desk.vouchedAt(l.p.memberNames()) + l.authorityMs)
 	if l.cell.Authority()-now > confirmMs || l.confirming {
 		return
 	}
@@ -72,7 +73,7 @@
 		l.post(func(ms) {
 			l.confirming = false
 			if err == nil && item.Revision == l.record.revision {
-				l.cell.Authorize(sent + authorityMs)
+				l.cell.Authorize(sent + l.authorityMs)
 			}
 		})
 	}()
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -94,7 +94,7 @@
 	if c := p.config.Load(); c != nil {
 		in.Version = c.config.Version
 	}
-	callCtx, cancel := context.WithTimeout(ctx, syncTimeoutMs.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, p.missedMs().Duration())
 	defer cancel()
 	out, err := p.cfg.Fellows.Sync(callCtx, leader.Address, in)
 	now := p.now()
@@ -111,7 +111,7 @@
 		return "leads no more"
 	}
 	p.mu.Lock()
-	p.heardAt = now
+	p.heardAt, p.beatMs = now, max(syncWaitMs, ms(out.HeartbeatMs))
 	p.mu.Unlock()
 	if out.Loading {
 		if out.StoreAgeMs > leaderStoreMs && ms(p.cfg.Store.AgeMs()) < 2*storeCheckMs {
@@ -204,7 +204,7 @@
 		p.cfg.Log.Info("leader is heard by others", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses)
 		return false
 	}
-	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(prior.Token, 0) + 1, LeaseMs: p.cfg.LeaseMs}
+	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: max(prior.Token, 0) + 1, LeaseMs: p.cfg.LeaseMs, AuthorityMs: termAuthorityMs(p.memberCount())}
 	rev, err := p.cfg.Store.Write(callCtx, &Txn{If: []Condition{{keyLeader, item.Revision}}, Puts: []Put{{Key: keyLeader, Value: encode(r)}}})
 	if errors.Is(err, ccstore.ErrInDoubt) {
 		// The record tells whether the write was carried out; if it comes later, the poll will.
@@ -276,7 +276,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, hearsayMs*time.Millisecond/2)
 		out, err := p.cfg.Fellows.Heard(callCtx, address, &ccfellow.HeardRequest{Token: leader.Token})
 		cancel()
-		if err == nil && out.AgoMs >= 0 && out.AgoMs < hearsayMs {
+		if err == nil && out.AgoMs >= 0 && ms(out.AgoMs) < p.missedMs()-syncTimeoutMs+hearsayMs {
 			return true
 		}
 	}
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -48,6 +48,8 @@
 	Token int64 `cbor:"4,keyasint"`
 	// LeaseMs is the length of the leases that the leader gives to workers.
 	LeaseMs ms `cbor:"5,keyasint"`
+	// AuthorityMs is how long the leader goes on after it was last confirmed.
+	AuthorityMs ms `cbor:"6,keyasint,omitempty"`
 
 	revision int64
 }
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -54,9 +54,11 @@
 	version    int64
 	confirming bool
 	suspended  ms
-	roster     map[string]int64
-	rosterAt   ms
-	rostering  bool
+	// authorityMs is how long the leader goes on after it was last confirmed, as its record says.
+	authorityMs ms
+	roster      map[string]int64
+	rosterAt    ms
+	rostering   bool
 }
 
 // takeLead begins a term: it reads what lasts, and lets the loop take the workers.
@@ -66,11 +68,12 @@
 	began := p.now()
 	p.loading.Store(r.Token)
 	defer p.loading.Store(0)
-	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}, suspended: ccclock.Suspended()}
+	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}, suspended: ccclock.Suspended(), authorityMs: max(r.AuthorityMs, authorityMs)}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.cell = cccell.New(cccell.Config{
-		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, p.cfg.LeaseMs), AuthorityMs: authorityMs,
-		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision,
+		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, p.cfg.LeaseMs), AuthorityMs: max(r.AuthorityMs, authorityMs),
+		PriorAuthorityMs: max(prior.AuthorityMs, authorityMs),
+		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision,
 	}, began)
 	l.announce(prior)
 	l.desk = newAskDesk(l)
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// memberPollMs is the time between two reads of the members: a stale read costs a tenth.
+	// memberPollMs is the least time between two reads of the members: a stale read costs a tenth.
 	memberPollMs ms = 1000
 	// probeMs is the pause between calls to a store that is lost, and the time that each may take: its return should be
 	// noticed before the callers that were refused come back.
@@ -38,7 +38,7 @@
 			// The store lists others but not this process: its entry was taken away.
 			lease = 0
 		}
-		pause := memberPollMs
+		pause := pollGapMs(p.memberCount())
 		if p.cfg.Store.Lost() {
 			pause = probeMs
 		}
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -57,7 +57,9 @@
 	leader  leaderRecord
 	// heardAt is when the leader last answered.
 	heardAt ms
-	lead    *leadership
+	// beatMs is the leader's heartbeat, as it told last.
+	beatMs ms
+	lead   *leadership
 	// changed is closed, and replaced, when the leader changes.
 	changed chan struct{}
 
@@ -134,6 +136,13 @@
 	return p.leader, p.heardAt
 }
 
+// missedMs returns the time without an answer after which the leader counts as lost.
+func (p *Process) missedMs() ms {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.beatMs, syncWaitMs) + beatSlackMs
+}
+
 // believe takes in a record of the leader. An older one is ignored.
 func (p *Process) believe(r leaderRecord, source string) {
 	p.mu.Lock()
@@ -141,7 +150,7 @@
 	newer := r.Token > old.Token
 	if newer {
 		p.leader = r
-		p.heardAt = 0
+		p.heardAt, p.beatMs = 0, syncWaitMs
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -13,8 +13,14 @@
 
 // While the store turns a process away, the leader writes for it: it reaches the store, or fellows that do replace it.
 
-// isolatedMs is the time without the leader after which a process that does not reach the store either sends callers elsewhere.
-const isolatedMs ms = 700
+// isolatedMs is the time beyond a missed heartbeat of the leader after which a process that does not reach the store either sends
+// callers elsewhere.
+const isolatedMs ms = 300
+
+// isolatedAfterMs returns the time without an answer of the leader after which it counts as out of reach.
+func (p *Process) isolatedAfterMs() ms {
+	return p.missedMs() + isolatedMs
+}
 
 // relay has a fellow keep a job. It fails as intake.keep does.
 func (p *Process) relay(ctx context.Context, j *cccell.Job, until ms) error {
@@ -24,7 +30,7 @@
 // relayKeep has the leader write something.
 func (p *Process) relayKeep(ctx context.Context, in *ccfellow.KeepRequest) error {
 	leader, heard := p.leaderView()
-	if p.leading() != nil || heard == 0 || p.now()-heard > isolatedMs {
+	if p.leading() != nil || heard == 0 || p.now()-heard > p.isolatedAfterMs() {
 		return errors.Mark(errors.New("neither store nor leader is reached"), ccstore.ErrUnavailable)
 	}
 	out, err := p.cfg.Fellows.Keep(ctx, leader.Address, in)
@@ -68,5 +74,5 @@
 		return false
 	}
 	_, heard := p.leaderView()
-	return p.now()-heard > isolatedMs
+	return p.now()-heard > p.isolatedAfterMs()
 }
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -26,9 +26,11 @@
 	if in.Token == l.token {
 		slot.vouch()
 	}
-	deadline := time.NewTimer(syncWaitMs.Duration())
+	members := p.memberCount()
+	beat := heartbeatMs(members)
+	deadline := time.NewTimer(beat.Duration())
 	defer deadline.Stop()
-	if wait := slot.answeredAt() + syncGapMs - p.now(); wait > 0 && !slot.hasAsks() {
+	if wait := slot.answeredAt() + answerGapMs(members) - p.now(); wait > 0 && !slot.hasAsks() {
 		slot.sleep(ctx, wait)
 	}
 	for {
@@ -51,7 +53,7 @@
 		p.board.mu.Lock()
 		out := &ccfellow.SyncReply{
 			Leading: true, Token: l.token, Seq: seq, Whole: whole, Changes: changes, Asks: asks, Pending: p.board.pending,
-			StoreAgeMs: p.cfg.Store.AgeMs(), Resign: p.draining.Load(),
+			StoreAgeMs: p.cfg.Store.AgeMs(), Resign: p.draining.Load(), HeartbeatMs: int64(beat),
 		}
 		p.board.mu.Unlock()
 		if c := p.config.Load(); c != nil {
--- a/io/ccfellow/cell.go
+++ b/io/ccfellow/cell.go
@@ -62,6 +62,8 @@
 	Resign bool `cbor:"10,keyasint,omitempty"`
 	// Loading is true while the leader still reads the store: it tells nothing yet.
 	Loading bool `cbor:"12,keyasint,omitempty"`
+	// HeartbeatMs is how long the leader lets this fellow wait when nothing changes.
+	HeartbeatMs int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Check implements Message.
