--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -121,7 +121,7 @@
 	p := cccontrol.New(cccontrol.Config{
 		VM: s.VM, Region: s.Region, Address: s.Listen.Fellows, Seeds: s.Seeds, Share: s.Limits.CPUShare * float64(max(s.Limits.Cores, 1)),
 		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: cclog.NewSampler(clock), Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
-		Configs: ccplatform.NewConfigs(store), Workers: ccplatform.NewWorkers(clock), Adviser: ccplatform.NewAdviser(s.PolicyService),
+		Configs: ccplatform.NewConfigs(store), Workers: ccplatform.NewWorkers(clock, s.Limits.MaxFiles), Adviser: ccplatform.NewAdviser(s.PolicyService),
 		Fellows: ccfellow.NewClient(ccfellow.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
 		KeepFinalMs: ccclock.Millis(s.Bounds.KeepFinalS * msPerSecond),
