--- a/io/cccontrol/control_test.go
+++ b/io/cccontrol/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
@@ -139,3 +141,33 @@
 		})
 	}
 }
+
+// A process stays listed while it lives, also among so many others that it reads the list seldom.
+func TestEntryOutlivesItsLease(t *testing.T) {
+	t.Parallel()
+	p, store := newProcess(t)
+	for i := range 300 {
+		m := struct {
+			VM string `cbor:"1,keyasint"`
+		}{fmt.Sprintf("vm-%d", i)}
+		data, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		_, err = store.Commit(&cccontrol.Txn{Puts: []cccontrol.Put{{Key: "cc/m/vm/" + m.VM, Value: data}}})
+		assert.NilError(t, err)
+	}
+	const lease = 6 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), lease+2*time.Second)
+	defer cancel()
+	go cccontrol.KeepMember(p, ctx)
+	listed := func() bool {
+		_, err := store.Get(context.Background(), "cc/m/vm/vm")
+		return err == nil
+	}
+	for !listed() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for ctx.Err() == nil {
+		assert.Assert(t, listed(), "the entry has lapsed")
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -25,20 +25,23 @@
 // keepMember keeps the own entry in the store and reads those of the others.
 func (p *Process) keepMember(ctx context.Context) {
 	var lease int64
-	var keptAt ms
+	var keptAt, polledAt ms
 	for {
-		now := p.now()
-		if !p.cfg.Store.Lost() && (lease == 0 || now-keptAt >= memberKeepMs) {
+		now, lost := p.now(), p.cfg.Store.Lost()
+		if !lost && (lease == 0 || now-keptAt >= memberKeepMs) {
 			lease = p.keepEntry(ctx, lease)
 			if lease != 0 {
 				keptAt = now
 			}
 		}
-		if !p.pollShared(ctx) {
-			// The store lists others but not this process: its entry was taken away.
-			lease = 0
+		if lost || polledAt == 0 || now-polledAt >= pollGapMs(p.memberCount()) {
+			polledAt = now
+			if !p.pollShared(ctx) {
+				// The store lists others but not this process: its entry was taken away.
+				lease = 0
+			}
 		}
-		pause := pollGapMs(p.memberCount())
+		pause := memberPollMs
 		if p.cfg.Store.Lost() {
 			pause = probeMs
 		}
