A leader that has just begun may be silent for as long as its members take

Change: silence of a new leader counts from 3 ms for each member on; a dial that times out counts as silence, only a refusal as gone. Test: TestYoungLeaderMayBeSilent.

--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"coriandercross/core/cccell"
@@ -63,6 +64,11 @@
 			lost = loss{}
 			continue
 		}
+		if lost.why == "silent" && p.isYoung() {
+			lost.sinceMs = p.now()
+			sleep(ctx, retryMs)
+			continue
+		}
 		if lost.misses++; lost.misses == 1 {
 			lost.sinceMs = p.now()
 			if lost.why == "reset" {
@@ -75,6 +81,13 @@
 	}
 }
 
+// isYoung reports whether the leader has only just begun, so that it may not come to answer everybody.
+func (p *Process) isYoung() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now()-p.believedAt < graceMs(len(p.members))
+}
+
 // loss is a leader that does not answer as it should.
 type loss struct {
 	leader leaderRecord
@@ -100,9 +113,9 @@
 	now := p.now()
 	if err != nil {
 		switch {
-		case errors.Is(err, ccfellow.ErrUnreachable):
+		case errors.Is(err, ccfellow.ErrUnreachable) && errors.Is(err, syscall.ECONNREFUSED):
 			return "unreachable"
-		case callCtx.Err() != nil:
+		case callCtx.Err() != nil || errors.Is(err, ccfellow.ErrUnreachable):
 			return "silent"
 		}
 		return "reset"
--- a/io/cccontrol/follow_test.go
+++ b/io/cccontrol/follow_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"coriandercross/core/ccclock"
 	"coriandercross/io/ccfellow"
+	"coriandercross/io/ccstore"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,3 +69,71 @@
 		return poll.Continue("the leader was not called again")
 	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(2*time.Second))
 }
+
+// slowLeader leaves calls without an answer until it is ready.
+type slowLeader struct {
+	ccfellow.CellHandler
+	ready <-chan struct{}
+}
+
+func (s slowLeader) Sync(ctx context.Context, _ *ccfellow.SyncRequest) (*ccfellow.SyncReply, error) {
+	select {
+	case <-s.ready:
+		return &ccfellow.SyncReply{Leading: true, Token: 1, Seq: 1}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// countingStore counts the reads of a campaign, and refuses them.
+type countingStore struct {
+	Store
+	gets atomic.Int64
+}
+
+func (s *countingStore) Get(context.Context, string) (Item, error) {
+	s.gets.Add(1)
+	return Item{}, ccstore.ErrUnavailable
+}
+
+// A leader that has just begun is called by hundreds of members at once. The first in rank gives it the time to answer them all, and
+// no more.
+func TestYoungLeaderMayBeSilent(t *testing.T) {
+	tests := map[string]struct {
+		members    int
+		silence    time.Duration
+		campaigned bool
+	}{
+		"ManyMembers":      {300, 700 * time.Millisecond, false},
+		"FewMembers":       {7, 700 * time.Millisecond, true},
+		"SilentForTooLong": {300, 2 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			store := &countingStore{}
+			p := newFollower(t, store)
+			for i := range test.members {
+				vm := fmt.Sprintf("vm-%d", i)
+				p.members[vm] = member{VM: vm, Address: "127.0.0.1:1", Region: "r", Share: 0.2}
+			}
+			p.members[p.cfg.VM] = member{VM: p.cfg.VM, Region: "r", Share: 0.8}
+			p.believe(leaderRecord{VM: "vm-0", Address: l.Addr().String(), StartMs: 1, Token: 1}, "test")
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			ready := make(chan struct{})
+			go ccfellow.ServeCell(ctx, l, slowLeader{ready: ready})
+			time.AfterFunc(test.silence, func() { close(ready) })
+			go p.follow(ctx)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if _, heardAt := p.leaderView(); heardAt > 0 {
+					return poll.Success()
+				}
+				return poll.Continue("the leader was not heard")
+			}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(5*time.Second))
+			assert.Equal(t, store.gets.Load() > 0, test.campaigned)
+		})
+	}
+}
--- a/io/cccontrol/pace.go
+++ b/io/cccontrol/pace.go
@@ -17,6 +17,15 @@
 	beatSlackMs = syncTimeoutMs - syncWaitMs
 )
 
+// startMemberMs is the time for each member that a new leader may be silent: all of them call it at once and copy all jobs, and it reads
+// every worker. A member costs it about 2 ms at the processor share of a large VM.
+const startMemberMs ms = 3
+
+// graceMs returns how long a new leader of so many members may be silent.
+func graceMs(members int) ms {
+	return startMemberMs * ms(members)
+}
+
 // heartbeatMs returns how long a leader of so many members lets one wait when nothing changes.
 func heartbeatMs(members int) ms {
 	return max(syncWaitMs, syncWaitMs*ms(members)/beatMembers)
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -59,7 +59,9 @@
 	heardAt ms
 	// beatMs is the leader's heartbeat, as it told last.
 	beatMs ms
-	lead   *leadership
+	// believedAt is when this process learned of the leader.
+	believedAt ms
+	lead       *leadership
 	// changed is closed, and replaced, when the leader changes.
 	changed chan struct{}
 
@@ -150,7 +152,7 @@
 	newer := r.Token > old.Token
 	if newer {
 		p.leader = r
-		p.heardAt, p.beatMs = 0, syncWaitMs
+		p.heardAt, p.beatMs, p.believedAt = 0, syncWaitMs, p.now()
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
