A new leader reads its workers a few hundred at a time, and costs are worked out once a round

A round over 3,000 workers worked out the cost of each candidate anew for each task, and with it the speed of the kinds. Change: at most 256 first looks side by side; cost of a candidate once a stage and round, speeds of the kinds once after a result. Test: TestWorkersAreReadInTurns (3,000 looks at once before).

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -76,11 +76,6 @@
 		return false
 	}
 	want := int(math.Ceil(float64(missing) * spareRoom))
-	type candidate struct {
-		w    *worker
-		room int
-		cost float64
-	}
 	var known, fresh []candidate
 	for _, w := range c.usable {
 		if t.denied[w.info.ID] || !c.suits(s, w, now) {
--- /dev/null
+++ b/core/cccell/bench_test.go
@@ -0,0 +1,89 @@
+package cccell
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkRound measures a round of decisions over 3,000 workers of which a third run tasks, with new work in each.
+func BenchmarkRound(b *testing.B) {
+	const (
+		workers  = 3000
+		perRound = 2
+		roundMs  = 10
+		runMs    = 1000
+	)
+	c := testCell(1, 1000)
+	for i := range workers {
+		c.SetWorker(testWorker(fmt.Sprintf("w%d", i)), 1000)
+	}
+	now := ms(1000)
+	clock := func() Reply { return carried(now) }
+	type ended struct {
+		at   ms
+		look string
+		t    EndedTask
+	}
+	ends := map[string]int64{}
+	lists := map[string]*Lists{}
+	var due []ended
+	serve := func(out *Orders) {
+		for i := range out.Starts {
+			s := &out.Starts[i]
+			c.OnStart(s, clock(), now)
+			due = append(due, ended{now + runMs, s.WorkerID, EndedTask{Task: s.Task, Attempt: s.Attempt, End: EndDone}})
+			l := lists[s.WorkerID]
+			if l == nil {
+				l = &Lists{}
+				lists[s.WorkerID] = l
+			}
+			l.Running = append(l.Running, RunningTask{Task: s.Task, Attempt: s.Attempt})
+		}
+		for i := range out.Looks {
+			l := lists[out.Looks[i].WorkerID]
+			if l == nil {
+				l = &Lists{}
+			}
+			c.OnLook(&out.Looks[i], clock(), l, now)
+		}
+	}
+	for now < 8000 {
+		c.Authorize(now + 1000)
+		c.Schedule(now, now)
+		out := c.Take()
+		serve(&out)
+		now += roundMs
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		b.StopTimer()
+		now += roundMs
+		for len(due) > 0 && due[0].at <= now {
+			d := due[0]
+			due = due[1:]
+			l := lists[d.look]
+			for k := range l.Running {
+				if l.Running[k].Task == d.t.Task {
+					l.Running = append(l.Running[:k], l.Running[k+1:]...)
+					break
+				}
+			}
+			ends[d.look]++
+			d.t.Number = ends[d.look]
+			l.Ended = append(l.Ended[:0:0], d.t)
+		}
+		for k := range perRound {
+			c.Add(testJob(fmt.Sprintf("j%d-%d", i, k), 20), now, now)
+		}
+		b.StartTimer()
+		c.Authorize(now + 1000)
+		c.Schedule(now, now)
+		out := c.Take()
+		b.StopTimer()
+		serve(&out)
+		if notes := c.Notes(1000, now); len(notes) > 0 {
+			c.Noted(notes, int64(i+10), now)
+		}
+		b.StartTimer()
+	}
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -65,7 +65,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{},
-		kinds: kindTable{}, handover: now + cfg.PriorAuthorityMs, authority: now + cfg.AuthorityMs,
+		kinds: newKindTable(), handover: now + cfg.PriorAuthorityMs, authority: now + cfg.AuthorityMs,
 	}
 }
 
--- a/core/cccell/kinds.go
+++ b/core/cccell/kinds.go
@@ -3,7 +3,16 @@
 // kindTable learns how fast the kinds of workers are. Load pattern: unlike machines in one pool,
 // with estimates that are far off. Only ratios between kinds count, so that a wrong estimate of a
 // stage, which is wrong for every kind alike, does no harm.
-type kindTable map[string]*kindSpeed
+type kindTable struct {
+	speeds map[string]*kindSpeed
+	// slow holds how slow each trusted kind is against the fastest one; it is nil after a result, until it is asked for.
+	slow map[string]float64
+}
+
+// newKindTable returns a table that knows nothing.
+func newKindTable() kindTable {
+	return kindTable{speeds: map[string]*kindSpeed{}}
+}
 
 // kindSpeed is the mean of what tasks took against their estimates on one kind of worker.
 type kindSpeed struct {
@@ -21,34 +30,47 @@
 )
 
 // add takes in one task that was done.
-func (t kindTable) add(kind string, tookMs, estimateMs int64) {
+func (t *kindTable) add(kind string, tookMs, estimateMs int64) {
 	if estimateMs <= 0 || tookMs <= 0 {
 		return
 	}
-	k := t[kind]
+	k := t.speeds[kind]
 	if k == nil {
 		k = &kindSpeed{}
-		t[kind] = k
+		t.speeds[kind] = k
 	}
 	r := min(float64(tookMs)/float64(estimateMs), ratioCap)
 	k.count = min(k.count+1, kindMemory)
 	k.ratio += (r - k.ratio) / k.count
+	t.slow = nil
 }
 
 // slowness returns how slow a kind is against the fastest one, 1 when that is not known.
-func (t kindTable) slowness(kind string) float64 {
-	k := t[kind]
-	if k == nil || k.count < kindTrust {
-		return 1
+func (t *kindTable) slowness(kind string) float64 {
+	if t.slow == nil {
+		t.compare()
 	}
-	best := k.ratio
-	for _, o := range t {
-		if o.count >= kindTrust {
-			best = min(best, o.ratio)
+	if f, ok := t.slow[kind]; ok {
+		return f
+	}
+	return 1
+}
+
+// compare works out how slow the kinds are.
+func (t *kindTable) compare() {
+	t.slow = map[string]float64{}
+	best := 0.0
+	for _, k := range t.speeds {
+		if k.count >= kindTrust && (best == 0 || k.ratio < best) {
+			best = k.ratio
 		}
 	}
 	if best <= 0 {
-		return 1
+		return
+	}
+	for kind, k := range t.speeds {
+		if k.count >= kindTrust {
+			t.slow[kind] = k.ratio / best
+		}
 	}
-	return k.ratio / best
 }
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -9,17 +9,37 @@
 	unnotedGapMs ms = 400
 	// silentGapMs is the time between looks at a worker that does not answer.
 	silentGapMs ms = 400
+	// maxFirstLooks is the number of workers that are read for the first time side by side. A look costs about 0.3 ms of processor; thousands
+	// at once would keep fellows and callers waiting for a second.
+	maxFirstLooks = 256
 	// stopRetryMs is the time between two stops of one attempt.
 	stopRetryMs ms = 400
 )
 
+// unread reports whether the worker has not been read since this leader alone gives orders.
+func (c *Cell) unread(w *worker) bool {
+	return !w.looked || w.readAt < c.handover
+}
+
 // look orders the looks that are due.
 func (c *Cell) look(now ms) {
+	first := 0
+	for _, w := range c.workers {
+		if w.looking && c.unread(w) {
+			first++
+		}
+	}
 	for _, w := range c.workers {
 		hurried := w.looking && !w.hurried && w.doubtSettled()
 		if !hurried && (w.looking || now-w.lookDone < lookGapMs || !c.wantsLook(w, now)) {
 			continue
 		}
+		if c.unread(w) && !hurried {
+			if first == maxFirstLooks {
+				continue
+			}
+			first++
+		}
 		o := LookOrder{Call: c.call(w), Seen: w.seen, worker: w, hurried: hurried}
 		if w.life != w.born() {
 			o.Seen = 0 // Ends are numbered anew in each life.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -159,8 +159,8 @@
 		if !s.idle(i) {
 			continue
 		}
-		k := c.best(s, list, now)
-		w := list[k]
+		k := c.best(s, list)
+		w := list[k].w
 		if len(s.tasks[i]) > 0 && s.tasks[i][0].worker == w {
 			continue // A copy beside what lags would lag, too.
 		}
@@ -174,14 +174,22 @@
 	}
 }
 
+// candidate is a worker that may get tasks of a stage.
+type candidate struct {
+	w *worker
+	// room is the number of tasks that fit, and cost the time that one would take there against the best place.
+	room int
+	cost float64
+}
+
 // candidates returns the workers with room for a stage that may run it now, and the number of its tasks that fit.
-func (c *Cell) candidates(s *stage, advised bool, now ms) (list []*worker, rooms int) {
+func (c *Cell) candidates(s *stage, advised bool, now ms) (list []candidate, rooms int) {
 	add := func(w *worker) {
 		if !c.suits(s, w, now) {
 			return
 		}
 		if n := c.roomFor(s, w); n > 0 {
-			list = append(list, w)
+			list = append(list, candidate{w: w, room: n, cost: c.cost(s, w, now)})
 			rooms += n
 		}
 	}
@@ -216,16 +224,17 @@
 
 // best returns the place in the list of the worker that should get the next task: the soonest end first,
 // then the fullest, so that room for large tasks stays in one piece.
-func (c *Cell) best(s *stage, list []*worker, now ms) int {
+func (c *Cell) best(s *stage, list []candidate) int {
 	best, bestScore := 0, 0.0
-	for i, w := range list {
+	for i := range list {
+		w := list[i].w
 		free := w.free()
 		left := leftShare(free.Minus(s.need), w.info.Capacity)
-		score := c.cost(s, w, now)*costWeight + left
+		score := list[i].cost*costWeight + left
 		if s.spec.SameRack && s.perWorkerRack(w.rack) {
 			score -= costWeight
 		}
-		if i == 0 || score < bestScore || score == bestScore && w.info.ID < list[best].info.ID {
+		if i == 0 || score < bestScore || score == bestScore && w.info.ID < list[best].w.info.ID {
 			best, bestScore = i, score
 		}
 	}
--- a/core/cccell/straggle_test.go
+++ b/core/cccell/straggle_test.go
@@ -56,7 +56,7 @@
 
 // Estimates are far off, but alike on every kind: only the ratio between kinds counts.
 func TestKindsAreLearned(t *testing.T) {
-	k := kindTable{}
+	k := newKindTable()
 	for range kindTrust {
 		k.add("a", 900, 300)
 		k.add("b", 1800, 300)
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"fmt"
 	"testing"
 
 	"coriandercross/core/ccwork"
@@ -100,3 +101,25 @@
 		})
 	}
 }
+
+// A new leader reads thousands of workers a few hundred at a time, and all of them in the end.
+func TestWorkersAreReadInTurns(t *testing.T) {
+	const workers = 3000
+	c := testCell(1, 1000)
+	for i := range workers {
+		c.SetWorker(testWorker(fmt.Sprintf("w%d", i)), 1000)
+	}
+	read := map[string]bool{}
+	now, most := ms(1000), 0
+	for len(read) < workers && now < 3000 {
+		out := lookAt(t, c, now, nil)
+		most = max(most, len(out.Looks))
+		for i := range out.Looks {
+			read[out.Looks[i].WorkerID] = true
+		}
+		now += 20
+	}
+	assert.Equal(t, len(read), workers)
+	assert.Assert(t, most <= maxFirstLooks, "%d looks at once", most)
+	assert.Assert(t, now < 1500, "read after %d ms", now-1000)
+}
