Emptied workers are not handed on to the next leader; waits of a stage count only while it waits

Change: a worker that gets nothing more, was read by this leader and runs nothing is left out. A roster that can't be read is logged. The line 'stage placed' adds up what the stage waited for; it counted the time in which nothing was missing, too. Test: TestRosterLeavesOutTheEmptied.

--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -36,6 +36,7 @@
 	for s := range c.open {
 		switch s.missing = s.countMissing(); {
 		case s.missing == 0:
+			s.waits.waited(now, "")
 		case s.job.adopted && !settled:
 			s.waits.waited(now, waitSettle)
 		case now < s.notBefore:
@@ -213,13 +214,16 @@
 		return
 	}
 	s.waits.told = true
-	kv := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrived, "WaitMs", now - s.readyAt}
+	var parts []any
+	total := ms(0)
 	for _, why := range []string{waitSettle, waitPause, waitTicket, waitRoom, waitTurn} {
 		if d := s.waits.by[why]; d > 0 {
-			kv = append(kv, why+"Ms", d)
+			total += d
+			parts = append(parts, why+"Ms", d)
 		}
 	}
-	c.cfg.Log("stage placed", kv...)
+	kv := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrived, "WaitMs", total}
+	c.cfg.Log("stage placed", append(kv, parts...)...)
 }
 
 // best returns the place in the list of the worker that should get the next task: the soonest end first,
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -33,15 +33,24 @@
 	c.cfg.Log("worker not listed", "Worker", id, "Attempts", len(w.attempts), "Draining", w.drainSince != 0, "Reached", w.silentSince == 0)
 }
 
-// Roster returns the workers that may run something, for the next leader.
+// Roster returns the workers that may run something, for the next leader: it waits until the leases have lapsed of those that it
+// does not reach.
 func (c *Cell) Roster() []WorkerInfo {
 	out := make([]WorkerInfo, 0, len(c.workers))
 	for _, w := range c.workers {
-		out = append(out, w.info)
+		if !c.emptied(w) {
+			out = append(out, w.info)
+		}
 	}
 	return out
 }
 
+// emptied reports whether a worker is known to run nothing, and gets nothing any more. Load pattern: a tenth of the workers drain and
+// leave, and the leader is replaced meanwhile.
+func (c *Cell) emptied(w *worker) bool {
+	return (w.drainSince != 0 || !w.listed) && !c.unread(w) && len(w.attempts) == 0
+}
+
 // AddUnlisted takes in a worker that an earlier leader used and that the store does not list: tasks
 // may run there until their leases lapse.
 func (c *Cell) AddUnlisted(info WorkerInfo, now ms) {
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -123,3 +123,44 @@
 	assert.Assert(t, most <= maxFirstLooks, "%d looks at once", most)
 	assert.Assert(t, now < 1500, "read after %d ms", now-1000)
 }
+
+// A worker that was emptied and leaves is not handed on to the next leader, which would wait for the end of its lease before it starts
+// anything that it does not find: seen on the bench as adopted jobs that waited 4.7 s after each take-over of a roll.
+func TestRosterLeavesOutTheEmptied(t *testing.T) {
+	tests := map[string]struct {
+		draining, listed, read, busy bool
+		want                         bool
+	}{
+		"Serving":           {listed: true, read: true, want: true},
+		"DrainedAndEmpty":   {draining: true, listed: true, read: true, want: false},
+		"DrainedAndGone":    {draining: true, read: true, want: false},
+		"DrainedAndBusy":    {draining: true, listed: true, read: true, busy: true, want: true},
+		"DrainedAndNotRead": {draining: true, listed: true, want: true},
+		"GoneAndEmpty":      {read: true, want: false},
+		"GoneAndNotRead":    {want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.PriorEnded(1000)
+			info := testWorker("w")
+			c.SetWorker(info, 1000)
+			lists := &Lists{}
+			if test.busy {
+				c.Adopt(Stored{Job: testJob("j", 1)}, 1000, 1000)
+				lists.Running = []RunningTask{{Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 1}}
+			}
+			if test.read {
+				lookAt(t, c, 1010, map[string]*Lists{"w": lists})
+			}
+			if test.draining {
+				info.Draining = true
+				c.SetWorker(info, 1020)
+			}
+			if !test.listed {
+				c.LoseWorker("w")
+			}
+			assert.Equal(t, len(c.Roster()) == 1, test.want)
+		})
+	}
+}
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -46,7 +46,10 @@
 		l.cell.SetWorker(w, now)
 	}
 	var old rosterRecord
-	if roster.Revision > 0 && decode(keyRoster, roster.Value, &old) == nil {
+	if roster.Revision > 0 {
+		if err := decode(keyRoster, roster.Value, &old); err != nil {
+			p.cfg.Log.Error("roster not read: workers that are not listed are not waited for", "Revision", roster.Revision, "Error", err)
+		}
 		for _, w := range old.Workers {
 			l.cell.AddUnlisted(w, now)
 		}
