An answer of the policy service is given up by the length of the call, not by the number of workers

Cause: the time after which a lost answer is asked for again was worked out as if all workers had been named, though a call names at most 100: 10 s at 350 workers, 25 s at 1,002. Change: the time counts from the workers named; which calls are cheap likewise. Test: TestLostAnswerIsGivenUp, which failed before.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -11,7 +11,8 @@
 	allowed map[string]ticket
 	denied  map[string]bool
 	asking  bool
-	askedAt ms
+	// giveUpAt is the time after which the answer is awaited no more.
+	giveUpAt ms
 	// idleUntil is the time before which no worker worth asking for is looked for again.
 	idleUntil ms
 }
@@ -69,7 +70,7 @@
 func (c *Cell) ask(s *stage, missing int, now ms) bool {
 	t := &s.tickets
 	adv := c.queue(s.job).Advice
-	if t.asking && now < t.askedAt+askTimeoutMs+ms(askSlack*float64(adv.CallMs(len(c.workers)))) {
+	if t.asking && now < t.giveUpAt {
 		return true
 	}
 	if now < t.idleUntil {
@@ -123,7 +124,7 @@
 	}
 	if want > 0 {
 		limit := askWorkers
-		if adv.CallMs(len(c.workers)) <= cheapCallMs {
+		if adv.CallMs(min(len(c.workers), maxNamed)) <= cheapCallMs {
 			limit = maxNamed
 		}
 		for _, k := range fresh {
@@ -137,7 +138,7 @@
 		t.idleUntil = now + askIdleMs
 		return false
 	}
-	t.asking, t.askedAt = true, now
+	t.asking, t.giveUpAt = true, now+askTimeoutMs+ms(askSlack*float64(adv.CallMs(len(names))))
 	c.stats.Asks++
 	c.out.Asks = append(c.out.Asks, AskOrder{Stage: s.id, Workers: names, CallMs: adv.CallMs(len(names)), Priority: c.queue(s.job).Priority})
 	return true
--- a/core/cccell/advice_test.go
+++ b/core/cccell/advice_test.go
@@ -59,3 +59,22 @@
 	assert.Equal(t, len(out.Asks), 1)
 	assert.DeepEqual(t, out.Asks[0].Workers, []string{"w01"})
 }
+
+// An answer that is lost costs the same in a cell of any size: what counts is how many workers the call named. Seen on the bench as
+// stages that waited for 20 s among 1,002 workers, after the process that was to ask had been stopped.
+func TestLostAnswerIsGivenUp(t *testing.T) {
+	for name, workers := range map[string]int{"FewWorkers": 48, "ManyWorkers": 1000} {
+		t.Run(name, func(t *testing.T) {
+			c, asks := advisedCell(t, 507, 7.15, workers, 4)
+			assert.Equal(t, len(asks), 1)
+			for now := ms(1200); now < 6000; now += 100 {
+				c.Authorize(now + 1000)
+				c.Schedule(now, now)
+				if len(c.Take().Asks) > 0 {
+					return
+				}
+			}
+			t.Error("nobody was asked again")
+		})
+	}
+}
