Calls to the policy service of a process that is gone are made by another one

Cause: a call that was given to a process which was then stopped or killed is lost; the stage waits for 1.5 s and three times the call's length, 3.6 s for batch stages, before it is asked for again. Change: the leader keeps what it gave to whom, and gives it to another process once the first was not heard for as long as makes it gone.

--- a/io/cccontrol/asks.go
+++ b/io/cccontrol/asks.go
@@ -15,6 +15,8 @@
 type askDesk struct {
 	l     *leadership
 	queue []cccell.AskOrder
+	// given holds the calls that processes were asked to make and that are not answered.
+	given []givenAsk
 
 	mu    sync.Mutex
 	slots map[string]*askSlot
@@ -29,6 +31,12 @@
 	slotAliveMs ms = 700
 )
 
+// givenAsk is a call that a process was asked to make.
+type givenAsk struct {
+	cccell.AskOrder
+	slot *askSlot
+}
+
 // askSlot is a process that can ask.
 type askSlot struct {
 	mu       sync.Mutex
@@ -109,24 +117,28 @@
 	}
 }
 
-// add queues calls and hands out what can go.
+// add queues calls, those of processes that are gone among them, and hands out what can go.
 func (d *askDesk) add(asks []cccell.AskOrder, now ms) {
 	d.queue = append(d.queue, asks...)
-	if len(d.queue) == 0 {
+	if len(d.queue) == 0 && len(d.given) == 0 {
 		return
 	}
-	sort.SliceStable(d.queue, func(a, b int) bool { return d.queue[a].Priority < d.queue[b].Priority })
 	alive := slotAliveMs - syncWaitMs + heartbeatMs(d.l.p.memberCount())
 	d.mu.Lock()
 	var slots []*askSlot
+	gone := map[*askSlot]bool{}
 	for vm, s := range d.slots {
 		s.mu.Lock()
-		if vm == d.l.p.cfg.VM || (!s.draining && now-s.syncedAt < alive) {
+		there := vm == d.l.p.cfg.VM || now-s.syncedAt < alive
+		gone[s] = !there
+		if there && !s.draining {
 			slots = append(slots, s)
 		}
 		s.mu.Unlock()
 	}
 	d.mu.Unlock()
+	d.takeBack(gone)
+	sort.SliceStable(d.queue, func(a, b int) bool { return d.queue[a].Priority < d.queue[b].Priority })
 	sort.Slice(slots, func(a, b int) bool { return slots[a].vm < slots[b].vm })
 	var rest []cccell.AskOrder
 	for _, ask := range d.queue {
@@ -137,6 +149,23 @@
 	d.queue = rest
 }
 
+// takeBack queues the calls of processes that are gone again. Load pattern: machines are stopped in turn, or killed, while each makes
+// calls of half a second.
+func (d *askDesk) takeBack(gone map[*askSlot]bool) {
+	kept := d.given[:0]
+	for _, g := range d.given {
+		if !gone[g.slot] {
+			kept = append(kept, g)
+			continue
+		}
+		g.slot.calls = 0
+		g.slot.take()
+		d.queue = append(d.queue, g.AskOrder)
+		d.l.p.cfg.Log.Info("call to the policy service taken back", "VM", g.slot.vm, "Job", g.Stage.Job, "Stage", g.Stage.Stage)
+	}
+	d.given = kept
+}
+
 // give hands a call to the process that is free first. It returns false when all are busy.
 func (d *askDesk) give(ask cccell.AskOrder, slots []*askSlot, now ms) bool {
 	var best *askSlot
@@ -159,12 +188,13 @@
 		go func() {
 			answer := d.l.p.askPolicy(d.l.ctx, ask)
 			d.l.post(func(now ms) {
-				d.answered(best.vm)
+				d.answered(best.vm, ask.Stage)
 				d.l.cell.OnAnswer(&answer, 0, now)
 			})
 		}()
 		return true
 	}
+	d.given = append(d.given, givenAsk{ask, best})
 	best.mu.Lock()
 	best.outbox = append(best.outbox, ask)
 	best.mu.Unlock()
@@ -184,7 +214,13 @@
 }
 
 // answered notes an answer of a process.
-func (d *askDesk) answered(vm string) {
+func (d *askDesk) answered(vm string, stage cccell.StageID) {
+	for i, g := range d.given {
+		if g.slot.vm == vm && g.Stage == stage {
+			d.given = append(d.given[:i], d.given[i+1:]...)
+			break
+		}
+	}
 	d.mu.Lock()
 	s := d.slots[vm]
 	d.mu.Unlock()
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -86,7 +86,7 @@
 			l.cell.Cancel(id, now)
 		}
 		for i := range in.Answers {
-			l.desk.answered(in.VM)
+			l.desk.answered(in.VM, in.Answers[i].Stage)
 			l.cell.OnAnswer(&in.Answers[i], 0, now)
 		}
 	})
