Workers are read at once when the authority of a lost leader has ended

Cause: a new leader starts what adopted jobs miss once every worker was read after the handover; the look under way then had been sent before and waited up to a second for an end, and the one after it waited as well. Ruled out: dark workers (none), tickets (asked after). Change: before the handover looks wait at most until then, right after it not at all. Test: TestWorkersAreReadAtOnceAtTheHandover, which failed before.

--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -45,10 +45,7 @@
 			o.Seen = 0 // Ends are numbered anew in each life.
 		}
 		if w.looked && w.silentSince == 0 && len(w.ends) == 0 && !hurried {
-			o.WaitMs = lookWaitMs
-			if w.lag.now(now) > lagFactor {
-				o.WaitMs = hurryWaitMs
-			}
+			o.WaitMs = c.lookWait(w, now)
 		}
 		// A look that is not answered may renew the lease all the same: a silent worker's has to come to its end.
 		if w.listed && w.looked && w.silentSince == 0 && now < c.authority {
@@ -66,6 +63,20 @@
 	}
 }
 
+// lookWait returns how long a look at a worker may wait for an end. Load pattern: the leader was lost in silence; what its jobs miss is
+// started again once every worker was read after its authority has ended, and a look that waits, or was sent before, delays that.
+func (c *Cell) lookWait(w *worker, now ms) int64 {
+	switch {
+	case now < c.handover:
+		return min(lookWaitMs, int64(c.handover-now))
+	case c.unread(w):
+		return 0
+	case w.lag.now(now) > lagFactor:
+		return hurryWaitMs
+	}
+	return lookWaitMs
+}
+
 // doubtSettled reports whether a stop was confirmed, after the look under way was sent, for a start in doubt.
 func (w *worker) doubtSettled() bool {
 	for _, a := range w.attempts {
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -164,3 +164,37 @@
 		})
 	}
 }
+
+// The leader before was lost in silence. Once its authority has ended all workers are read again at once, so that what its jobs miss
+// is started a round trip later: seen on the bench as adopted jobs that waited for 2 s more, for two looks one after the other.
+func TestWorkersAreReadAtOnceAtTheHandover(t *testing.T) {
+	c := testCell(2, 1000)
+	handover := ms(1000 + 3000)
+	c.SetWorker(testWorker("w"), 1000)
+	c.Adopt(Stored{Job: testJob("j", 2)}, 1000, 1000)
+	lists := &Lists{Running: []RunningTask{{Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 1}}}
+	var look *LookOrder
+	var answerAt ms
+	for now := ms(1000); now < handover+1000; now += 10 {
+		c.Authorize(now + 1000)
+		if look != nil && now >= answerAt {
+			r := carried(now)
+			r.Sent = answerAt - ms(look.WaitMs)
+			c.OnLook(look, r, lists, now)
+			look = nil
+		}
+		c.Schedule(now, now)
+		out := c.Take()
+		if len(out.Looks) > 0 {
+			look = &out.Looks[0]
+			answerAt = now + ms(look.WaitMs)
+		}
+		if len(out.Starts) > 0 {
+			assert.Assert(t, now >= handover, "started while the leader before may still give orders")
+			assert.Assert(t, now < handover+100, "started %d ms after the handover", now-handover)
+			assert.Equal(t, out.Starts[0].Task.Index, 1)
+			return
+		}
+	}
+	t.Error("the missing task was not started")
+}
