The watch of the workers goes on without a pause while it is behind

Cause: the store tells at most about 500 changes in one answer, the leader pauses 400 ms between two, and 3,000 workers report 2,000 times a second: the watch falls behind for as long as it lasts. Change: no pause after an answer of 200 changes or more.

--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -28,6 +28,9 @@
 	inWatchMs ms = 1000
 	// watchGapMs is the pause between watches of the workers, so that their heartbeats are read together.
 	watchGapMs ms = 400
+	// watchBehind is the number of changes in one answer from which the watch goes on without a pause: the store tells at most some 500
+	// changes in one answer, and 3,000 workers report 2,000 times a second.
+	watchBehind = 200
 	// rosterGapMs is the least time between two writes of the roster.
 	rosterGapMs ms = 1000
 )
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -83,7 +83,9 @@
 				}
 			})
 		}
-		sleep(l.ctx, watchGapMs)
+		if len(changes) < watchBehind {
+			sleep(l.ctx, watchGapMs)
+		}
 	}
 }
 
