Tickets of adopted jobs are asked for while the authority of a lost leader runs out

Change: once all workers that answer were read, what adopted jobs miss is asked for; nothing is started earlier. Test: TestTicketsOfAdoptedJobsAreAskedForEarly, which failed before.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -41,7 +41,9 @@
 	// authority is the time until which this leader may start tasks and renew leases.
 	authority ms
 	// handover is the time until which the leader before may learn of new jobs.
-	handover    ms
+	handover ms
+	// surveyed is true once all workers that answer were read for the first time.
+	surveyed    bool
 	straggledAt ms
 	kinds       kindTable
 	// usable holds the workers that may get work in the present round.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -15,6 +15,7 @@
 	c.lapse(now)
 	c.straggle(now)
 	settled := c.settled(now)
+	c.surveyed = c.surveyed || c.survey()
 	if now < c.authority {
 		c.usable = c.usable[:0]
 		for _, w := range c.workers {
@@ -23,6 +24,10 @@
 			}
 		}
 		for _, s := range c.waiting(now, settled) {
+			if s.job.adopted && !settled {
+				c.askEarly(s, now)
+				continue
+			}
 			c.place(s, now)
 		}
 	}
@@ -30,7 +35,8 @@
 	c.look(now)
 }
 
-// waiting returns the stages with tasks to start, in the order of their turns.
+// waiting returns the stages with tasks to start, in the order of their turns; among them, once the workers were read, those of adopted
+// jobs that may not start yet.
 func (c *Cell) waiting(now ms, settled bool) []*stage {
 	var list []*stage
 	for s := range c.open {
@@ -39,6 +45,9 @@
 			s.waits.waited(now, "")
 		case s.job.adopted && !settled:
 			s.waits.waited(now, waitSettle)
+			if c.surveyed {
+				list = append(list, s)
+			}
 		case now < s.notBefore:
 			s.waits.waited(now, waitPause)
 		default:
@@ -68,6 +77,17 @@
 	return list
 }
 
+// askEarly asks for tickets of a stage before its tasks may be started. Load pattern: a leader was lost, and all that its jobs miss
+// would ask at the same moment, when its authority has ended.
+func (c *Cell) askEarly(s *stage, now ms) {
+	if c.queue(s.job).Advice == nil || now < s.notBefore {
+		return
+	}
+	if _, rooms := c.candidates(s, true, now); rooms < s.missing {
+		c.ask(s, s.missing, now)
+	}
+}
+
 // countMissing returns the number of tasks that wait. A gang waits as a whole.
 func (s *stage) countMissing() int {
 	n := 0
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -101,6 +101,16 @@
 	return true
 }
 
+// survey reports whether every worker was read or did not answer, so that what jobs miss is known but for the latter.
+func (c *Cell) survey() bool {
+	for _, w := range c.workers {
+		if !w.looked && w.silentSince == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // silentMs returns how long calls to a worker have gone unanswered.
 func (w *worker) silentMs(now ms) ms {
 	if w.silentSince == 0 {
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -198,3 +198,36 @@
 	}
 	t.Error("the missing task was not started")
 }
+
+// What adopted jobs miss is asked for while the authority of a leader that was lost in silence runs out, so that it starts with the
+// handover; nothing is asked for before the workers were read, since most of it is found there.
+func TestTicketsOfAdoptedJobsAreAskedForEarly(t *testing.T) {
+	c := testCell(2, 1000)
+	handover := ms(1000 + 3000)
+	for _, id := range []string{"w1", "w2"} {
+		c.SetWorker(testWorker(id), 1000)
+	}
+	for _, id := range []string{"found", "missed"} {
+		j := testJob(id, 1)
+		j.Queue.Advice = &Advice{DecideMs: 400, PerWorkerMs: 5, ValidMs: 5000}
+		c.Adopt(Stored{Job: j}, 1000, 1000)
+	}
+	lists := map[string]*Lists{"w1": {Running: []RunningTask{{Task: TaskID{Job: "found"}, Attempt: 1<<attemptBits + 1}}}}
+	c.Authorize(handover + 1000)
+	assert.Equal(t, len(lookAt(t, c, 1000, lists).Asks), 0)
+	out := lookAt(t, c, 1050, lists)
+	assert.Equal(t, len(out.Asks), 1)
+	assert.Equal(t, out.Asks[0].Stage.Job, "missed")
+	assert.Equal(t, len(out.Starts), 0)
+	c.OnAnswer(&Answer{Stage: out.Asks[0].Stage, Workers: []string{"w1", "w2"}, Tickets: map[string]string{"w2": "ticket"}, ValidMs: 5000}, 0, 1500)
+	for now := ms(1600); now < handover+100; now += 20 {
+		out = lookAt(t, c, now, lists)
+		assert.Equal(t, len(out.Asks), 0)
+		if len(out.Starts) > 0 {
+			assert.Assert(t, now >= handover)
+			assert.Equal(t, out.Starts[0].WorkerID, "w2")
+			return
+		}
+	}
+	t.Error("the missed task was not started")
+}
