Adopted jobs keep their age

Change: the age of an adopted job is taken from the time of day at its hand-in, bounded by 0 and ten minutes, since clocks jump. Test: TestAdoptedJobsKeepTheirAge, which failed before.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -139,13 +139,17 @@
 	CancelAsked bool
 }
 
-// Adopt takes in a job read at a take-over.
+// Adopt takes in a job read at a take-over; nowUnix is the time of day.
 func (c *Cell) Adopt(s Stored, now, nowUnix ms) {
 	if c.jobs[s.Job.ID] != nil {
 		return
 	}
 	j := c.insert(s.Job, now)
 	j.adopted = true
+	// Its turn goes by its age, which a leader that has just begun knows from the time of day only.
+	if age := nowUnix - ms(s.Job.AcceptedMs); s.Job.AcceptedMs > 0 && age > 0 {
+		j.arrived -= min(age, maxAdoptedAgeMs)
+	}
 	j.revision = s.Revision
 	if s.Progress != nil {
 		c.restore(j, s.Progress, now)
@@ -159,6 +163,9 @@
 	}
 }
 
+// maxAdoptedAgeMs bounds the age of an adopted job, since clocks may be wrong; no job of a queue with a priority waits for so long.
+const maxAdoptedAgeMs ms = 600_000
+
 // restore sets a job from its stored progress.
 func (c *Cell) restore(j *job, p *Progress, now ms) {
 	j.final, j.shown = p.State, p.State
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -231,3 +231,36 @@
 	}
 	t.Error("the missed task was not started")
 }
+
+// Adopted jobs keep their age: the one that waits for longer has its turn first, whichever was read first. Before, all of them counted
+// as new at each take-over.
+func TestAdoptedJobsKeepTheirAge(t *testing.T) {
+	const nowUnix = 1_000_000
+	tests := map[string]struct {
+		first, second int64
+		want          string
+	}{
+		"OlderFirst":       {nowUnix - 5000, nowUnix - 1000, "first"},
+		"OlderSecond":      {nowUnix - 1000, nowUnix - 5000, "second"},
+		"ClockIsWrong":     {nowUnix + 9000, nowUnix - 1000, "second"},
+		"NotSaidWithFirst": {0, nowUnix - 1000, "second"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.PriorEnded(1000)
+			w := testWorker("w")
+			w.Capacity = ccwork.Size{MilliCores: 1000, MemoryMB: 100} // Room for one.
+			c.SetWorker(w, 1000)
+			for id, accepted := range map[string]int64{"first": test.first, "second": test.second} {
+				j := testJob(id, 1)
+				j.AcceptedMs = accepted
+				c.Adopt(Stored{Job: j}, 1000, nowUnix)
+			}
+			lookAt(t, c, 1010, nil)
+			out := lookAt(t, c, 1050, nil)
+			assert.Equal(t, len(out.Starts), 1)
+			assert.Equal(t, out.Starts[0].Task.Job, test.want)
+		})
+	}
+}
