Mutants of the cell's mechanisms, and tests for those that survived

Ten mechanisms of core/cccell are switched off in turn. Five went unnoticed at 4,000 plays of the model: authority before a start, the handover (that mutant was no change in effect and is replaced by one that is), reads from before the handover, lists that were asked for before a start, older lists.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -52,4 +52,16 @@
 			return false' 'if false {
 			return false' ./core/ccjob "$jobs"
 mutant capacity-is-not-held core/ccledger/pool.go 'e.free = e.free.Minus(c.Size)' '' ./core/ccjob "$jobs"
+cell="-run=TestCellModel|TestWorkersAre|TestTickets|TestRoster|TestAdopted|TestLostAnswer|TestFailures|TestNothingIsOrdered|TestReadsBefore|TestListsOut|TestFailureIs -rapid.checks=4000 -rapid.shrinktime=1s -rapid.nofailfile"
+cells=core/cccell
+mutant leader-needs-no-authority $cells/place.go 'if now < c.authority {' 'if true {' ./$cells "$cell"
+mutant handover-is-not-awaited $cells/cell.go 'handover: now + cfg.PriorAuthorityMs,' 'handover: now,' ./$cells "$cell"
+mutant reads-before-the-handover-count $cells/registry.go 'w.looked && w.readAt >= c.handover' 'w.looked' ./$cells "$cell"
+mutant lease-of-a-renewal-is-forgotten $cells/looks.go 'w.until = max(w.until, o.UntilMs)' '' ./$cells "$cell"
+mutant lease-of-a-start-is-forgotten $cells/place.go 'w.until = max(w.until, until)' '' ./$cells "$cell"
+mutant old-lists-end-new-attempts $cells/calls.go '|| r.Sent <= a.surelySince' '' ./$cells "$cell"
+mutant older-list-is-believed $cells/calls.go 'if r.ClockMs < w.listedAt {' 'if false {' ./$cells "$cell"
+mutant failure-counts-twice $cells/ends.go 'if slices.Contains(s.failures[i], a.number) {' 'if slices.Contains(s.failures[i], a.number) && false {' ./$cells "$cell"
+mutant adopted-jobs-do-not-wait $cells/place.go 'if s.job.adopted && !settled {' 'if false {' ./$cells "$cell"
+mutant emptied-though-not-read $cells/registry.go '&& !c.unread(w) && len(w.attempts) == 0' '&& len(w.attempts) == 0' ./$cells "$cell"
 exit $survived
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -264,3 +264,42 @@
 		})
 	}
 }
+
+// A leader that was not confirmed for too long starts nothing and renews no lease, and goes on once it is confirmed.
+func TestNothingIsOrderedWithoutAuthority(t *testing.T) {
+	c := testCell(1, 1000)
+	c.PriorEnded(1000)
+	c.SetWorker(testWorker("w"), 1000)
+	lookAt(t, c, 1010, nil)
+	ended := ms(1000 + 3000)
+	c.Add(testJob("j", 1), ended, ended)
+	out := lookAt(t, c, ended, nil)
+	assert.Equal(t, len(out.Starts), 0)
+	for _, look := range out.Looks {
+		assert.Equal(t, look.UntilMs, int64(0))
+	}
+	c.Authorize(ended + 1000)
+	out = lookAt(t, c, ended+50, nil)
+	assert.Equal(t, len(out.Starts), 1)
+}
+
+// The leader before may start tasks until its authority has ended, also at a worker that was read already: one that has started again has
+// seen no token. What was read before the handover says nothing of what is missing.
+func TestReadsBeforeTheHandoverDoNotCount(t *testing.T) {
+	c := testCell(2, 1000)
+	handover := ms(1000 + 3000)
+	c.Authorize(handover + 1000)
+	c.SetWorker(testWorker("w"), 1000)
+	c.Adopt(Stored{Job: testJob("j", 1)}, 1000, 1000)
+	lookAt(t, c, 1010, nil)
+	c.Schedule(handover+10, handover+10)
+	out := c.Take()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Looks), 1)
+	// The last start of the leader before is found by this look.
+	found := &Lists{Running: []RunningTask{{Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 9}}}
+	c.OnLook(&out.Looks[0], Reply{Outcome: Carried, ClockMs: int64(handover) + 20, BornMs: 1000, Sent: handover + 10, Received: handover + 20}, found, handover+20)
+	c.Schedule(handover+30, handover+30)
+	out = c.Take()
+	assert.Equal(t, len(out.Starts), 0)
+}
