--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -29,8 +29,8 @@
 	leaderStoreMs = 600
 	// storeCheckMs is the time that a candidate gives the store, and the least time between two checks of a leader that does not reach it.
 	storeCheckMs ms = 300
-	// hearsayMs is how recently another process must have heard a leader to speak against its replacement: more than a wait, less
-	// than the time-out, so that a leader that is gone is not heard by anybody.
+	// hearsayMs is how recently, at the shortest heartbeat, another process must have heard a leader to speak against its replacement: more
+	// than a wait, less than the time-out, so that a leader that is gone is not heard by anybody.
 	hearsayMs = 300
 	// hearsayMax is the number of failed rounds after which hearsay counts no more.
 	hearsayMax = 6
@@ -55,7 +55,7 @@
 			lost = loss{leader: leader, sinceMs: p.now()}
 		}
 		if leader.Token == 0 {
-			lost.why = "no leader is known"
+			lost.why = whyNone
 			p.campaign(ctx, &lost)
 			sleep(ctx, retryMs)
 			continue
@@ -64,14 +64,14 @@
 			lost = loss{}
 			continue
 		}
-		if lost.why == "silent" && p.isYoung() {
+		if lost.why == whySilent && p.isYoung() {
 			lost.sinceMs = p.now()
 			sleep(ctx, retryMs)
 			continue
 		}
 		if lost.misses++; lost.misses == 1 {
 			lost.sinceMs = p.now()
-			if lost.why == "reset" {
+			if lost.why == whyReset {
 				continue // A fresh connection tells whether the process is there.
 			}
 		}
@@ -88,6 +88,18 @@
 	return p.now()-p.believedAt < graceMs(len(p.members))
 }
 
+// Why a leader should be replaced.
+const (
+	whyNone    = "no leader is known"
+	whySelf    = "this process led before its restart"
+	whyRefused = "unreachable" // Its VM refuses the connection: no process listens there.
+	whySilent  = "silent"
+	whyReset   = "reset" // The connection broke; the process may live.
+	whyEnded   = "leads no more"
+	whyNoStore = "does not reach the store"
+	whyResigns = "resigns"
+)
+
 // loss is a leader that does not answer as it should.
 type loss struct {
 	leader leaderRecord
@@ -97,10 +109,15 @@
 	misses  int
 }
 
+// mayLive reports whether others may still hear the leader.
+func (l *loss) mayLive() bool {
+	return l.why == whyReset || l.why == whySilent || l.why == whyRefused
+}
+
 // syncOnce copies what changed from the leader. It returns why the leader should be replaced, "" when it should not.
 func (p *Process) syncOnce(ctx context.Context, leader leaderRecord) string {
 	if leader.VM == p.cfg.VM {
-		return "this process led before its restart"
+		return whySelf
 	}
 	token, seq := p.board.position()
 	in := &ccfellow.SyncRequest{VM: p.cfg.VM, Token: token, Seq: seq, Draining: p.draining.Load()}
@@ -114,21 +131,21 @@
 	if err != nil {
 		switch {
 		case errors.Is(err, ccfellow.ErrUnreachable) && errors.Is(err, syscall.ECONNREFUSED):
-			return "unreachable"
+			return whyRefused
 		case callCtx.Err() != nil || errors.Is(err, ccfellow.ErrUnreachable):
-			return "silent"
+			return whySilent
 		}
-		return "reset"
+		return whyReset
 	}
 	if !out.Leading || out.Token < leader.Token {
-		return "leads no more"
+		return whyEnded
 	}
 	p.mu.Lock()
 	p.heardAt, p.beatMs = now, max(syncWaitMs, ms(out.HeartbeatMs))
 	p.mu.Unlock()
 	if out.Loading {
 		if out.StoreAgeMs > leaderStoreMs && ms(p.cfg.Store.AgeMs()) < 2*storeCheckMs {
-			return "does not reach the store"
+			return whyNoStore
 		}
 		return ""
 	}
@@ -145,9 +162,9 @@
 	}
 	switch {
 	case out.Resign && !p.draining.Load():
-		return "resigns"
+		return whyResigns
 	case out.StoreAgeMs > leaderStoreMs && ms(p.cfg.Store.AgeMs()) < 2*storeCheckMs && !p.draining.Load():
-		return "does not reach the store"
+		return whyNoStore
 	}
 	return ""
 }
@@ -193,7 +210,7 @@
 	}
 	prior := lost.leader
 	rank := p.rank(prior)
-	p.cfg.Log.Info("leader is missed", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses,
+	p.decision("leader is missed", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses,
 		"ForMs", p.now()-lost.sinceMs, "Rank", rank, "Members", p.memberCount())
 	switch p.awaitTurn(ctx, lost, rank) {
 	case turnReplaced:
@@ -213,7 +230,7 @@
 			return true
 		}
 	}
-	if (lost.why == "reset" || lost.why == "silent" || lost.why == "unreachable") && lost.misses < hearsayMax && p.heardElsewhere(callCtx, prior) {
+	if lost.mayLive() && lost.misses < hearsayMax && p.heardElsewhere(callCtx, prior) {
 		p.cfg.Log.Info("leader is heard by others", "Leader", prior.VM, "Token", prior.Token, "Why", lost.why, "Misses", lost.misses)
 		return false
 	}
@@ -281,6 +298,7 @@
 // heardElsewhere asks two others whether they hear the leader.
 func (p *Process) heardElsewhere(ctx context.Context, leader leaderRecord) bool {
 	asked := 0
+	hearsay := p.missedMs() - syncTimeoutMs + hearsayMs
 	for _, address := range p.others() {
 		if address == leader.Address || asked == 2 {
 			continue
@@ -289,7 +307,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, hearsayMs*time.Millisecond/2)
 		out, err := p.cfg.Fellows.Heard(callCtx, address, &ccfellow.HeardRequest{Token: leader.Token})
 		cancel()
-		if err == nil && out.AgoMs >= 0 && ms(out.AgoMs) < p.missedMs()-syncTimeoutMs+hearsayMs {
+		if err == nil && out.AgoMs >= 0 && ms(out.AgoMs) < hearsay {
 			return true
 		}
 	}
