Dead code and twins of the change are gone

Dead: orders to pace a task with their call on the wire (nobody gave them), a task's tail, pace and own checkpoint in memory, ErrDeposed, the count of preemptions, the time of the store's last failure, the age of an answer (always 0), two methods of the stand-in worker. Derived in place of kept: a look's foreign number follows from the life that its call names, a leader's authority from its record. A call's length is worked out once.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -56,7 +56,7 @@
 cells=core/cccell
 mutant leader-needs-no-authority $cells/place.go 'if now < c.authority {' 'if true {' ./$cells "$cell"
 mutant handover-is-not-awaited $cells/cell.go 'handover: now + cfg.PriorAuthorityMs,' 'handover: now,' ./$cells "$cell"
-mutant reads-before-the-handover-count $cells/registry.go 'w.looked && w.readAt >= c.handover' 'w.looked' ./$cells "$cell"
+mutant reads-before-the-handover-count $cells/registry.go 'c.unread(w) && now < w.freeAt' '!w.looked && now < w.freeAt' ./$cells "$cell"
 mutant lease-of-a-renewal-is-forgotten $cells/looks.go 'w.until = max(w.until, o.UntilMs)' '' ./$cells "$cell"
 mutant lease-of-a-start-is-forgotten $cells/place.go 'w.until = max(w.until, until)' '' ./$cells "$cell"
 mutant old-lists-end-new-attempts $cells/calls.go '|| r.Sent <= a.surelySince' '' ./$cells "$cell"
--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -69,7 +69,8 @@
 // neither too many workers may be named nor the same ones twice. It reports whether an answer is awaited.
 func (c *Cell) ask(s *stage, missing int, now ms) bool {
 	t := &s.tickets
-	adv := c.queue(s.job).Advice
+	q := c.queue(s.job)
+	adv := q.Advice
 	if t.asking && now < t.giveUpAt {
 		return true
 	}
@@ -138,9 +139,10 @@
 		t.idleUntil = now + askIdleMs
 		return false
 	}
-	t.asking, t.giveUpAt = true, now+askTimeoutMs+ms(askSlack*float64(adv.CallMs(len(names))))
+	callMs := adv.CallMs(len(names))
+	t.asking, t.giveUpAt = true, now+askTimeoutMs+ms(askSlack*float64(callMs))
 	c.stats.Asks++
-	c.out.Asks = append(c.out.Asks, AskOrder{Stage: s.id, Workers: names, CallMs: adv.CallMs(len(names)), Priority: c.queue(s.job).Priority})
+	c.out.Asks = append(c.out.Asks, AskOrder{Stage: s.id, Workers: names, CallMs: callMs, Priority: q.Priority})
 	return true
 }
 
@@ -158,8 +160,8 @@
 	Failed bool `cbor:"5,keyasint,omitempty"`
 }
 
-// OnAnswer takes in an answer of the policy service. Its age is the time since the service gave it.
-func (c *Cell) OnAnswer(a *Answer, age, now ms) {
+// OnAnswer takes in an answer of the policy service.
+func (c *Cell) OnAnswer(a *Answer, now ms) {
 	s := c.stageOf(TaskID{Job: a.Stage.Job, Run: a.Stage.Run, Stage: a.Stage.Stage})
 	if s == nil {
 		return
@@ -176,7 +178,7 @@
 		case !ok:
 			s.tickets.denied[id] = true
 		case w != nil:
-			s.tickets.allowed[id] = ticket{text: text, life: w.born(), until: now - age + ms(a.ValidMs)}
+			s.tickets.allowed[id] = ticket{text: text, life: w.born(), until: now + ms(a.ValidMs)}
 		}
 	}
 }
--- a/core/cccell/advice_test.go
+++ b/core/cccell/advice_test.go
@@ -46,7 +46,7 @@
 func TestTicketsAreLearnedAndRenewed(t *testing.T) {
 	c, asks := advisedCell(t, 370, 5.3, 3, 1)
 	assert.Equal(t, len(asks[0].Workers), 3)
-	c.OnAnswer(&Answer{Stage: asks[0].Stage, Workers: asks[0].Workers, Tickets: map[string]string{"w01": "ticket"}, ValidMs: 2000}, 0, 1500)
+	c.OnAnswer(&Answer{Stage: asks[0].Stage, Workers: asks[0].Workers, Tickets: map[string]string{"w01": "ticket"}, ValidMs: 2000}, 1500)
 	got := starts(c, 1510)
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].WorkerID, "w01")
--- a/core/cccell/calls.go
+++ b/core/cccell/calls.go
@@ -129,15 +129,6 @@
 	}
 }
 
-// OnPace takes in the answer to a pace.
-func (c *Cell) OnPace(o *PaceOrder, r Reply) {
-	if r.Outcome == Carried {
-		o.attempt.pace = o.Percent
-	} else {
-		o.attempt.pace = -1
-	}
-}
-
 // OnLook takes in the answer to a look.
 func (c *Cell) OnLook(o *LookOrder, r Reply, lists *Lists, now ms) {
 	w := o.worker
@@ -193,7 +184,7 @@
 	}
 	// A look that was meant for an earlier life makes the worker forget ends of this one that nobody has read: what it shows is no
 	// ground to start anything beside. Such a look may still wait there while a hurried one is answered.
-	if foreign := (o.life != 0 && o.life != w.life) || (o.hurried && w.looking); !w.looked && !foreign {
+	if foreign := (o.Seen > 0 && o.BornMs != w.life) || (o.hurried && w.looking); !w.looked && !foreign {
 		w.looked = true
 		c.cfg.Log("worker taken", "Worker", w.info.ID, "Born", w.life, "Running", len(lists.Running), "Ended", len(lists.Ended), "Token", c.cfg.Token)
 	}
@@ -245,13 +236,9 @@
 	if t.Percent > a.percent {
 		a.percent, a.movedAt = t.Percent, now
 	}
-	if t.Checkpoint != "" {
-		a.saved = t.Checkpoint
-		if a.stage != nil {
-			a.stage.save(a.task.Index, t.Checkpoint)
-		}
+	if t.Checkpoint != "" && a.stage != nil {
+		a.stage.save(a.task.Index, t.Checkpoint)
 	}
-	a.tail = int(t.Load)
 }
 
 // save keeps the newest checkpoint of a task.
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,10 +1,5 @@
 package cccell
 
-import "github.com/cockroachdb/errors"
-
-// ErrDeposed reports that a worker has seen a higher token: another process leads.
-var ErrDeposed = errors.New("another process leads the cell")
-
 // Config sets up a Cell.
 type Config struct {
 	// Token fences earlier leaders at the workers; it rises with each leader.
@@ -53,7 +48,7 @@
 
 // Stats counts decisions since the start of the leader.
 type Stats struct {
-	Starts, Stops, Looks, Asks, Preempted, Quarantined, Vanished, Lapsed, Failures, Moved int64
+	Starts, Stops, Looks, Asks, Quarantined, Vanished, Lapsed, Failures, Moved int64
 }
 
 // attemptBits leaves room for the attempts of one leader below its token.
@@ -159,7 +154,7 @@
 	}
 	c.begin(j, now, nowUnix)
 	if s.CancelAsked && j.final == "" {
-		c.cancel(j, now)
+		c.finish(j, Cancelled, now)
 	}
 }
 
@@ -322,20 +317,15 @@
 	c.touch(j)
 }
 
-// Cancel cancels a job. It returns false when the job is not known.
+// Cancel cancels a job unless it has ended. It returns false when the job is not known.
 func (c *Cell) Cancel(id string, now ms) bool {
 	j := c.jobs[id]
 	if j == nil {
 		return false
 	}
 	j.cancelKey = true
-	c.cancel(j, now)
-	return true
-}
-
-// cancel decides the cancellation unless the job has ended.
-func (c *Cell) cancel(j *job, now ms) {
 	c.finish(j, Cancelled, now)
+	return true
 }
 
 // change tells the present state of a job to whoever answers callers.
--- a/core/cccell/looks.go
+++ b/core/cccell/looks.go
@@ -44,9 +44,6 @@
 		if w.life != w.born() {
 			o.Seen = 0 // Ends are numbered anew in each life.
 		}
-		if o.Seen > 0 {
-			o.life = w.life
-		}
 		if w.looked && w.silentSince == 0 && len(w.ends) == 0 && !hurried {
 			o.WaitMs = c.lookWait(w, now)
 		}
@@ -96,7 +93,7 @@
 	switch {
 	case w.silentSince != 0:
 		return since >= silentGapMs
-	case !w.looked || (w.readAt < c.handover && now >= c.handover):
+	case !w.looked || (c.unread(w) && now >= c.handover):
 		return true
 	case len(w.ends) > 0:
 		return since >= unnotedGapMs
--- a/core/cccell/model.go
+++ b/core/cccell/model.go
@@ -140,7 +140,6 @@
 	worker  *worker
 	need    ccwork.Size
 	state   attemptState
-	saved   string
 	percent int
 	// movedAt is when percent last grew.
 	movedAt ms
@@ -154,9 +153,6 @@
 	stopSent   ms
 	stopped    bool
 	stopInCall bool
-	// tail is the rough figure of the last half second: tail in ms of a serving task, cores of any other.
-	tail int
-	pace int
 	// moved is true when the attempt was found to lag.
 	moved bool
 	// adopted is true when an earlier leader started the attempt, so that the time of its start is not known.
--- a/core/cccell/order.go
+++ b/core/cccell/order.go
@@ -42,24 +42,13 @@
 	Call
 	// UntilMs is 0 when the lease shall not be renewed.
 	UntilMs int64
-	Seen    int64
+	// Seen is the number of an end of the life that the call names, 0 when nothing is forgotten.
+	Seen int64
 	// WaitMs lets the answer wait for an end.
 	WaitMs int64
 
 	worker  *worker
 	hurried bool
-	// life is the worker's life that Seen is a number of, 0 when it forgets nothing.
-	life int64
-}
-
-// PaceOrder lets a task work at a share of its speed.
-type PaceOrder struct {
-	Call
-	Task    TaskID
-	Attempt int64
-	Percent int
-
-	attempt *attempt
 }
 
 // AskOrder asks the policy service which workers may run a stage.
@@ -83,7 +72,6 @@
 	Starts  []StartOrder
 	Stops   []StopOrder
 	Looks   []LookOrder
-	Paces   []PaceOrder
 	Asks    []AskOrder
 	Changes []Change
 }
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -300,7 +300,7 @@
 func (c *Cell) start(s *stage, index int, w *worker, number int64, now ms) {
 	a := &attempt{
 		task:   TaskID{Job: s.id.Job, Run: s.id.Run, Stage: s.id.Stage, Index: index},
-		number: number, stage: s, worker: w, need: s.need, sentAt: now, movedAt: now, pace: fullPace,
+		number: number, stage: s, worker: w, need: s.need, sentAt: now, movedAt: now,
 	}
 	w.hold(a)
 	saved := s.saved[index]
@@ -315,6 +315,3 @@
 		Call: c.call(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: saved, Ticket: ticket, UntilMs: until, attempt: a,
 	})
 }
-
-// fullPace is the pace of a task at its start, in percent.
-const fullPace = 100
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -17,7 +17,7 @@
 	if !info.Draining {
 		w.drainSince = 0
 	}
-	if w.life != 0 && info.BornMs != w.life && info.BornMs > w.life {
+	if w.life != 0 && info.BornMs > w.life {
 		w.looked = false // It has started again; what it runs is read first.
 	}
 	w.info, w.rack, w.kind, w.listed = info, info.Rack(), info.Kind(), true
@@ -93,10 +93,9 @@
 	}
 	for _, w := range c.workers {
 		// A worker that was read before may have started again since, and taken orders of the leader before.
-		if (w.looked && w.readAt >= c.handover) || now >= w.freeAt {
-			continue
+		if c.unread(w) && now < w.freeAt {
+			return false
 		}
-		return false
 	}
 	return true
 }
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -219,7 +219,7 @@
 	assert.Equal(t, len(out.Asks), 1)
 	assert.Equal(t, out.Asks[0].Stage.Job, "missed")
 	assert.Equal(t, len(out.Starts), 0)
-	c.OnAnswer(&Answer{Stage: out.Asks[0].Stage, Workers: []string{"w1", "w2"}, Tickets: map[string]string{"w2": "ticket"}, ValidMs: 5000}, 0, 1500)
+	c.OnAnswer(&Answer{Stage: out.Asks[0].Stage, Workers: []string{"w1", "w2"}, Tickets: map[string]string{"w2": "ticket"}, ValidMs: 5000}, 1500)
 	for now := ms(1600); now < handover+100; now += 20 {
 		out = lookAt(t, c, now, lists)
 		assert.Equal(t, len(out.Asks), 0)
--- a/core/ccfleet/worker.go
+++ b/core/ccfleet/worker.go
@@ -63,7 +63,7 @@
 
 // Crash ends the process and all that runs.
 func (w *Worker) Crash(now ms) {
-	w.settle(now)
+	w.Settle(now)
 	w.down = true
 	for _, list := range w.runs {
 		for _, r := range list {
@@ -87,7 +87,7 @@
 }
 
 // Settle carries out what time brings: ends, and the lapse of the lease.
-func (w *Worker) settle(now ms) {
+func (w *Worker) Settle(now ms) {
 	if w.down {
 		return
 	}
@@ -108,11 +108,6 @@
 	}
 }
 
-// Settle carries out what time has brought.
-func (w *Worker) Settle(now ms) {
-	w.settle(now)
-}
-
 // sorted returns the runs in a fixed order.
 func (w *Worker) sorted() []*Run {
 	var out []*Run
@@ -140,7 +135,7 @@
 	if w.down {
 		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, true
 	}
-	w.settle(now)
+	w.Settle(now)
 	switch {
 	case c.BornMs != w.Info.BornMs:
 		return w.reply(now, cccell.Refused, cccell.OtherLife), true
@@ -166,8 +161,7 @@
 	if r, refused := w.refuses(&o.Call, now); refused {
 		return r
 	}
-	switch {
-	case o.UntilMs <= w.Clock(now):
+	if o.UntilMs <= w.Clock(now) {
 		return w.reply(now, cccell.Refused, cccell.LateLease)
 	}
 	w.extend(o.UntilMs, now)
@@ -233,8 +227,3 @@
 	}
 	return w.reply(now, cccell.Carried, ""), lists
 }
-
-// Waiting reports whether a look with this last number would be answered at once.
-func (w *Worker) Waiting(seen int64) bool {
-	return len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > seen
-}
--- a/io/cccontrol/asks.go
+++ b/io/cccontrol/asks.go
@@ -123,7 +123,7 @@
 	if len(d.queue) == 0 && len(d.given) == 0 {
 		return
 	}
-	alive := slotAliveMs - syncWaitMs + heartbeatMs(d.l.p.memberCount())
+	alive := slotAliveMs + stretchMs(heartbeatMs(d.l.p.memberCount()))
 	d.mu.Lock()
 	var slots []*askSlot
 	gone := map[*askSlot]bool{}
@@ -189,7 +189,7 @@
 			answer := d.l.p.askPolicy(d.l.ctx, ask)
 			d.l.post(func(now ms) {
 				d.answered(best.vm, ask.Stage)
-				d.l.cell.OnAnswer(&answer, 0, now)
+				d.l.cell.OnAnswer(&answer, now)
 			})
 		}()
 		return true
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -24,6 +24,11 @@
 	suspendedMs ms = 100
 )
 
+// authority returns how long the leader goes on after it was last confirmed. Records of earlier releases do not say.
+func (r *leaderRecord) authority() ms {
+	return max(r.AuthorityMs, authorityMs)
+}
+
 // announce tells all others of this term, so that they turn to it at once, and finds out whether the leader before has ended.
 func (l *leadership) announce(prior leaderRecord) {
 	p, r := l.p, l.record
@@ -57,7 +62,7 @@
 		l.suspended = s
 		l.cell.Revoke()
 	}
-	l.cell.Authorize(l.desk.vouchedAt(l.p.memberNames()) + l.authorityMs)
+	l.cell.Authorize(l.desk.vouchedAt(l.p.memberNames()) + l.record.authority())
 	if l.cell.Authority()-now > confirmMs || l.confirming {
 		return
 	}
@@ -73,7 +78,7 @@
 		l.post(func(ms) {
 			l.confirming = false
 			if err == nil && item.Revision == l.record.revision {
-				l.cell.Authorize(sent + l.authorityMs)
+				l.cell.Authorize(sent + l.record.authority())
 			}
 		})
 	}()
--- a/io/cccontrol/cadence.go
+++ b/io/cccontrol/cadence.go
@@ -12,9 +12,6 @@
 	gapMemberMs ms = 1
 	// pollMemberMs lengthens the time between two reads of the members: an entry has 200 bytes, and 6 KB a second are allowed.
 	pollMemberMs ms = 35
-	// beatSlackMs is the time after a heartbeat was due at which the leader counts as lost: a round trip between regions, and as much
-	// again as a busy leader may take.
-	beatSlackMs = syncTimeoutMs - syncWaitMs
 )
 
 // startMemberMs is the time for each member that a new leader may be silent: all of them call it at once and copy all jobs, and it reads
@@ -31,6 +28,11 @@
 	return max(syncWaitMs, syncWaitMs*ms(members)/beatMembers)
 }
 
+// stretchMs returns how much longer than the shortest a heartbeat is. Times that are given for the shortest one grow by it.
+func stretchMs(heartbeat ms) ms {
+	return max(heartbeat-syncWaitMs, 0)
+}
+
 // answerGapMs returns the least time between two answers to one of so many members.
 func answerGapMs(members int) ms {
 	return max(syncGapMs, gapMemberMs*ms(members))
@@ -44,5 +46,5 @@
 // termAuthorityMs returns how long a leader of so many members goes on after it was last confirmed. A fellow vouches for the time of
 // its last answer but one.
 func termAuthorityMs(members int) ms {
-	return max(authorityMs, 2*heartbeatMs(members)+authorityMs-2*syncWaitMs)
+	return authorityMs + 2*stretchMs(heartbeatMs(members))
 }
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -203,7 +203,7 @@
 		if p.cfg.Store.Lost() {
 			err = p.relayKeep(ctx, &ccfellow.KeepRequest{Cancel: id})
 		} else {
-			_, err = p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + id, Value: []byte{}}}})
+			err = p.writeCancel(ctx, id)
 		}
 		if err == nil || !sleep(ctx, jitter(retryMs)) {
 			return err
@@ -211,6 +211,12 @@
 	}
 }
 
+// writeCancel writes a request to cancel to the store.
+func (p *Process) writeCancel(ctx context.Context, id string) error {
+	_, err := p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + id, Value: []byte{}}}})
+	return err
+}
+
 // Pending returns the number of accepted jobs of a queue that have not begun. It fails with ErrNotKnown.
 func (p *Process) Pending(queue string) (int, error) {
 	n, at := p.board.waiting(queue)
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -15,7 +15,7 @@
 const (
 	// syncWaitMs is how long a leader lets a fellow wait when nothing changes; it is also the leader's heartbeat.
 	syncWaitMs ms = 150
-	// syncTimeoutMs is the time without an answer after which the leader counts as lost: a wait, a round trip between regions,
+	// syncTimeoutMs is the time without an answer, at the shortest heartbeat, after which the leader counts as lost: a wait, a round trip between regions,
 	// and as much again as a busy leader may take. Urgent work has about a second of slack.
 	syncTimeoutMs ms = 400
 	// syncGapMs is the least time between two answers to a fellow, so that changes travel together.
@@ -124,7 +124,7 @@
 	if c := p.config.Load(); c != nil {
 		in.Version = c.config.Version
 	}
-	callCtx, cancel := context.WithTimeout(ctx, p.missedMs().Duration())
+	callCtx, cancel := context.WithTimeout(ctx, (syncTimeoutMs + p.stretch()).Duration())
 	defer cancel()
 	out, err := p.cfg.Fellows.Sync(callCtx, leader.Address, in)
 	now := p.now()
@@ -141,7 +141,7 @@
 		return whyEnded
 	}
 	p.mu.Lock()
-	p.heardAt, p.beatMs = now, max(syncWaitMs, ms(out.HeartbeatMs))
+	p.heardAt, p.beatMs = now, ms(out.HeartbeatMs)
 	p.mu.Unlock()
 	if out.Loading {
 		if out.StoreAgeMs > leaderStoreMs && ms(p.cfg.Store.AgeMs()) < 2*storeCheckMs {
@@ -298,7 +298,7 @@
 // heardElsewhere asks two others whether they hear the leader.
 func (p *Process) heardElsewhere(ctx context.Context, leader leaderRecord) bool {
 	asked := 0
-	hearsay := p.missedMs() - syncTimeoutMs + hearsayMs
+	hearsay := hearsayMs + p.stretch()
 	for _, address := range p.others() {
 		if address == leader.Address || asked == 2 {
 			continue
--- a/io/cccontrol/lead.go
+++ b/io/cccontrol/lead.go
@@ -57,11 +57,9 @@
 	version    int64
 	confirming bool
 	suspended  ms
-	// authorityMs is how long the leader goes on after it was last confirmed, as its record says.
-	authorityMs ms
-	roster      map[string]int64
-	rosterAt    ms
-	rostering   bool
+	roster     map[string]int64
+	rosterAt   ms
+	rostering  bool
 }
 
 // takeLead begins a term: it reads what lasts, and lets the loop take the workers.
@@ -71,11 +69,11 @@
 	began := p.now()
 	p.loading.Store(r.Token)
 	defer p.loading.Store(0)
-	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}, suspended: ccclock.Suspended(), authorityMs: max(r.AuthorityMs, authorityMs)}
+	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventsQueued), ended: make(chan struct{}), roster: map[string]int64{}, suspended: ccclock.Suspended()}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.cell = cccell.New(cccell.Config{
-		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, p.cfg.LeaseMs), AuthorityMs: max(r.AuthorityMs, authorityMs),
-		PriorAuthorityMs: max(prior.AuthorityMs, authorityMs),
+		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, p.cfg.LeaseMs), AuthorityMs: r.authority(),
+		PriorAuthorityMs: prior.authority(),
 		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision,
 	}, began)
 	l.announce(prior)
@@ -236,10 +234,6 @@
 		s := &o.Stops[i]
 		l.carry("stop", func() cccell.Reply { return p.cfg.Workers.Stop(l.ctx, s) }, func(r cccell.Reply, now ms) { l.cell.OnStop(s, r, now) })
 	}
-	for i := range o.Paces {
-		s := &o.Paces[i]
-		l.carry("pace", func() cccell.Reply { return p.cfg.Workers.Pace(l.ctx, s) }, func(r cccell.Reply, _ ms) { l.cell.OnPace(s, r) })
-	}
 	for i := range o.Looks {
 		s := &o.Looks[i]
 		var lists *cccell.Lists
--- a/io/cccontrol/notes.go
+++ b/io/cccontrol/notes.go
@@ -63,7 +63,7 @@
 		case err == nil:
 			l.p.cfg.Metrics.noteMs.Observe(float64(l.p.now() - began))
 			l.post(func(now ms) {
-				l.cell.Authorize(sent + l.authorityMs)
+				l.cell.Authorize(sent + l.record.authority())
 				l.noted(notes, rev, now)
 			})
 			return
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -110,7 +110,6 @@
 	Start(ctx context.Context, o *cccell.StartOrder) cccell.Reply
 	Stop(ctx context.Context, o *cccell.StopOrder) cccell.Reply
 	Look(ctx context.Context, o *cccell.LookOrder) (cccell.Reply, *cccell.Lists)
-	Pace(ctx context.Context, o *cccell.PaceOrder) cccell.Reply
 }
 
 // Adviser asks the policy service. It answers one call at a time of each VM.
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -57,7 +57,7 @@
 	leader  leaderRecord
 	// heardAt is when the leader last answered.
 	heardAt ms
-	// beatMs is the leader's heartbeat, as it told last.
+	// beatMs is the leader's heartbeat, as it told last, 0 before.
 	beatMs ms
 	// believedAt is when this process learned of the leader.
 	believedAt ms
@@ -138,11 +138,11 @@
 	return p.leader, p.heardAt
 }
 
-// missedMs returns the time without an answer after which the leader counts as lost.
-func (p *Process) missedMs() ms {
+// stretch returns how much longer than the shortest the leader's heartbeat is.
+func (p *Process) stretch() ms {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.beatMs, syncWaitMs) + beatSlackMs
+	return stretchMs(p.beatMs)
 }
 
 // believe takes in a record of the leader. An older one is ignored.
@@ -152,7 +152,7 @@
 	newer := r.Token > old.Token
 	if newer {
 		p.leader = r
-		p.heardAt, p.beatMs, p.believedAt = 0, syncWaitMs, p.now()
+		p.heardAt, p.beatMs, p.believedAt = 0, 0, p.now()
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -13,13 +13,13 @@
 
 // While the store turns a process away, the leader writes for it: it reaches the store, or fellows that do replace it.
 
-// isolatedMs is the time beyond a missed heartbeat of the leader after which a process that does not reach the store either sends
-// callers elsewhere.
-const isolatedMs ms = 300
+// isolatedMs is the time without the leader, at the shortest heartbeat, after which a process that does not reach the store either
+// sends callers elsewhere.
+const isolatedMs ms = 700
 
 // isolatedAfterMs returns the time without an answer of the leader after which it counts as out of reach.
 func (p *Process) isolatedAfterMs() ms {
-	return p.missedMs() + isolatedMs
+	return isolatedMs + p.stretch()
 }
 
 // relay has a fellow keep a job. It fails as intake.keep does.
@@ -56,7 +56,7 @@
 			p.board.learn(in.Job.ID, cccell.Queued, p.now())
 			p.tell.job(in.Job)
 		}
-	} else if _, err = p.cfg.Store.Write(ctx, &Txn{Puts: []Put{{Key: prefixCancel + in.Cancel, Value: []byte{}}}}); err == nil {
+	} else if err = p.writeCancel(ctx, in.Cancel); err == nil {
 		p.tell.cancel(in.Cancel)
 	}
 	switch {
--- a/io/cccontrol/store.go
+++ b/io/cccontrol/store.go
@@ -17,7 +17,6 @@
 	clock    ccclock.Clock
 	onChange func(reached bool, silentMs int64)
 	okAt     atomic.Int64
-	failedAt atomic.Int64
 	failures atomic.Int64
 }
 
@@ -54,7 +53,6 @@
 		if t.failures.Add(1) == storeLostCalls && t.onChange != nil {
 			t.onChange(false, now-t.okAt.Load())
 		}
-		t.failedAt.Store(now)
 		return
 	}
 	if t.failures.Swap(0) >= storeLostCalls && t.onChange != nil {
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -87,7 +87,7 @@
 		}
 		for i := range in.Answers {
 			l.desk.answered(in.VM, in.Answers[i].Stage)
-			l.cell.OnAnswer(&in.Answers[i], 0, now)
+			l.cell.OnAnswer(&in.Answers[i], now)
 		}
 	})
 }
