Advice requests wait in a queue of the core: made once, brought up to date when sent, due first

Ruled out: a lack of callers (the policy service was busy for 954 of some 1,320 s).

A queued request keeps its stage from making another, is sent with workers that have capacity then, in the order in which stages are placed, and is dropped when it is not needed any more. A caller with an overdue result gets nothing, one whose call failed pauses. Calls have a timeout of their own. Metrics: coriandercross_advice_waiting and _advice_calls_total.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -9,10 +9,12 @@
 // so a denial is kept for the lifetime of the stage. A permission comes with a ticket, which has to be renewed before
 // it expires.
 type tickets struct {
-	allowed   map[string]ticket
-	denied    map[string]bool
+	allowed map[string]ticket
+	denied  map[string]bool
+	// requested is true while a request is queued or in flight; requestID identifies it.
 	requested bool
-	// deadline is the time after which a request without a reply is given up.
+	requestID int64
+	// deadline is the time after which a request is given up that is neither queued nor assigned to a process.
 	deadline ms
 	// noCandidatesUntil is the time until which no new search for workers to request tickets for is made, since the
 	// last one found none.
@@ -70,19 +72,73 @@
 )
 
 // requestAdvice requests tickets for a stage. It is called when the workers with a valid ticket can't hold all unplaced
-// tasks of the stage. It sends nothing while a request is in flight, and returns true while a reply is expected.
-// Typical load: batch stages whose calls take half a second each while only a third of the workers are allowed. A
-// request must therefore not name too many workers, nor name denied workers again.
-func (c *Cell) requestAdvice(s *stage, unplaced int, now ms) bool {
+// tasks of the stage. It requests nothing while a request is queued or in flight, and returns true while a reply is
+// expected.
+func (c *Cell) requestAdvice(s *stage, now ms) bool {
 	t := &s.tickets
-	q := c.queue(s.job)
-	advice := q.Advice
 	if t.requested && now < t.deadline {
 		return true
 	}
 	if now < t.noCandidatesUntil {
 		return false
 	}
+	names := c.adviceCandidates(s, now)
+	if len(names) == 0 {
+		t.noCandidatesUntil = now + noCandidatesDelayMs
+		return false
+	}
+	callMs := c.queue(s.job).Advice.CallMs(len(names))
+	c.stats.AdviceRequests++
+	t.requested, t.requestID, t.deadline = true, c.cfg.Token<<attemptBits+c.stats.AdviceRequests, adviceDeadline(callMs, now)
+	c.orders.AdviceRequests = append(c.orders.AdviceRequests, AdviceRequest{
+		ID: t.requestID, Stage: s.id, Workers: names, CallMs: callMs, rank: c.rank(s), chosenAt: now,
+	})
+	return true
+}
+
+// adviceDeadline returns the time at which a request is given up unless it is kept.
+func adviceDeadline(callMs int64, now ms) ms {
+	return now + adviceTimeoutMs + ms(adviceTimeoutFactor*float64(callMs))
+}
+
+// keepAdvice reports whether a request that is queued or assigned is still needed, and extends its deadline if so.
+func (c *Cell) keepAdvice(r *AdviceRequest, now ms) bool {
+	s := c.stageOf(TaskID{Job: r.Stage.Job, Run: r.Stage.Run, Stage: r.Stage.Stage})
+	if s == nil || !s.tickets.requested || s.tickets.requestID != r.ID {
+		return false
+	}
+	if _, open := c.open[s]; !open || s.unplaced == 0 {
+		s.tickets.requested = false
+		return false
+	}
+	s.tickets.deadline = adviceDeadline(r.CallMs, now)
+	return true
+}
+
+// refreshAdvice chooses the workers of a request anew, since workers may have become full or free while it was queued.
+// It returns false if no worker is left to request a ticket for.
+func (c *Cell) refreshAdvice(r *AdviceRequest, now ms) bool {
+	if r.chosenAt == now {
+		return true
+	}
+	s := c.stageOf(TaskID{Job: r.Stage.Job, Run: r.Stage.Run, Stage: r.Stage.Stage})
+	if r.Workers = c.adviceCandidates(s, now); len(r.Workers) == 0 {
+		s.tickets.requested = false
+		s.tickets.noCandidatesUntil = now + noCandidatesDelayMs
+		return false
+	}
+	r.CallMs, r.chosenAt = c.queue(s.job).Advice.CallMs(len(r.Workers)), now
+	s.tickets.deadline = adviceDeadline(r.CallMs, now)
+	return true
+}
+
+// adviceCandidates returns the IDs of the workers to request tickets for. Typical load: batch stages whose calls take
+// half a second each while only a third of the workers are allowed. A request must therefore not name too many workers,
+// nor name denied workers again.
+func (c *Cell) adviceCandidates(s *stage, now ms) []string {
+	t := &s.tickets
+	unplaced := s.unplaced
+	advice := c.queue(s.job).Advice
 	want := int(math.Ceil(float64(unplaced) * capacityMargin))
 	var renewals, unknown []candidate
 	for _, w := range c.usable {
@@ -141,15 +197,7 @@
 			names = append(names, cand.w.info.ID)
 		}
 	}
-	if len(names) == 0 {
-		t.noCandidatesUntil = now + noCandidatesDelayMs
-		return false
-	}
-	callMs := advice.CallMs(len(names))
-	t.requested, t.deadline = true, now+adviceTimeoutMs+ms(adviceTimeoutFactor*float64(callMs))
-	c.stats.AdviceRequests++
-	c.orders.AdviceRequests = append(c.orders.AdviceRequests, AdviceRequest{Stage: s.id, Workers: names, CallMs: callMs, Priority: q.Priority})
-	return true
+	return names
 }
 
 // maxRequestWorkers is the largest number of workers that one request may name.
@@ -165,18 +213,27 @@
 	ValidMs int64 `cbor:"4,keyasint,omitempty"`
 	// Failed is true when the policy service did not reply.
 	Failed bool `cbor:"5,keyasint,omitempty"`
+	// ID is that of the request. Processes of earlier releases leave it out.
+	ID int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// OnAdviceReply handles a reply of the policy service, or its absence.
-func (c *Cell) OnAdviceReply(a *AdviceReply, now ms) {
+// OnAdviceReply handles a reply of the policy service, or its absence. It reports whether the stage still has tasks to
+// be started.
+func (c *Cell) OnAdviceReply(a *AdviceReply, now ms) bool {
 	s := c.stageOf(TaskID{Job: a.Stage.Job, Run: a.Stage.Run, Stage: a.Stage.Stage})
 	if s == nil {
-		return
+		return false
+	}
+	_, open := c.open[s]
+	needed := open && s.unplaced > 0
+	if a.ID == 0 || a.ID == s.tickets.requestID {
+		s.tickets.requested = false
+	} else if a.Failed {
+		return needed // A later request is queued or in flight.
 	}
-	s.tickets.requested = false
 	if a.Failed {
 		s.notBefore = now + failedAdviceDelayMs
-		return
+		return needed
 	}
 	for _, id := range a.Workers {
 		text, ok := a.Tickets[id]
@@ -188,6 +245,7 @@
 			s.tickets.allowed[id] = ticket{text: text, incarnation: w.newestIncarnation(), expiresAt: now + ms(a.ValidMs)}
 		}
 	}
+	return needed
 }
 
 // failedAdviceDelayMs is the delay before a stage is placed again after a failed request.
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -57,6 +57,8 @@
 	Stops          int64
 	Polls          int64 `json:"Looks"`
 	AdviceRequests int64 `json:"Asks"`
+	// AdviceLost counts the calls to the policy service whose results did not arrive in time.
+	AdviceLost int64
 	// Quarantined counts quarantines of workers.
 	Quarantined int64
 	// Vanished, Lapsed and Failures count the ends EndVanished, EndLapsed and EndFailed of attempts whose jobs had not
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -57,12 +57,16 @@
 
 // AdviceRequest asks the policy service which workers may run a stage.
 type AdviceRequest struct {
+	// ID distinguishes the requests of one term.
+	ID      int64
 	Stage   StageID
 	Workers []string
 	// CallMs is the expected duration of the call.
 	CallMs int64
-	// Priority is the priority of the queue.
-	Priority int
+
+	// rank is the position of the stage in the order of placement, and chosenAt when Workers were chosen.
+	rank     float64
+	chosenAt ms
 }
 
 // StateChange is a job state to be published to callers.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if _, fitting := c.candidates(s, true, now); fitting < s.unplaced {
-		c.requestAdvice(s, s.unplaced, now)
+		c.requestAdvice(s, now)
 	}
 }
 
@@ -166,7 +166,7 @@
 	list, fitting := c.candidates(s, advised, now)
 	if fitting < s.unplaced {
 		reason := delayCapacity
-		if advised && c.requestAdvice(s, s.unplaced, now) {
+		if advised && c.requestAdvice(s, now) {
 			reason = delayTicket
 		}
 		s.placementDelay.add(now, reason)
--- a/io/cccontrol/advice.go
+++ b/io/cccontrol/advice.go
@@ -2,44 +2,25 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
 	"coriandercross/core/cccell"
 )
 
-// adviceDispatcher distributes advice requests (calls to the policy service) over the processes, since the service
-// answers one call at a time from each VM. One VM is not enough for loads such as batch stages whose calls take half a
-// second each and come more than twice a second. Only the leader's event loop calls dispatch and complete; peers is
-// shared with the handlers of Sync.
+// adviceDispatcher sends advice requests (calls to the policy service) to the processes that the queue assigns them to.
+// Only the leader's event loop calls dispatch and complete; peers is shared with the handlers of Sync.
 type adviceDispatcher struct {
-	l *leadership
-	// queue holds the requests that no process is free for.
-	queue []cccell.AdviceRequest
-	// assigned holds the requests that have been assigned to peers and have no result yet.
-	assigned []assignedRequest
+	l     *leadership
+	queue *cccell.AdviceQueue
 
 	mu    sync.Mutex
 	peers map[string]*peerState
 }
 
-const (
-	// longRequestMs is the expected duration above which a request counts as long. Long requests leave one process free
-	// for short ones.
-	longRequestMs = 100
-	// maxShortBacklogMs is the longest time for which a short request is queued at a process behind another request.
-	maxShortBacklogMs ms = 60
-	// peerAliveMs is the time after the last reply to a peer for which the peer counts as alive, at the shortest
-	// heartbeat interval.
-	peerAliveMs ms = 700
-)
-
-// assignedRequest is a request with the peer that is to make it.
-type assignedRequest struct {
-	cccell.AdviceRequest
-	peer *peerState
-}
+// peerAliveMs is the time after the last reply to a peer for which the peer counts as alive, at the shortest heartbeat
+// interval.
+const peerAliveMs ms = 700
 
 // peerState is the leader's view of one process. The leader has one for itself as well.
 type peerState struct {
@@ -55,15 +36,11 @@
 	// followed this leader.
 	replied     bool
 	confirmedAt ms
-	// inFlight is the number of requests without a result, and busyUntil the time by which all results are expected.
-	// Only the event loop uses these two fields.
-	inFlight  int
-	busyUntil ms
 }
 
 // newAdviceDispatcher returns a dispatcher that knows this process only. Peers are added as they call Sync.
 func newAdviceDispatcher(l *leadership) *adviceDispatcher {
-	return &adviceDispatcher{l: l, peers: map[string]*peerState{l.p.cfg.VM: {vm: l.p.cfg.VM, wake: make(chan struct{}, 1)}}}
+	return &adviceDispatcher{l: l, queue: cccell.NewAdviceQueue(l.cell), peers: map[string]*peerState{l.p.cfg.VM: {vm: l.p.cfg.VM, wake: make(chan struct{}, 1)}}}
 }
 
 // peer returns the state of a peer that has just called Sync. It creates the state at the first call.
@@ -125,118 +102,64 @@
 	}
 }
 
-// dispatch queues new requests, and those that were assigned to peers that are dead by now. It then assigns queued
-// requests to processes, by priority, until no process is free.
+// dispatch queues new requests, and sends the requests that the queue assigns to processes.
 func (d *adviceDispatcher) dispatch(requests []cccell.AdviceRequest, now ms) {
-	d.queue = append(d.queue, requests...)
-	if len(d.queue) == 0 && len(d.assigned) == 0 {
-		return
-	}
-	aliveMs := peerAliveMs + extraHeartbeatMs(heartbeatMs(d.l.p.memberCount()))
+	d.queue.Add(requests)
+	extraMs := extraHeartbeatMs(heartbeatMs(d.l.p.memberCount()))
 	d.mu.Lock()
-	var available []*peerState
-	dead := map[*peerState]bool{}
+	var available []string
+	alive := map[string]*peerState{}
 	for vm, s := range d.peers {
 		s.mu.Lock()
-		isAlive := vm == d.l.p.cfg.VM || now-s.repliedAt < aliveMs
-		dead[s] = !isAlive
-		if isAlive && !s.draining {
-			available = append(available, s)
+		if vm == d.l.p.cfg.VM || now-s.repliedAt < peerAliveMs+extraMs {
+			alive[vm] = s
+			if !s.draining {
+				available = append(available, vm)
+			}
+		} else {
+			s.outbox = nil // The queue assigns these requests to other processes.
 		}
 		s.mu.Unlock()
 	}
 	d.mu.Unlock()
-	d.requeue(dead)
-	sort.SliceStable(d.queue, func(a, b int) bool { return d.queue[a].Priority < d.queue[b].Priority })
-	sort.Slice(available, func(a, b int) bool { return available[a].vm < available[b].vm })
-	var rest []cccell.AdviceRequest
-	for _, request := range d.queue {
-		if !d.assign(request, available, now) {
-			rest = append(rest, request)
-		}
+	for _, a := range d.queue.Assign(available, func(vm string) bool { return alive[vm] == nil }, extraMs, now) {
+		d.send(alive[a.VM], a.Request)
 	}
-	d.queue = rest
+	d.l.p.cfg.Metrics.adviceWaiting.Set(float64(d.queue.Len()))
 }
 
-// requeue queues the requests that were assigned to dead peers again. This happens when VMs are stopped one after the
-// other, or killed, during calls of half a second.
-func (d *adviceDispatcher) requeue(dead map[*peerState]bool) {
-	remaining := d.assigned[:0]
-	for _, a := range d.assigned {
-		if !dead[a.peer] {
-			remaining = append(remaining, a)
-			continue
-		}
-		a.peer.inFlight = 0
-		a.peer.takeRequests()
-		d.queue = append(d.queue, a.AdviceRequest)
-		d.l.p.cfg.Log.Info("call to the policy service taken back", "VM", a.peer.vm, "Job", a.Stage.Job, "Stage", a.Stage.Stage)
-	}
-	d.assigned = remaining
-}
-
-// assign assigns a request to the process with the smallest backlog. It returns false if no process is free for it: a
-// long request needs a process without a backlog, and a second free one if there are several processes; a short request
-// needs a backlog of maxShortBacklogMs at most.
-func (d *adviceDispatcher) assign(request cccell.AdviceRequest, available []*peerState, now ms) bool {
-	var best *peerState
-	free := 0
-	for _, s := range available {
-		if s.busyUntil <= now || s.inFlight == 0 {
-			free++
-		}
-		if best == nil || s.backlog(now) < best.backlog(now) {
-			best = s
-		}
-	}
-	long := request.CallMs > longRequestMs
-	if best == nil || (long && (best.backlog(now) > 0 || (free < 2 && len(available) > 1))) || best.backlog(now) > maxShortBacklogMs {
-		return false
-	}
-	best.inFlight++
-	best.busyUntil = max(now, best.busyUntil) + ms(request.CallMs)
-	if best.vm == d.l.p.cfg.VM {
+// send makes a request, or puts it into the outbox of the peer that has to make it.
+func (d *adviceDispatcher) send(s *peerState, request cccell.AdviceRequest) {
+	if s.vm == d.l.p.cfg.VM {
 		go func() {
 			reply := d.l.p.requestAdvice(d.l.ctx, request)
-			d.l.post(func(now ms) {
-				d.complete(best.vm, request.Stage)
-				d.l.cell.OnAdviceReply(&reply, now)
-			})
+			d.l.post(func(now ms) { d.complete(s.vm, &reply, now) })
 		}()
-		return true
+		return
 	}
-	d.assigned = append(d.assigned, assignedRequest{request, best})
-	best.mu.Lock()
-	best.outbox = append(best.outbox, request)
-	best.mu.Unlock()
+	s.mu.Lock()
+	s.outbox = append(s.outbox, request)
+	s.mu.Unlock()
 	select {
-	case best.wake <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
-// backlog returns the time until the results of all requests of the process are expected.
-func (s *peerState) backlog(now ms) ms {
-	if s.inFlight == 0 {
-		return 0
-	}
-	return max(s.busyUntil-now, 0)
+// complete handles the result of a request that a process has made.
+func (d *adviceDispatcher) complete(vm string, reply *cccell.AdviceReply, now ms) {
+	d.queue.Complete(vm, reply, now)
+	needed := d.l.cell.OnAdviceReply(reply, now)
+	d.l.p.cfg.Metrics.adviceCalls.WithLabelValues(adviceOutcome(reply, needed)).Inc()
 }
 
-// complete records that the result of a process's request for a stage has arrived: the request is no longer assigned,
-// and the process has one request fewer in flight.
-func (d *adviceDispatcher) complete(vm string, stage cccell.StageID) {
-	for i, a := range d.assigned {
-		if a.peer.vm == vm && a.Stage == stage {
-			d.assigned = append(d.assigned[:i], d.assigned[i+1:]...)
-			break
-		}
-	}
-	d.mu.Lock()
-	s := d.peers[vm]
-	d.mu.Unlock()
-	if s != nil && s.inFlight > 0 {
-		s.inFlight--
+// adviceOutcome returns the metric label of a result.
+func adviceOutcome(reply *cccell.AdviceReply, needed bool) string {
+	switch {
+	case reply.Failed:
+		return "failed"
+	case !needed:
+		return "in vain"
 	}
+	return "used"
 }
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -201,14 +201,23 @@
 	p.notifier.adviceReply(p.requestAdvice(ctx, request))
 }
 
+// adviceTimeout returns the timeout of a call to the policy service. A connection that has gone silent must not delay
+// the next calls.
+func adviceTimeout(request *cccell.AdviceRequest) ms {
+	const minTimeoutMs, durationFactor = 1000, 2
+	return minTimeoutMs + durationFactor*ms(request.CallMs)
+}
+
 // requestAdvice makes an advice request to the policy service.
 func (p *Process) requestAdvice(ctx context.Context, request cccell.AdviceRequest) cccell.AdviceReply {
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout(&request).Duration())
+	defer cancel()
 	tickets, validMs, err := p.cfg.PolicyService.Advise(ctx, request.Stage, request.Workers)
 	if err != nil {
 		p.cfg.Log.Warn("request to the policy service failed", "Job", request.Stage.Job, "Stage", request.Stage.Stage, "Workers", len(request.Workers), "Error", err)
-		return cccell.AdviceReply{Stage: request.Stage, Failed: true}
+		return cccell.AdviceReply{ID: request.ID, Stage: request.Stage, Failed: true}
 	}
-	return cccell.AdviceReply{Stage: request.Stage, Workers: request.Workers, Tickets: tickets, ValidMs: validMs}
+	return cccell.AdviceReply{ID: request.ID, Stage: request.Stage, Workers: request.Workers, Tickets: tickets, ValidMs: validMs}
 }
 
 // campaign waits for this process's turn and then tries to take over from a failed leader. It returns true if there is
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -13,6 +13,9 @@
 	decisions   *prometheus.CounterVec
 	flushMs     prometheus.Histogram
 	terms       prometheus.Counter
+	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
+	adviceWaiting prometheus.Gauge
+	adviceCalls   *prometheus.CounterVec
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -38,8 +41,14 @@
 			Name: "coriandercross_note_ms", Help: "Time to write progress to the store.", Buckets: latencyBuckets,
 		}),
 		terms: prometheus.NewCounter(prometheus.CounterOpts{Name: "coriandercross_leads_total", Help: "Terms as the leader."}),
+		adviceWaiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coriandercross_advice_waiting", Help: "Requests to the policy service that wait at the leader.",
+		}),
+		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
+		}, []string{"outcome"}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
 	return m
 }
 
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -89,8 +89,7 @@
 			l.cell.Cancel(id, now)
 		}
 		for i := range in.AdviceReplies {
-			l.dispatcher.complete(in.VM, in.AdviceReplies[i].Stage)
-			l.cell.OnAdviceReply(&in.AdviceReplies[i], now)
+			l.dispatcher.complete(in.VM, &in.AdviceReplies[i], now)
 		}
 	})
 }
