Workers are held for stages of large tasks that are due first

Meanwhile each gang asked for tickets every 0.75 s, 40 times. Ruled out by lines for each assignment: the queue of requests (up to 99 long, but these stages were served again and again).

A stage whose tasks fill half of a worker and that can't be placed holds workers against the stages that are due later, those that will be free first, at most 30 % of a service. A gang renews tickets only once it can start.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -141,15 +141,20 @@
 	advice := c.queue(s.job).Advice
 	want := int(math.Ceil(float64(unplaced) * capacityMargin))
 	var renewals, unknown []candidate
+	fittingAllowed, fittingLater := 0, 0
 	for _, w := range c.usable {
 		if t.denied[w.info.ID] || !c.eligible(s, w, now) {
 			continue
 		}
 		_, allowed := t.allowed[w.info.ID]
+		fitting := min(c.fitting(s, w), unplaced)
+		if allowed {
+			later, _ := s.fittingLater(w, now)
+			fittingAllowed, fittingLater = fittingAllowed+fitting, fittingLater+later
+		}
 		if _, ok := t.valid(w, now); ok {
 			continue
 		}
-		fitting := min(c.fitting(s, w), unplaced)
 		if fitting == 0 && (allowed || len(t.allowed) > 0) {
 			continue // Renewing a ticket adds no capacity.
 		}
@@ -160,6 +165,9 @@
 			unknown = append(unknown, cand)
 		}
 	}
+	if s.spec.Gang && fittingAllowed < unplaced {
+		renewals = nil // The gang needs all tickets at once, and these would expire before it can start.
+	}
 	better := func(list []candidate) func(a, b int) bool {
 		return func(a, b int) bool {
 			x, y := list[a], list[b]
--- a/core/cccell/advicequeue_test.go
+++ b/core/cccell/advicequeue_test.go
@@ -57,9 +57,9 @@
 	l.cell.AddJob(j, now, now)
 }
 
-// round runs a scheduling round, with the results that have arrived by now, and the calls that it assigns. It returns
-// the jobs whose tasks have all started.
-func (l *adviceLoad) round(now ms) []string {
+// startsOf runs a scheduling round, with the results that have arrived by now, and the calls that it assigns. It
+// confirms the starts of the round and returns them.
+func (l *adviceLoad) startsOf(now ms) []StartOrder {
 	var remaining []adviceResult
 	for _, r := range l.results {
 		if r.at > now {
@@ -88,10 +88,16 @@
 		}
 		l.results = append(l.results, adviceResult{l.freeAt[a.VM] + 10, a.VM, reply})
 	}
-	var placed []string
 	for i := range out.Starts {
-		o := &out.Starts[i]
-		l.cell.OnStartReply(o, executedReply(now), now)
+		l.cell.OnStartReply(&out.Starts[i], executedReply(now), now)
+	}
+	return out.Starts
+}
+
+// round is startsOf for tasks that end at once. It returns the jobs whose tasks have all started.
+func (l *adviceLoad) round(now ms) []string {
+	var placed []string
+	for _, o := range l.startsOf(now) {
 		// The task ends at once: the test is about tickets, not about capacity.
 		l.cell.endAttempt(o.attempt, EndDone, "", now)
 		if o.Task.Index == 3 {
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -47,7 +47,9 @@
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
 	usable []*worker
-	stats  Stats
+	// held counts the workers that are held in the current round, by service.
+	held  map[string]int
+	stats Stats
 }
 
 // Stats counts decisions since the start of the leader.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -18,7 +18,9 @@
 	c.initialPollDone = c.initialPollDone || c.initialPollComplete()
 	if now < c.authorityUntil {
 		c.usable = c.usable[:0]
+		c.held = map[string]int{}
 		for _, w := range c.workers {
+			w.heldFor = nil
 			if w.usable(now) {
 				c.usable = append(c.usable, w)
 			}
@@ -29,6 +31,7 @@
 				continue
 			}
 			c.place(s, now)
+			c.holdWorkers(s, now)
 		}
 	}
 	c.scheduleStops(now)
@@ -123,21 +126,27 @@
 	return due + float64(q.Priority)*priorityRankMs
 }
 
-// eligible reports whether a worker may run tasks of a stage, accepts tasks now, and is large enough for one task when
-// empty. Tickets are not checked.
+// eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage, and is
+// large enough for one task when empty. Tickets are not checked.
 func (c *Cell) eligible(s *stage, w *worker, now ms) bool {
-	return w.info.Service == c.queue(s.job).Service && w.usable(now) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
+	return w.info.Service == c.queue(s.job).Service && w.usable(now) && (w.heldFor == nil || w.heldFor == s) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
 		s.need.Fits(&w.info.Capacity)
 }
 
 // fitting returns how many more tasks of a stage fit on a worker now.
 func (c *Cell) fitting(s *stage, w *worker) int {
 	free := w.free()
-	n := int64(s.spec.Count)
-	n = min(n, fit(free.MilliCores, s.need.MilliCores, n), fit(free.MemoryMB, s.need.MemoryMB, n), fit(free.Accelerators, s.need.Accelerators, n))
+	n := s.tasksIn(&free)
 	if s.spec.MaxPerWorker > 0 {
-		n = min(n, int64(s.spec.MaxPerWorker-s.perWorker[w]))
+		n = min(n, s.spec.MaxPerWorker-s.perWorker[w])
 	}
+	return max(n, 0)
+}
+
+// tasksIn returns how many tasks of the stage fit into a capacity, at most all of them.
+func (s *stage) tasksIn(free *ccwork.Size) int {
+	n := int64(s.spec.Count)
+	n = min(n, fit(free.MilliCores, s.need.MilliCores, n), fit(free.MemoryMB, s.need.MemoryMB, n), fit(free.Accelerators, s.need.Accelerators, n))
 	return int(max(n, 0))
 }
 
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -65,6 +65,8 @@
 	// perWorker counts the live attempts on each worker.
 	perWorker map[*worker]int
 	tickets   tickets
+	// held holds the workers that were held for the stage in the last round; see Cell.holdWorkers.
+	held map[*worker]bool
 	// notBefore is the end of the delay after a start or an advice request that failed.
 	notBefore ms
 	// unplaced is the number of tasks to be started in this round.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -99,6 +99,8 @@
 	priorLeasesEndAt ms
 	health           health
 	slowdown         slowdown
+	// heldFor is the stage that the worker is held for in this round, or nil; see Cell.holdWorkers.
+	heldFor *stage
 }
 
 // unackedEnd is an end that the worker may forget once the store has a version of a job. job is nil when the end
