--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -66,8 +66,9 @@
 		}
 		if leader.Token == 0 {
 			failure.why = whyNone
-			p.campaign(ctx, &failure)
-			sleep(ctx, retryDelayMs)
+			if !p.campaign(ctx, &failure) {
+				sleep(ctx, retryDelayMs)
+			}
 			continue
 		}
 		if failure.why = p.syncOnce(ctx, leader); failure.why == "" {
@@ -249,6 +250,9 @@
 	}
 	prior := failure.leader
 	rank := p.rank(prior)
+	if prior.VM == p.cfg.VM && prior.StartMs != p.cfg.StartMs {
+		rank = 0 // The leader is known to have ended, and to none sooner than to this process: it was on this VM.
+	}
 	p.decision("leader is missed", "Leader", prior.VM, "Token", prior.Token, "Why", failure.why, "Misses", failure.misses,
 		"ForMs", p.now()-failure.sinceMs, "Rank", rank, "Members", p.memberCount())
 	switch p.awaitTurn(ctx, failure, rank) {
--- a/io/cccontrol/follow_test.go
+++ b/io/cccontrol/follow_test.go
@@ -139,3 +139,32 @@
 		})
 	}
 }
+
+// TestRestartedLeaderCampaignsAtOnce checks that a process that led before its restart does not wait for its turn. Load:
+// all VMs lose power; the first process that is up again on the VM of the leader knows that there is no leader.
+func TestRestartedLeaderCampaignsAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		leaderVM   string
+		campaigned bool
+	}{
+		"OwnVM":   {"vm-99", true},
+		"OtherVM": {"vm-0", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := &countingStore{}
+			p := newFollower(t, store)
+			p.cfg.StartMs = 2
+			for i := range 40 {
+				vm := fmt.Sprintf("vm-%d", i)
+				p.members[vm] = member{VM: vm, Address: "127.0.0.1:1", Region: "r", Cores: 1}
+			}
+			p.members[p.cfg.VM] = member{VM: p.cfg.VM, Region: "r"}
+			p.observeLeader(leaderRecord{VM: test.leaderVM, Address: "127.0.0.1:1", StartMs: 1, Token: 1}, "test")
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			p.follow(ctx)
+			assert.Equal(t, store.gets.Load() > 0, test.campaigned)
+		})
+	}
+}
