A poll names an end only until the worker has confirmed that it has forgotten it

Tests: TestConfirmedEndsAreNotNamedAgain fails before; TestNoStartDuringPollOfEarlierIncarnation begins with an unconfirmed end, the only kind that is still named, and checks as before.

--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -45,8 +45,10 @@
 			firstPolls++
 		}
 		o := PollOrder{OrderHeader: c.header(w), AckedEnd: w.ackedEnd, worker: w, urgent: urgent}
-		if w.incarnation != w.newestIncarnation() {
-			o.AckedEnd = 0 // Each incarnation numbers its ends from 1.
+		if w.incarnation != w.newestIncarnation() || w.ackedEnd <= w.confirmedAck {
+			// Each incarnation numbers its ends from 1. An end that the worker has forgotten is not named again: the
+			// next incarnation may execute the poll, and would forget an unread end of that number.
+			o.AckedEnd = 0
 		}
 		if w.admitted && w.silentSince == 0 && len(w.unackedEnds) == 0 && !urgent {
 			o.WaitMs = c.longPollTimeout(w, now)
--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -71,7 +71,7 @@
 func TestNoStartDuringPollOfEarlierIncarnation(t *testing.T) {
 	c := readyCell(t, testWorker("w"))
 	w := c.workers["w"]
-	w.ackedEnd, w.confirmedAck = 13, 13
+	w.ackedEnd, w.confirmedAck = 13, 12 // Confirmed ends are not named.
 	c.AddJob(testJob("a", 1), 1100, 1100)
 	c.Schedule(1100, 1100)
 	out := c.TakeOrders()
@@ -101,3 +101,26 @@
 	c.Schedule(2150, 2150)
 	assert.Assert(t, len(c.TakeOrders().Starts) > 0)
 }
+
+// A poll names an end until the worker has confirmed that it has forgotten it, and not longer. Seen in the soak: a poll
+// was executed by the next incarnation of the worker, which forgot an end of the same number that no leader had read, so
+// that a task was started again after it was done.
+func TestConfirmedEndsAreNotNamedAgain(t *testing.T) {
+	tests := map[string]struct {
+		confirmed, want int64
+	}{
+		"Unconfirmed": {12, 13},
+		"Confirmed":   {13, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			c.workers["w"].ackedEnd, c.workers["w"].confirmedAck = 13, test.confirmed
+			c.AddJob(testJob("a", 1), 1100, 1100)
+			c.Schedule(1100, 1100)
+			out := c.TakeOrders()
+			assert.Equal(t, len(out.Polls), 1)
+			assert.Equal(t, out.Polls[0].AckedEnd, test.want)
+		})
+	}
+}
