Completed jobs are published before they are written once a majority of the voters knows them

After 0.3 s the leader sends an unwritten completion to its peers with the changes of states; when a majority of the voters has it, it is published. A new leader gets such jobs with the replies to its announcement, and waits up to 0.4 s for these even if the prior leader is known to have ended.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -65,6 +65,9 @@
 mutant failure-counts-twice $cells/ends.go 'if slices.Contains(s.failures[i], a.number) {' 'if slices.Contains(s.failures[i], a.number) && false {' ./$cells "$cell"
 mutant adopted-jobs-do-not-wait $cells/place.go 'if s.job.adopted && !handedOver {' 'if false {' ./$cells "$cell"
 mutant emptied-though-not-read $cells/registry.go '&& !c.needsFreshPoll(w) && len(w.attempts) == 0' '&& len(w.attempts) == 0' ./$cells "$cell"
+mutant early-completions-forgotten $cells/early.go 'j := c.jobs[id]
+		if j == nil || j.final == Completed {' 'j := c.jobs[id]
+		if true {' ./$cells "$cell"
 quorum="-run=TestOneLeaderActs -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 quorums=core/ccquorum
 mutant handover-awaits-no-voters $quorums/quorum.go 'endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}' 'endsAt: wonAt + priorAuthorityMs}' ./$quorums "$quorum"
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -30,8 +30,12 @@
 	// scheduled holds the jobs with scheduled runs that are not due yet.
 	scheduled map[*job]struct{}
 	// dirty holds the jobs with changes that NextWrites has not returned yet, oldest change first.
-	dirty        []*job
-	inDirty      map[*job]bool
+	dirty   []*job
+	inDirty map[*job]bool
+	// unwritten holds the completed jobs whose final states are not written; see UnwrittenCompletions. earlyCount is the
+	// number of those that were returned.
+	unwritten    map[*job]struct{}
+	earlyCount   int
 	orders       Orders
 	attemptCount int64
 	deposed      bool
@@ -82,7 +86,7 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{},
 		workerTypes: newWorkerTypeTable(), handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
 }
@@ -334,7 +338,10 @@
 	if j.final != "" {
 		return
 	}
-	j.final = state
+	j.final, j.decidedAt = state, now
+	if state == Completed {
+		c.unwritten[j] = struct{}{}
+	}
 	delete(c.scheduled, j)
 	for _, r := range j.runs {
 		for _, s := range r.stages {
@@ -401,7 +408,7 @@
 // attempts.
 func (c *Cell) RemoveEndedJobs(arrivedBefore ms) {
 	for id, j := range c.jobs {
-		if j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
+		if _, unwritten := c.unwritten[j]; !unwritten && j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
 			delete(c.jobs, id)
 		}
 	}
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -73,6 +73,10 @@
 type StateChange struct {
 	Job   string `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
+	// Early tells the processes to remember that the job has completed, before the completion is published; State is
+	// Running then. Written tells them that they need not remember it any longer.
+	Early   bool `cbor:"3,keyasint,omitempty"`
+	Written bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Orders holds the calls to be made and the states to be published.
@@ -82,6 +86,8 @@
 	Polls          []PollOrder
 	AdviceRequests []AdviceRequest
 	Changes        []StateChange
+	// Written holds the IDs of early completions that are written now, so that the voters need not keep them.
+	Written []string
 }
 
 // Outcome is the outcome of a call to a worker. Logs show its number.
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -12,8 +12,12 @@
 	runs map[int]*run
 	// final is the final state as decided, or empty. It is published once it is persisted.
 	final State
-	// published is the final state as persisted and published to callers, or empty.
+	// published is the final state as published to callers, or empty. It is persisted, or a majority of the voters knows
+	// it.
 	published State
+	// decidedAt is when final was set. early is true once UnwrittenCompletions has returned the job.
+	decidedAt ms
+	early     bool
 	// started is true once a task was started.
 	started bool
 	// revision is the store revision of the progress record, 0 when there is none.
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -25,6 +25,9 @@
 	// All voters together confirm it without a bound. A successor that can't reach a majority of the voters waits that
 	// long.
 	MaxWithoutStoreMs ms = 12_000
+	// voterReplyMs is the time for which a new leader waits for the voters when the prior leader is known to have ended.
+	// Those that run reply within a round trip between regions.
+	voterReplyMs ms = 400
 )
 
 // Voter is a process that can confirm a leader.
@@ -113,6 +116,22 @@
 	return until
 }
 
+// Majority reports whether a majority of each set of voters, the leader included, fulfils a condition.
+func (t *Term) Majority(fulfils func(Voter) bool) bool {
+	for _, voters := range t.voterSets {
+		n := 0
+		for _, v := range voters {
+			if v == t.self || fulfils(v) {
+				n++
+			}
+		}
+		if len(voters) < MinVoters || n < majority(voters) {
+			return false
+		}
+	}
+	return true
+}
+
 // confirmations returns the latest times at which a majority, and all, of each set of voters followed the leader, 0 for
 // never. The leader itself always follows.
 func (t *Term) confirmations() (majorityAt, allAt ms) {
@@ -150,6 +169,8 @@
 	wonAt       ms
 	released    map[Voter]bool
 	endsAt      ms
+	// priorEndedAt is when the prior leader was known to have ended, 0 before that.
+	priorEndedAt ms
 }
 
 // NewHandover returns the handover to a leader that won the leader record at a time. voters are those of the record that
@@ -183,16 +204,26 @@
 			h.released[old] = true
 		}
 	}
-	if len(h.released) >= blocking(h.voters) {
-		h.endsAt = min(h.endsAt, now+h.authorityMs)
+	if len(h.released) < blocking(h.voters) {
+		return
+	}
+	h.endsAt = min(h.endsAt, now+h.authorityMs)
+	if h.priorEndedAt > 0 {
+		h.endsAt = min(h.endsAt, now)
 	}
 }
 
 // PriorLeaderEnded records that the term of the prior leader is known to have ended. Leaders before it may still act
-// unless the handover to it was complete.
+// unless the handover to it was complete. The voters have voterReplyMs to report what they know of the prior leader.
 func (h *Handover) PriorLeaderEnded(now ms) {
-	if h.settled {
+	if !h.settled || h.priorEndedAt > 0 {
+		return
+	}
+	h.priorEndedAt = now
+	if len(h.voters) < MinVoters || len(h.released) >= blocking(h.voters) {
 		h.endsAt = min(h.endsAt, now)
+	} else {
+		h.endsAt = min(h.endsAt, now+voterReplyMs)
 	}
 }
 
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -114,6 +114,7 @@
 		case refused:
 			l.handover.Ended(ccquorum.Voter{VM: m.VM, StartMs: m.StartMs}, at)
 		case out.Token >= l.token:
+			l.cell.AdoptCompletions(out.Completed, at)
 			l.handover.Follows(ccquorum.Voter{VM: out.VM, StartMs: out.StartMs}, at)
 		}
 		if m.Address == prior.Address {
@@ -137,7 +138,6 @@
 	}
 	l.dispatcher.forEachVoter(func(v ccquorum.Voter, confirmedAt ms) {
 		l.quorum.Confirm(v, confirmedAt)
-		l.handover.Follows(v, now)
 	})
 	l.cell.SetHandover(l.handover.EndsAt())
 	l.cell.ExtendAuthority(l.quorum.Authority())
@@ -265,12 +265,46 @@
 	return out
 }
 
+// earlyBatch holds jobs whose early completion is sent to the peers, with the position after it.
+type earlyBatch struct {
+	seq  int64
+	jobs []string
+}
+
+// publishEarly sends the completions that are not written in time to the peers, and publishes those that a majority of
+// the voters has.
+func (l *leadership) publishEarly(now ms) {
+	if jobs := l.cell.UnwrittenCompletions(now); len(jobs) > 0 {
+		l.early = append(l.early, earlyBatch{l.p.stateCache.rememberEarly(jobs, now), jobs})
+	}
+	for len(l.early) > 0 && l.quorum.Majority(func(v ccquorum.Voter) bool { return l.dispatcher.position(v) >= l.early[0].seq }) {
+		l.cell.PublishCompletions(l.early[0].jobs, now)
+		l.early = l.early[1:]
+	}
+}
+
+// position returns the position up to which a voter that follows this leader has the changes of job states.
+func (d *adviceDispatcher) position(v ccquorum.Voter) int64 {
+	d.mu.Lock()
+	s := d.peers[v.VM]
+	d.mu.Unlock()
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.voter != v {
+		return 0
+	}
+	return s.seq
+}
+
 // confirm records a call of a process that follows this leader. receivedMs is the time of the last reply that it has
-// received as a follower of this leader, 0 for none.
-func (s *peerState) confirm(v ccquorum.Voter, receivedMs ms) {
+// received as a follower of this leader, 0 for none; seq is the position up to which it has the changes of this term.
+func (s *peerState) confirm(v ccquorum.Voter, receivedMs ms, seq int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.voter, s.confirmedAt = v, receivedMs
+	s.voter, s.confirmedAt, s.seq = v, receivedMs, seq
 }
 
 // forEachVoter calls do with each process that has called this leader as its follower.
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -357,7 +357,7 @@
 func (p *Process) Announce(_ context.Context, in *ccpeer.AnnounceRequest) (*ccpeer.AnnounceReply, error) {
 	p.observeLeader(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, revision: in.Revision}, "announcement")
 	leader, _ := p.currentLeader()
-	return &ccpeer.AnnounceReply{VM: p.cfg.VM, StartMs: p.cfg.StartMs, Token: leader.Token}, nil
+	return &ccpeer.AnnounceReply{VM: p.cfg.VM, StartMs: p.cfg.StartMs, Token: leader.Token, Completed: p.stateCache.completions(nil)}, nil
 }
 
 // peersReachLeader asks up to two other processes, and reports whether one of them had a reply from the leader
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -79,6 +79,8 @@
 	configVersion int64
 	// confirming is true while the leader record is read from the store.
 	confirming bool
+	// early holds the early completions that a majority of the voters may not have, oldest first.
+	early []earlyBatch
 	// suspendedTime is the last observed value of ccclock.SuspendedTime.
 	suspendedTime ms
 	// roster is the roster that this term persisted last, empty before the first write: the incarnation of each worker,
@@ -128,6 +130,7 @@
 			return
 		}
 	}
+	l.cell.AdoptCompletions(p.stateCache.completions(l.cell.States()), p.now())
 	p.stateCache.beginTerm(r.Token, l.cell.States(), p.now()) // Before peers can sync: Sync replies from this cache.
 	p.mu.Lock()
 	replaced := p.leader.Token != r.Token
@@ -239,6 +242,7 @@
 		l.cell.SetQueues(c.config.Queues())
 	}
 	l.cell.Schedule(now, unixNow())
+	l.publishEarly(now)
 	l.sendOrders(l.cell.TakeOrders(), now)
 	l.flush(now)
 	l.writeRoster(now)
@@ -246,7 +250,6 @@
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
-		p.stateCache.expire(p.cfg.FinalRetentionMs, now)
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
 	}
 }
@@ -263,8 +266,12 @@
 // sendOrders publishes the state changes, and sends the orders to the workers and to the policy service.
 func (l *leadership) sendOrders(o cccell.Orders, now ms) {
 	p := l.p
-	if len(o.Changes) > 0 {
-		p.stateCache.apply(o.Changes, now)
+	changes := o.Changes
+	for _, id := range o.Written {
+		changes = append(changes, cccell.StateChange{Job: id, State: cccell.Completed, Written: true})
+	}
+	if len(changes) > 0 {
+		p.stateCache.apply(changes, now)
 	}
 	for i := range o.Starts {
 		s := &o.Starts[i]
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -28,7 +28,11 @@
 	}
 	peer := l.dispatcher.peer(in.VM, in.Draining)
 	if in.Following == l.token {
-		peer.confirm(ccquorum.Voter{VM: in.VM, StartMs: in.StartMs}, ms(in.ReceivedMs))
+		seq := in.Seq
+		if in.Token != l.token {
+			seq = 0 // The position is of an earlier term.
+		}
+		peer.confirm(ccquorum.Voter{VM: in.VM, StartMs: in.StartMs}, ms(in.ReceivedMs), seq)
 	}
 	members := p.memberCount()
 	heartbeat := heartbeatMs(members)
