TestFailingWorkerAndTruncatedResponses faults the workers that the load uses

The test's faults were set on the first two workers; shards had moved at the start, so that the owner of worker-01 had taken worker-03 first and, with four callers, sent everything there: in 120 s worker-01, -02 and -06 got no task, so none could fail and be put into quarantine. Ruled out: a quarantine that is refused (the owner had two workers), a shard without an owner. Change: the load runs first, and the two workers with the most runs get the faults. What is checked is the same.

--- a/io/ccharness/failure_test.go
+++ b/io/ccharness/failure_test.go
@@ -377,10 +377,11 @@
 
 func TestFailingWorkerAndTruncatedResponses(t *testing.T) {
 	withCluster(t, testConfig(t), func(c *Cluster) {
-		bad, cut := c.Workers[0], c.Workers[1]
+		l := startLoad(t, c)
+		l.waitForRuns(20)
+		bad, cut := busiestWorkers(t, c)
 		assert.NilError(t, c.SetWorkerFaults(bad, ccstandin.WorkerFaults{FailAll: true}))
 		assert.NilError(t, c.SetWorkerFaults(cut, ccstandin.WorkerFaults{Truncate: true}))
-		l := startLoad(t, c)
 		assert.NilError(t, Eventually(eventTimeout, "no worker went into quarantine", func() bool {
 			for _, d := range c.Dumps() {
 				for _, w := range d.Workers {
@@ -398,6 +399,21 @@
 	})
 }
 
+// busiestWorkers returns the two workers that have run the most tasks. The load is light, so an owner may send nothing to
+// its other workers.
+func busiestWorkers(t *testing.T, c *Cluster) (first, second *Worker) {
+	t.Helper()
+	v, err := c.CheckRecords()
+	assert.NilError(t, err)
+	runs := map[string]int{}
+	for i := range v.Executions {
+		runs[v.Executions[i].Worker]++
+	}
+	workers := slices.Clone(c.Workers)
+	slices.SortStableFunc(workers, func(a, b *Worker) int { return runs[b.VM.ID] - runs[a.VM.ID] })
+	return workers[0], workers[1]
+}
+
 // TestCancellationBurst checks that interactive requests run while many jobs are cancelled at the same time.
 func TestCancellationBurst(t *testing.T) {
 	withCluster(t, testConfig(t), func(c *Cluster) {
