--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -209,22 +210,27 @@
 
 // reload reads the settings again. It changes GOMAXPROCS, the memory limit, the grace period and the seeds; all other
 // settings stay as they were at the start of the process. If why is "poll", it does nothing unless a limit, a bound or
-// the number of seeds has changed.
+// a seed has changed.
 func (p *entryProcess) reload(why string) {
 	s, err := ccplatform.LoadSettings(p.path)
 	if err != nil {
 		p.log.Warn("settings not reloaded", "Why", why, "Error", err)
 		return
 	}
-	if s.Limits == p.settings.Limits && s.Bounds == p.settings.Bounds && len(s.Seeds) == len(p.settings.Seeds) && why == "poll" {
+	if why == "poll" && !reloadNeeded(p.settings, s) {
 		return
 	}
-	p.settings.Limits, p.settings.Bounds = s.Limits, s.Bounds
+	p.settings.Limits, p.settings.Bounds, p.settings.Seeds = s.Limits, s.Bounds, s.Seeds
 	p.process.SetSeeds(s.Seeds)
 	limitRuntime(s)
 	p.log.Info("settings reloaded", "Why", why, "Seeds", len(s.Seeds), "MemoryMB", s.Limits.MemoryMB)
 }
 
+// reloadNeeded reports whether settings that can change while the process runs differ.
+func reloadNeeded(old, changed *ccplatform.Settings) bool {
+	return old.Limits != changed.Limits || old.Bounds != changed.Bounds || !slices.Equal(old.Seeds, changed.Seeds)
+}
+
 // operatorHandler returns the handler of the metrics and the state dump.
 func (p *entryProcess) operatorHandler() http.Handler {
 	r := mux.NewRouter()
--- a/io/cchttp/client.go
+++ b/io/cchttp/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,9 +15,10 @@
 
 // Errors of a client.
 var (
-	// ErrUnreachable reports a call without a response. If the call timed out, the process may have executed it.
+	// ErrUnreachable reports a call that was certainly not sent, since there was no connection.
 	ErrUnreachable = errors.New("process can't be reached")
-	// ErrInDoubt reports a call that the process may have executed: the response broke off or says so.
+	// ErrInDoubt reports a call that the process may have executed: there was no response in time, it broke off, or it
+	// says so.
 	ErrInDoubt = errors.New("call may have been executed")
 )
 
@@ -55,7 +57,11 @@
 	hc := http.Client{Timeout: c.Timeout}
 	resp, err := hc.Do(req)
 	if err != nil {
-		return nil, errors.Mark(err, ErrUnreachable)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, errors.Mark(err, ErrUnreachable)
+		}
+		return nil, errors.Mark(err, ErrInDoubt)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
--- a/io/ccmeasure/report.go
+++ b/io/ccmeasure/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"time"
 
@@ -18,7 +19,7 @@
 func writeReport(dir string, rows []Row) error {
 	var b strings.Builder
 	b.WriteString("# Measurements\n\nWritten by `make measure` on " + time.Now().UTC().Format(time.DateOnly))
-	fmt.Fprintf(&b, ", median of the seeds 1 to %d, 8 cores. The scheduling policies are simulated in virtual time with the code of core/;\n", seeds)
+	fmt.Fprintf(&b, ", median of the seeds 1 to %d, %d cores. The scheduling policies are simulated in virtual time with the code of core/;\n", seeds, runtime.NumCPU())
 	b.WriteString("idle, proxy, store and takeover are measured on real processes on loopback. A bound is on the column that `of` names.\n\n")
 	b.WriteString("| figure | value | unit | baseline | ratio | bound | of | holds | weighed most by |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for i := range rows {
