A shard whose workers are not in the ledger yet is not reported as ready

In the log the driver found eight tasks, all of worker-02, "lost with their workers" 1.6 s after its shard had moved; the worker had run them all the while. The new owner gains authority at a point in time, but adds the shard's workers at the next tick of its control loop; a report in between named the shard as ready (no worker of it was unread: it had none) and showed no tasks, so that the driver started them elsewhere. Ruled out: a lapsed lease (6.5 s), the checker's reading of the records (attempt 577 has its end 370 ms after attempt 578 began). Change: ShardReady is false for a shard without workers. Test: TestShardReady, two cases fail before.

--- a/core/ccledger/reconcile.go
+++ b/core/ccledger/reconcile.go
@@ -193,8 +193,12 @@
 }
 
 // ShardReady reports whether the ledger knows of every task that may run on the shard's workers: each worker either was
-// reconciled or has been silent for longer than a task lease.
+// reconciled or has been silent for longer than a task lease. A shard without workers is not ready: its workers are added
+// after the authority over it was gained, and their tasks are not known before that.
 func (p *Pool) ShardReady(shard string, now ccclock.Millis) bool {
+	if len(p.shards[shard]) == 0 {
+		return false
+	}
 	for _, e := range p.shards[shard] {
 		if e.reconciled {
 			continue
