After a loss of all power the next leader neither waits for its turn nor for voters that know nothing

Change: each process is called again on its own, 50 ms after a call that failed; the end of the prior authority and the time from which the reports are known are two times, so that polls count at once.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -44,6 +44,9 @@
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
 	// jobs and start tasks.
 	handoverAt ms
+	// informedAt is the time from which the early completions of the prior leaders are known; see AdoptCompletions. No
+	// task of an adopted job starts before it.
+	informedAt ms
 	// initialPollDone is true once every worker was admitted or is silent.
 	initialPollDone     bool
 	stragglersCheckedAt ms
@@ -109,11 +112,13 @@
 
 // OnPriorLeaderEnded is called when the prior leader is known to have ended, so that its authority need not run out.
 func (c *Cell) OnPriorLeaderEnded(now ms) {
-	c.SetHandover(now)
+	c.SetHandover(now, now)
 }
 
-// SetHandover sets the time at which the authority of the prior leaders ends. A later time than that known is ignored.
-func (c *Cell) SetHandover(at ms) {
+// SetHandover sets the time at which the authority of the prior leaders ends, and that from which their early
+// completions are known. A later end of the authority than that known is ignored.
+func (c *Cell) SetHandover(at, informedAt ms) {
+	c.informedAt = informedAt
 	if at >= c.handoverAt {
 		return
 	}
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -25,9 +25,9 @@
 	// All voters together confirm it without a bound. A successor that can't reach a majority of the voters waits that
 	// long.
 	MaxWithoutStoreMs ms = 12_000
-	// voterReplyMs is the time for which a new leader waits for the voters when the prior leader is known to have ended.
-	// Those that run reply within a round trip between regions.
-	voterReplyMs ms = 400
+	// voterReplyMs is the time for which a new leader waits for the reports of the voters when the prior leader is known
+	// to have ended. Those that run reply within a round trip between regions.
+	voterReplyMs ms = 250
 )
 
 // Voter is a process that can confirm a leader.
@@ -169,8 +169,7 @@
 	wonAt       ms
 	released    map[Voter]bool
 	endsAt      ms
-	// priorEndedAt is when the prior leader was known to have ended, 0 before that.
-	priorEndedAt ms
+	informedAt  ms
 }
 
 // NewHandover returns the handover to a leader that won the leader record at a time. voters are those of the record that
@@ -178,6 +177,7 @@
 // which a leader of these voters may act after a confirmation.
 func NewHandover(voters []Voter, settled bool, priorAuthorityMs, wonAt ms) *Handover {
 	h := &Handover{voters: voters, settled: settled, authorityMs: priorAuthorityMs, wonAt: wonAt, released: map[Voter]bool{}, endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}
+	h.informedAt = h.endsAt
 	if len(voters) < MinVoters {
 		h.endsAt = wonAt + priorAuthorityMs // Only the store has confirmed the prior leader.
 	}
@@ -204,26 +204,18 @@
 			h.released[old] = true
 		}
 	}
-	if len(h.released) < blocking(h.voters) {
-		return
-	}
-	h.endsAt = min(h.endsAt, now+h.authorityMs)
-	if h.priorEndedAt > 0 {
-		h.endsAt = min(h.endsAt, now)
+	if len(h.released) >= blocking(h.voters) {
+		h.endsAt = min(h.endsAt, now+h.authorityMs)
+		h.informedAt = min(h.informedAt, now)
 	}
 }
 
 // PriorLeaderEnded records that the term of the prior leader is known to have ended. Leaders before it may still act
-// unless the handover to it was complete. The voters have voterReplyMs to report what they know of the prior leader.
+// unless the handover to it was complete.
 func (h *Handover) PriorLeaderEnded(now ms) {
-	if !h.settled || h.priorEndedAt > 0 {
-		return
-	}
-	h.priorEndedAt = now
-	if len(h.voters) < MinVoters || len(h.released) >= blocking(h.voters) {
+	if h.settled {
 		h.endsAt = min(h.endsAt, now)
-	} else {
-		h.endsAt = min(h.endsAt, now+voterReplyMs)
+		h.informedAt = min(h.informedAt, now+voterReplyMs)
 	}
 }
 
@@ -232,3 +224,12 @@
 func (h *Handover) EndsAt() ms {
 	return h.endsAt
 }
+
+// InformedAt returns the time from which the voters have reported what they know of the prior leaders, as far as they can
+// be reached. It becomes earlier when so many have replied that the others are no majority.
+func (h *Handover) InformedAt() ms {
+	if len(h.voters) < MinVoters {
+		return h.endsAt
+	}
+	return h.informedAt
+}
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -27,10 +27,10 @@
 	confirmAheadMs ms = 450
 	// suspendedMs is the least increase of ccclock.SuspendedTime that counts as a suspension of the process.
 	suspendedMs ms = 100
-	// announceIntervalMs is the interval at which a new leader calls the peers that have not replied yet.
-	announceIntervalMs ms = 300
+	// announceIntervalMs is the delay before a new leader calls a process again that has not replied.
+	announceIntervalMs ms = 50
 	// announceTimeoutMs is the timeout of such a call.
-	announceTimeoutMs ms = 600
+	announceTimeoutMs ms = 300
 	// votersIntervalMs is the least interval between writes of the voters.
 	votersIntervalMs ms = 1000
 )
@@ -47,28 +47,16 @@
 	return r.VotersToken == r.Token || r.VotersToken == 0
 }
 
-// announce sends the new term to all peers and to the prior leader until each has replied or the handover is complete,
-// so that they follow it at once.
+// announce sends the new term to all peers and to the prior leader, so that they follow it at once. A process that does
+// not reply is called again until the handover is complete: after a loss of all power, the processes start one after the
+// other.
 func (l *leadership) announce(prior leaderRecord) {
-	replied := map[string]bool{}
-	for began := l.p.now(); l.p.now()-began < ccquorum.MaxWithoutStoreMs+prior.authority(); {
-		processes := l.p.announceTargets(prior)
-		results := make(chan string, len(processes))
-		calls := 0
-		for _, m := range processes {
-			if !replied[m.Address] {
-				calls++
-				go func() { results <- l.announceTo(m, prior) }()
+	deadline := l.p.now() + ccquorum.MaxWithoutStoreMs + prior.authority()
+	for _, m := range l.p.announceTargets(prior) {
+		go func() {
+			for !l.announceTo(m, prior) && !l.handedOver.Load() && l.p.now() < deadline && sleep(l.ctx, announceIntervalMs) {
 			}
-		}
-		for range calls {
-			if address := <-results; address != "" {
-				replied[address] = true
-			}
-		}
-		if calls == 0 || l.handedOver.Load() || !sleep(l.ctx, announceIntervalMs) {
-			return
-		}
+		}()
 	}
 }
 
@@ -97,16 +85,16 @@
 	return out
 }
 
-// announceTo sends the new term to one process. It returns the address if there was a reply, or if the VM refused the
+// announceTo sends the new term to one process. It returns true if there was a reply, or if the VM refused the
 // connection, so that its process has ended.
-func (l *leadership) announceTo(m member, prior leaderRecord) string {
+func (l *leadership) announceTo(m member, prior leaderRecord) bool {
 	p, r := l.p, l.announcement
 	ctx, cancel := context.WithTimeout(l.ctx, announceTimeoutMs.Duration())
 	defer cancel()
 	out, err := p.cfg.Peers.Announce(ctx, m.Address, &r)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	if err != nil && !refused {
-		return ""
+		return false
 	}
 	at := p.now() // The event loop may be loading the state for some time.
 	l.post(func(ms) {
@@ -122,9 +110,9 @@
 			p.cfg.Log.Info("leader before has ended", "Leader", prior.VM, "Token", prior.Token, "Refused", refused)
 			l.handover.PriorLeaderEnded(at)
 		}
-		l.cell.SetHandover(l.handover.EndsAt())
+		l.cell.SetHandover(l.handover.EndsAt(), l.handover.InformedAt())
 	})
-	return m.Address
+	return true
 }
 
 // confirmAuthority extends the authority of this term by the confirmations of the peers, and reads the leader record
@@ -139,7 +127,7 @@
 	l.dispatcher.forEachVoter(func(v ccquorum.Voter, confirmedAt ms) {
 		l.quorum.Confirm(v, confirmedAt)
 	})
-	l.cell.SetHandover(l.handover.EndsAt())
+	l.cell.SetHandover(l.handover.EndsAt(), l.handover.InformedAt())
 	l.cell.ExtendAuthority(l.quorum.Authority())
 	l.logAuthority(now)
 	if l.cell.Authority()-now > confirmAheadMs || l.confirming {
@@ -166,7 +154,7 @@
 // logAuthority logs the end of the handover, and each loss and return of the authority.
 func (l *leadership) logAuthority(now ms) {
 	p := l.p
-	if now >= l.handover.EndsAt() && !l.handedOver.Swap(true) {
+	if now >= max(l.handover.EndsAt(), l.handover.InformedAt()) && !l.handedOver.Swap(true) {
 		p.cfg.Log.Info("handover complete", "Token", l.token, "TookMs", now-l.beganAt, "Voters", len(l.record.Voters))
 	}
 	if has := now < l.cell.Authority(); has != l.hadAuthority {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -117,7 +117,7 @@
 		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision,
 	}, began)
 	l.dispatcher = newAdviceDispatcher(l)
-	go l.announce(*prior)
+	l.announce(*prior)
 	var submissions, directory int64
 	var err error
 	for retries := 0; ; retries++ {
