--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -163,65 +163,6 @@
 	return j.queue
 }
 
-// StoredJob is a job with its progress, as read from the store.
-type StoredJob struct {
-	Job      *Job
-	Progress *Progress
-	// Revision is the store revision of the progress record, 0 when there is none.
-	Revision int64
-	// CancelRequested is true when the store holds a cancel request.
-	CancelRequested bool
-}
-
-// Adopt adds a job that was read from the store at a takeover. nowUnix is the time of day in Unix milliseconds.
-func (c *Cell) Adopt(s StoredJob, now, nowUnix ms) {
-	if c.jobs[s.Job.ID] != nil {
-		return
-	}
-	j := c.insert(s.Job, now)
-	j.adopted = true
-	// Waiting jobs are ordered by age. A new leader knows the age of a job only by the time of day at which it was
-	// accepted.
-	if age := nowUnix - ms(s.Job.AcceptedMs); s.Job.AcceptedMs > 0 && age > 0 {
-		j.arrivedAt -= min(age, maxAdoptedAgeMs)
-	}
-	j.revision = s.Revision
-	if s.Progress != nil {
-		c.restore(j, s.Progress, now)
-	}
-	if s.CancelRequested {
-		j.cancelRequested = true
-	}
-	c.startDueRuns(j, now, nowUnix)
-	if s.CancelRequested && j.final == "" {
-		c.finish(j, Cancelled, now)
-	}
-}
-
-// maxAdoptedAgeMs bounds the age of an adopted job, since the clocks of two processes may differ. No job of a queue
-// with a priority is delayed that long.
-const maxAdoptedAgeMs ms = 600_000
-
-// restore sets a job to its stored progress.
-func (c *Cell) restore(j *job, p *Progress, now ms) {
-	j.final, j.published = p.State, p.State
-	for n, rp := range p.Runs {
-		r := c.newRun(j, n)
-		r.done = rp.Done
-		for i, s := range r.stages {
-			s.restore(rp.Stages[i])
-		}
-		if len(rp.Stages) > 0 || rp.Done {
-			j.started = true
-		}
-	}
-	for _, r := range j.runs {
-		if !r.done && j.final == "" {
-			c.advanceRun(r, now)
-		}
-	}
-}
-
 // AddJob adds an accepted job. It does nothing when the cell has the job already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
 	if c.jobs[spec.ID] != nil {
--- /dev/null
+++ b/core/ccquorum/oneleader_test.go
@@ -0,0 +1,89 @@
+package ccquorum
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fault injects a random fault.
+func (m *model) fault() {
+	p := m.processes[m.draw(modelProcesses, "process")]
+	other := m.processes[m.draw(modelProcesses, "other")]
+	switch m.draw(8, "fault") {
+	case 0:
+		p.up, p.lead, p.suspended = false, nil, false
+	case 1:
+		if !p.up {
+			m.starts++
+			p.id.StartMs, p.up = m.starts, true
+			p.token, p.receivedAt, p.lead = m.draw(m.record.token+1, "tokenAfterRestart"), 0, nil
+		}
+	case 2:
+		if p.up && !p.suspended {
+			p.suspended, p.suspendedAt = true, m.now
+		}
+	case 3:
+		if p.suspended {
+			p.suspended = false
+			p.lostMs += m.now - p.suspendedAt
+			if p.lead != nil {
+				p.lead.term.Invalidate(m.clock(p))
+			}
+		}
+	case 4, 5:
+		key := [2]string{p.id.VM, other.id.VM}
+		m.blocked[key] = !m.blocked[key]
+	case 6:
+		m.cut[p.id.VM] = !m.cut[p.id.VM]
+	case 7:
+		m.storeDown = !m.storeDown
+	}
+}
+
+// TestOneLeaderActs injects faults into processes, connections and the store while processes campaign, and checks that no
+// two leaders have authority at the same time.
+func TestOneLeaderActs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, now: 10_000, cut: map[string]bool{}, blocked: map[[2]string]bool{}}
+		for i := range modelProcesses {
+			m.processes = append(m.processes, &modelProcess{id: Voter{VM: fmt.Sprintf("vm%d", i)}, up: true})
+		}
+		for range 80 {
+			p := m.processes[m.draw(modelProcesses, "actor")]
+			if m.draw(4, "what") == 0 {
+				m.fault()
+			}
+			// The usual traffic between processes goes on unless faults prevent it.
+			for _, x := range m.processes {
+				if !x.up || x.suspended {
+					continue
+				}
+				if x.lead == nil {
+					m.sync(x)
+					continue
+				}
+				m.confirm(x.lead)
+				for _, to := range m.processes {
+					if to != x && to.token < x.lead.token || to.id.VM == x.lead.prior.VM {
+						m.announce(x.lead, to)
+					}
+				}
+			}
+			if p.up && !p.suspended {
+				switch {
+				case p.lead != nil:
+					m.recordVoters(p.lead)
+				case m.draw(5, "campaign") == 0:
+					m.campaign(p)
+				}
+			}
+			d := ms(5 + m.draw(300, "time"))
+			if m.draw(40, "longTime") == 0 {
+				d = MaxWithoutStoreMs
+			}
+			m.step(d)
+		}
+	})
+}
