--- a/core/ccquorum/oneleader_test.go
+++ b/core/ccquorum/oneleader_test.go
@@ -42,6 +42,26 @@
 	}
 }
 
+// partition cuts the processes into two groups, the larger of which may be cut off from the store. It lasts for longer than
+// MaxWithoutStoreMs.
+func (m *model) partition() {
+	m.blocked, m.cut = map[[2]string]bool{}, map[string]bool{}
+	minority := 1 + m.draw(modelProcesses/2, "minority")
+	first := m.draw(modelProcesses, "first")
+	inMinority := func(i int) bool { return (i-first+modelProcesses)%modelProcesses < minority }
+	storeForAll := m.draw(3, "storeForAll") == 0
+	for i, p := range m.processes {
+		m.cut[p.id.VM] = !inMinority(i) && !storeForAll
+		for k, other := range m.processes {
+			// One process of the majority may reach the minority.
+			if inMinority(i) != inMinority(k) && (i+k)%modelProcesses != first {
+				m.blocked[[2]string{p.id.VM, other.id.VM}] = true
+			}
+		}
+	}
+	m.storeDown = false
+}
+
 // TestOneLeaderActs injects faults into processes, connections and the store while processes campaign, and checks that no
 // two leaders have authority at the same time.
 func TestOneLeaderActs(t *testing.T) {
@@ -50,9 +70,16 @@
 		for i := range modelProcesses {
 			m.processes = append(m.processes, &modelProcess{id: Voter{VM: fmt.Sprintf("vm%d", i)}, up: true})
 		}
-		for range 80 {
+		stableRounds := 0
+		for range 130 {
 			p := m.processes[m.draw(modelProcesses, "actor")]
-			if m.draw(4, "what") == 0 {
+			switch {
+			case stableRounds > 0:
+				stableRounds--
+			case m.draw(25, "partition") == 0:
+				m.partition()
+				stableRounds = 60
+			case m.draw(4, "what") == 0:
 				m.fault()
 			}
 			// The usual traffic between processes goes on unless faults prevent it.
@@ -80,8 +107,8 @@
 				}
 			}
 			d := ms(5 + m.draw(300, "time"))
-			if m.draw(40, "longTime") == 0 {
-				d = MaxWithoutStoreMs
+			if stableRounds > 0 {
+				d = ms(150 + m.draw(250, "stableTime"))
 			}
 			m.step(d)
 		}
