Workers are held for a stage of large tasks after 8 s, not from the start

Change: holds, and the rule for renewals, begin when a stage has waited for 8 s. The test's bound is the time to the hold and the same 6 s; without holds the gang still never starts. Calls: 14 at most, as it asks again until workers are held.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -141,7 +141,7 @@
 	advice := c.queue(s.job).Advice
 	want := int(math.Ceil(float64(unplaced) * capacityMargin))
 	var renewals, unknown []candidate
-	fittingAllowed, fittingLater := 0, 0
+	fittingAllowed := 0
 	for _, w := range c.usable {
 		if t.denied[w.info.ID] || !c.eligible(s, w, now) {
 			continue
@@ -149,8 +149,7 @@
 		_, allowed := t.allowed[w.info.ID]
 		fitting := min(c.fitting(s, w), unplaced)
 		if allowed {
-			later, _ := s.fittingLater(w, now)
-			fittingAllowed, fittingLater = fittingAllowed+fitting, fittingLater+later
+			fittingAllowed += fitting
 		}
 		if _, ok := t.valid(w, now); ok {
 			continue
@@ -165,8 +164,9 @@
 			unknown = append(unknown, cand)
 		}
 	}
-	if s.spec.Gang && fittingAllowed < unplaced {
-		renewals = nil // The gang needs all tickets at once, and these would expire before it can start.
+	if s.spec.Gang && len(s.held) > 0 && fittingAllowed < unplaced {
+		// The gang needs all tickets at once. They would expire before the workers that are held for it are empty.
+		renewals = nil
 	}
 	better := func(list []candidate) func(a, b int) bool {
 		return func(a, b int) bool {
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -10,6 +10,9 @@
 const (
 	// maxTasksOfLarge is the number of tasks that fit on an empty worker up to which the tasks are large.
 	maxTasksOfLarge = 2
+	// holdAfterMs is the time that a stage waits before workers are held for it. Before that, workers that are empty now
+	// are better used by the stages that can start at once.
+	holdAfterMs ms = 8000
 	// maxHeldShare is the largest share of the workers of a service that are held: held workers run fewer tasks.
 	maxHeldShare = 0.3
 )
@@ -28,7 +31,7 @@
 // holdWorkers holds workers for the tasks of a stage that were not placed in this round.
 func (c *Cell) holdWorkers(s *stage, now ms) {
 	missing := s.countUnplaced()
-	if missing == 0 || s.spec.LongRunning {
+	if missing == 0 || s.spec.LongRunning || now-s.readyAt < holdAfterMs {
 		s.held = nil
 		return
 	}
