--- a/core/cccell/advicequeue_test.go
+++ b/core/cccell/advicequeue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"strings"
 	"testing"
 
@@ -57,6 +58,13 @@
 	l.cell.AddJob(j, now, now)
 }
 
+// allowedWorker reports whether a worker may run a stage: a third of them may. The answer for a stage never changes.
+func allowedWorker(s StageID, worker string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.Job + worker))
+	return h.Sum32()%3 == 0
+}
+
 // startsOf runs a scheduling round, with the results that have arrived by now, and the calls that it assigns. It
 // confirms the starts of the round and returns them.
 func (l *adviceLoad) startsOf(now ms) []StartOrder {
@@ -81,8 +89,8 @@
 		}
 		l.freeAt[a.VM] = max(l.freeAt[a.VM], now) + ms(a.Request.CallMs)
 		reply := AdviceReply{ID: a.Request.ID, Stage: a.Request.Stage, Workers: a.Request.Workers, Tickets: map[string]string{}, ValidMs: 4000}
-		for i, w := range a.Request.Workers {
-			if i%3 == 0 {
+		for _, w := range a.Request.Workers {
+			if allowedWorker(a.Request.Stage, w) {
 				reply.Tickets[w] = "ticket"
 			}
 		}
