Two faults that longer runs of the models found: voters without a bound, acknowledgements before the handover

1. core/ccquorum, 13,549 interleavings: all voters followed a leader without the store for longer than 12 s, without a bound; a process that was no voter and reached none of them won the record and began after 12.7 s. The model had left that case out, but only as far as it could be seen when the process campaigned. Now all voters together confirm a leader for an hour, and a successor that reaches none of them waits that long; one voter that is released ends the confirmation by all, so that 12.7 s are enough then. The model leaves nothing out any more. Ends are now acknowledged from the handover on.

--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -50,12 +50,13 @@
 			firstPolls++
 		}
 		o := PollOrder{OrderHeader: c.header(w), AckedEnd: w.ackedEnd, Quick: c.quickPoll(w), worker: w, urgent: urgent}
-		if w.incarnation != w.newestIncarnation() || w.ackedEnd <= w.confirmedAck {
+		withheld := c.ackWithheld(w, now)
+		if w.incarnation != w.newestIncarnation() || w.ackedEnd <= w.confirmedAck || withheld {
 			// Each incarnation numbers its ends from 1. An end that the worker has forgotten is not named again: the
 			// next incarnation may execute the poll, and would forget an unread end of that number.
 			o.AckedEnd = 0
 		}
-		if w.admitted && w.silentSince == 0 && len(w.unackedEnds) == 0 && !urgent {
+		if w.admitted && w.silentSince == 0 && len(w.unackedEnds) == 0 && !withheld && !urgent {
 			o.WaitMs = c.longPollTimeout(w, now)
 		}
 		// A poll without a reply may have renewed the leases. A silent worker's leases have to end, so they are not
@@ -90,6 +91,13 @@
 	return longPollTimeoutMs
 }
 
+// ackWithheld reports whether there is an end that the worker may not forget yet, although it is persisted: while the
+// prior leader may still give orders, it could start the task again on the next incarnation of the worker, which has
+// neither the end nor this leader's token.
+func (c *Cell) ackWithheld(w *worker, now ms) bool {
+	return now < c.handoverAt && w.ackedEnd > w.confirmedAck
+}
+
 // quickPoll reports whether a poll that the worker does not answer is repeated at once.
 func (c *Cell) quickPoll(w *worker) bool {
 	return c.needsFreshPoll(w) && w.failedPolls < maxQuickPolls
@@ -116,7 +124,7 @@
 		return since >= silentPollIntervalMs
 	case !w.admitted || (c.needsFreshPoll(w) && now >= c.handoverAt):
 		return true
-	case len(w.unackedEnds) > 0:
+	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
 		return since >= unackedPollIntervalMs
 	}
 	return len(w.attempts) > 0 || w.ackedEnd > w.confirmedAck
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -333,3 +333,29 @@
 		assert.Equal(t, polls[i]-polls[i-1], want)
 	}
 }
+
+// A new leader acknowledges no end while the prior leader may still give orders. Found by TestCellModel: the worker forgot
+// the success of a task and restarted, and the prior leader, which had not read it, started the task there again.
+func TestNoAckBeforeHandover(t *testing.T) {
+	tests := map[string]struct {
+		now  ms
+		want int64
+	}{
+		"BeforeHandover": {2000, 0},
+		"AfterHandover":  {1000 + 3000, 7},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetWorker(testWorker("w"), 1000)
+			pollAll(t, c, 1000, nil)
+			c.workers["w"].ackedEnd = 7
+			c.workers["w"].answeredPollSentAt = test.now
+			c.Schedule(test.now, test.now)
+			out := c.TakeOrders()
+			assert.Equal(t, len(out.Polls), 1)
+			assert.Equal(t, out.Polls[0].AckedEnd, test.want)
+			assert.Equal(t, out.Polls[0].WaitMs == 0, test.want == 0)
+		})
+	}
+}
--- a/core/ccquorum/model_test.go
+++ b/core/ccquorum/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"pgregory.net/rapid"
 )
@@ -171,11 +170,9 @@
 	})
 }
 
-// campaign is an attempt of a process to replace the leader. The model leaves out one case, which is not covered: the
-// process reaches the store but no voter, is no voter itself, and all voters reach the leader but not the store for more
-// than MaxWithoutStoreMs.
+// campaign is an attempt of a process to replace the leader.
 func (m *model) campaign(p *modelProcess) {
-	if !m.reachesStore(p) || !m.reachesVoter(p) {
+	if !m.reachesStore(p) {
 		return
 	}
 	id, read, sent := p.id, m.record, m.clock(p)
@@ -204,21 +201,6 @@
 	})
 }
 
-// reachesVoter reports whether a process is one of the voters, or is connected to one that runs, or none runs.
-func (m *model) reachesVoter(p *modelProcess) bool {
-	running := false
-	for _, x := range m.processes {
-		if !x.up || x.suspended || !slices.Contains(m.record.voters, x.id) {
-			continue
-		}
-		running = true
-		if x == p || m.connected(p, x) {
-			return true
-		}
-	}
-	return !running
-}
-
 // confirm is a read of the record by a leader.
 func (m *model) confirm(l *modelLead) {
 	if !m.reachesStore(l.p) {
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -22,9 +22,11 @@
 	// leader.
 	MinVoters = 2
 	// MaxWithoutStoreMs bounds the time since the last confirmation by the store for which a majority confirms a leader.
-	// All voters together confirm it without a bound. A successor that can't reach a majority of the voters waits that
-	// long.
+	// A successor waits that long if it reaches some of the voters, but too few.
 	MaxWithoutStoreMs ms = 12_000
+	// MaxWithoutStoreAllMs is the same bound while all voters confirm the leader. A successor that reaches none of the
+	// voters waits that long: an outage of the store may last for an hour.
+	MaxWithoutStoreAllMs ms = 3_600_000
 	// voterReplyMs is the time for which a new leader waits for the reports of the voters when the prior leader is known
 	// to have ended. Those that run reply within a round trip between regions.
 	voterReplyMs ms = 250
@@ -110,8 +112,8 @@
 	if majorityAt > 0 && t.storeAt > 0 {
 		until = max(until, min(majorityAt+t.authorityMs, t.storeAt+MaxWithoutStoreMs))
 	}
-	if allAt > 0 {
-		until = max(until, allAt+t.authorityMs)
+	if allAt > 0 && t.storeAt > 0 {
+		until = max(until, min(allAt+t.authorityMs, t.storeAt+MaxWithoutStoreAllMs))
 	}
 	return until
 }
@@ -176,7 +178,7 @@
 // it has replaced, settled tells whether the prior leader has written them, and priorAuthorityMs is the longest time for
 // which a leader of these voters may act after a confirmation.
 func NewHandover(voters []Voter, settled bool, priorAuthorityMs, wonAt ms) *Handover {
-	h := &Handover{voters: voters, settled: settled, authorityMs: priorAuthorityMs, wonAt: wonAt, released: map[Voter]bool{}, endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}
+	h := &Handover{voters: voters, settled: settled, authorityMs: priorAuthorityMs, wonAt: wonAt, released: map[Voter]bool{}, endsAt: wonAt + MaxWithoutStoreAllMs + priorAuthorityMs}
 	h.informedAt = h.endsAt
 	if len(voters) < MinVoters {
 		h.endsAt = wonAt + priorAuthorityMs // Only the store has confirmed the prior leader.
@@ -204,6 +206,11 @@
 			h.released[old] = true
 		}
 	}
+	if len(h.released) > 0 {
+		// From now on, the prior leader has no confirmation by all voters.
+		at := max(h.wonAt+MaxWithoutStoreMs, now) + h.authorityMs
+		h.endsAt, h.informedAt = min(h.endsAt, at), min(h.informedAt, at)
+	}
 	if len(h.released) >= blocking(h.voters) {
 		h.endsAt = min(h.endsAt, now+h.authorityMs)
 		h.informedAt = min(h.informedAt, now)
--- a/core/ccquorum/quorum_test.go
+++ b/core/ccquorum/quorum_test.go
@@ -32,6 +32,7 @@
 		"HalfIsNoMajority":        {6, 2, 5000, won + authorityMs},
 		"MajorityWithoutStore":    {5, 2, 50_000, won + MaxWithoutStoreMs},
 		"AllWithoutStore":         {5, 4, 50_000, 50_000 + authorityMs},
+		"AllForLong":              {5, 4, 5_000_000, won + MaxWithoutStoreAllMs},
 		"TooFewVoters":            {1, 0, 5000, won + authorityMs},
 		"BothOfTwo":               {2, 1, 5000, 5000 + authorityMs},
 		"ConfirmedBeforeTheWrite": {5, 4, 500, won + authorityMs},
@@ -101,7 +102,7 @@
 		want    ms
 	}{
 		"NoVoters":                      {nil, true, func(*Handover) {}, won + authorityMs},
-		"NoneReached":                   {all, true, func(*Handover) {}, won + MaxWithoutStoreMs + authorityMs},
+		"NoneReached":                   {all, true, func(*Handover) {}, won + MaxWithoutStoreAllMs + authorityMs},
 		"MinorityLeft":                  {all, true, func(h *Handover) { h.Follows(all[0], 1100); h.Follows(all[1], 1100) }, won + MaxWithoutStoreMs + authorityMs},
 		"MajorityLeft":                  {all, true, func(h *Handover) { h.Follows(all[0], 1100); h.Follows(all[1], 1200); h.Follows(all[2], 1300) }, 1300 + authorityMs},
 		"OneTwice":                      {all, true, func(h *Handover) { h.Follows(all[0], 1100); h.Follows(all[0], 1200); h.Follows(all[2], 1300) }, won + MaxWithoutStoreMs + authorityMs},
@@ -110,7 +111,7 @@
 		"HalfOfFour":                    {all[:4], true, func(h *Handover) { h.Follows(all[0], 1100); h.Follows(all[1], 1150) }, 1150 + authorityMs},
 		"PriorLeaderEnded":              {all, true, func(h *Handover) { h.PriorLeaderEnded(1100) }, 1100},
 		"PriorLeaderEndedWithoutVoters": {nil, true, func(h *Handover) { h.PriorLeaderEnded(1100) }, 1100},
-		"PriorOfUnsettled":              {all, false, func(h *Handover) { h.PriorLeaderEnded(1100) }, won + MaxWithoutStoreMs + authorityMs},
+		"PriorOfUnsettled":              {all, false, func(h *Handover) { h.PriorLeaderEnded(1100) }, won + MaxWithoutStoreAllMs + authorityMs},
 		"OtherProcesses": {all, true, func(h *Handover) {
 			h.Follows(Voter{"x", 1}, 1100)
 			h.Ended(Voter{"vm1", 9}, 1200)
@@ -137,7 +138,7 @@
 		want   ms
 	}{
 		"NoVoters":    {nil, func(h *Handover) { h.PriorLeaderEnded(1100) }, 1100},
-		"NoneReached": {all, func(*Handover) {}, won + MaxWithoutStoreMs + authorityMs},
+		"NoneReached": {all, func(*Handover) {}, won + MaxWithoutStoreAllMs + authorityMs},
 		"PriorEnded":  {all, func(h *Handover) { h.PriorLeaderEnded(1100) }, 1100 + voterReplyMs},
 		"PriorEndedAndVoters": {all, func(h *Handover) {
 			h.PriorLeaderEnded(1100)
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -28,7 +28,9 @@
 	// suspendedMs is the least increase of ccclock.SuspendedTime that counts as a suspension of the process.
 	suspendedMs ms = 100
 	// announceIntervalMs is the delay before a new leader calls a process again that has not replied.
-	announceIntervalMs ms = 50
+	// It doubles up to maxAnnounceIntervalMs.
+	announceIntervalMs    ms = 50
+	maxAnnounceIntervalMs ms = 1000
 	// announceTimeoutMs is the timeout of such a call.
 	announceTimeoutMs ms = 300
 	// votersIntervalMs is the least interval between writes of the voters.
@@ -51,10 +53,11 @@
 // not reply is called again until the handover is complete: after a loss of all power, the processes start one after the
 // other.
 func (l *leadership) announce(prior leaderRecord) {
-	deadline := l.p.now() + ccquorum.MaxWithoutStoreMs + prior.authority()
 	for _, m := range l.p.announceTargets(prior) {
 		go func() {
-			for !l.announceTo(m, prior) && !l.handedOver.Load() && l.p.now() < deadline && sleep(l.ctx, announceIntervalMs) {
+			delay := announceIntervalMs
+			for !l.announceTo(m, prior) && !l.handedOver.Load() && sleep(l.ctx, delay) {
+				delay = min(2*delay, maxAnnounceIntervalMs)
 			}
 		}()
 	}
