--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -5,8 +5,9 @@
 // Why two leaders never have authority at the same time: the leader record in the store names the leader and the voters,
 // and is changed only by a conditional write. A successor therefore knows all voters that the prior leader can count. A
 // voter that has seen the successor no longer confirms the prior leader. Once so many voters have seen the successor that
-// the others are no majority, the prior leader has no confirmation by a majority that is younger than that. A process that has restarted is not the voter that it was, since it does not know whom
-// it has confirmed. The voters of a leader whose handover is not complete stay those of the leader before it.
+// the others are no majority, the prior leader has no confirmation by a majority that is younger than that. A process
+// that has restarted is not the voter that it was, since it does not know whom it has confirmed. The voters of a leader
+// whose handover is not complete stay those of the leader before it.
 package ccquorum
 
 import (
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -58,7 +58,7 @@
 	dispatcher *adviceDispatcher
 	// record is the leader record as last written or read by this term.
 	record leaderRecord
-	// announcement is sent to the peers at the begin of the term.
+	// announcement is sent to the peers at the start of the term.
 	announcement ccpeer.AnnounceRequest
 	beganAt      ms
 	// handedOver is true once the handover is complete, hadAuthority while the leader has authority.
