Emulated workers crash under a task; the checker knows the crash budget

A task may crash each worker that starts it, and no test could play that: a simulated worker crashed only by order of the test, and its port stayed open. The checker counts the crashes under a task and those that the task caused. It reports the third start after the third crash that the task caused. It also counts failures whose ends may have been lost, for checks of jobs that end as failed.

--- a/core/ccworkersim/checker.go
+++ b/core/ccworkersim/checker.go
@@ -28,6 +28,9 @@
 	// startedAt has the times of all starts of a task, and doneAt the time at which an attempt succeeded.
 	startedAt map[cccell.TaskID][]ms
 	doneAt    map[attemptKey]ms
+	crashes   map[cccell.TaskID]*taskCrashes
+	// failedAttempts counts the attempts that failed, also those whose ends no leader may have persisted.
+	failedAttempts map[cccell.TaskID]int
 }
 
 // attemptKey identifies an attempt.
@@ -41,7 +44,7 @@
 	return &Checker{
 		live: map[cccell.TaskID]map[*Attempt]*Worker{}, used: map[*Worker]ccwork.Size{}, done: map[cccell.TaskID]bool{},
 		ackedDone: map[cccell.TaskID]bool{}, failures: map[cccell.TaskID]map[int64]bool{},
-		startedAt: map[cccell.TaskID][]ms{}, doneAt: map[attemptKey]ms{},
+		startedAt: map[cccell.TaskID][]ms{}, doneAt: map[attemptKey]ms{}, crashes: map[cccell.TaskID]*taskCrashes{}, failedAttempts: map[cccell.TaskID]int{},
 	}
 }
 
@@ -71,6 +74,7 @@
 	if len(c.failures[a.Task]) >= c.MaxAttempts && !c.LongRunning(a.Task) {
 		c.violation("too many failures: %v attempt %d started at %d after %d failures", a.Task, a.Attempt, now, len(c.failures[a.Task]))
 	}
+	c.checkCrashes(w, a, now)
 	if c.live[a.Task] == nil {
 		c.live[a.Task] = map[*Attempt]*Worker{}
 	}
@@ -98,6 +102,7 @@
 			c.failures[a.Task] = map[int64]bool{}
 		}
 		c.failures[a.Task][a.Attempt] = true
+		c.failedAttempts[a.Task]++
 	}
 }
 
--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -20,6 +20,8 @@
 	Size    ccwork.Size
 	// StartedAt and EndsAt are in the time of the test. EndsAt is 0 for an attempt that runs until it is stopped.
 	StartedAt, EndsAt ms
+	// CrashesAt is when the attempt crashes its worker, unless it ends before; 0 if it doesn't.
+	CrashesAt ms
 	// End is how the attempt ends at EndsAt.
 	End        cccell.End
 	Checkpoint string
@@ -37,6 +39,10 @@
 	// Plan returns how long an attempt runs, how it ends, and the size of the task. An attempt with a runMs of 0 runs
 	// until it is stopped.
 	Plan func(t cccell.TaskID, attempt int64) (runMs ms, end cccell.End, size ccwork.Size)
+	// Crashes returns the time after which an attempt at a task crashes the worker, and false for a task that doesn't.
+	// OnCrash is called after such a crash. Both may be nil.
+	Crashes func(t cccell.TaskID) (after ms, crashes bool)
+	OnCrash func()
 	// Checker receives the events of the worker; it may be nil.
 	Checker *Checker
 
@@ -72,10 +78,16 @@
 // Crash ends the worker's process and all of its attempts.
 func (w *Worker) Crash(now ms) {
 	w.AdvanceTo(now)
+	w.endProcess(now)
+}
+
+// endProcess ends the worker's process and all of its attempts, which have been brought up to the given time.
+func (w *Worker) endProcess(now ms) {
 	w.down = true
 	for _, list := range w.attempts {
 		for _, a := range list {
 			w.Checker.onEnd(w, a, cccell.EndVanished, now)
+			w.Checker.onCrash(a)
 		}
 	}
 	for i := range w.ended {
@@ -94,11 +106,17 @@
 	w.Info.IncarnationMs += int64(now) + 1
 }
 
-// AdvanceTo ends the attempts that are due by the given time, and all attempts if the lease has lapsed.
+// AdvanceTo ends the attempts that are due by the given time, and all attempts if the lease has lapsed or an attempt has
+// crashed the worker.
 func (w *Worker) AdvanceTo(now ms) {
-	if w.down {
+	if w.down || w.crashDue(now) {
 		return
 	}
+	w.endDue(now)
+}
+
+// endDue ends the attempts that are due by the given time, and all attempts if the lease has lapsed.
+func (w *Worker) endDue(now ms) {
 	for _, a := range w.sortedAttempts() {
 		if a.EndsAt != 0 && a.EndsAt <= now && w.Clock(a.EndsAt) <= w.leaseUntil {
 			w.endAttempt(a, a.End, a.EndsAt)
@@ -185,6 +203,7 @@
 	if runMs > 0 {
 		a.EndsAt = now + runMs
 	}
+	a.CrashesAt = w.crashTime(o.Task, now)
 	if w.attempts == nil {
 		w.attempts, w.highestEnded = map[cccell.TaskID]map[int64]*Attempt{}, map[cccell.TaskID]int64{}
 	}
