Answers that a job is not known are logged

A caller that is told that its accepted job is not known left no trace in the logs, so that this cause of LOST could not be told from the others.

--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -170,6 +170,8 @@
 		return cccell.Queued, nil
 	}
 	if errors.Is(err, ErrNoKey) {
+		_, replyAt := p.currentLeader()
+		p.decision("job not found", "Job", id, "HeardMs", p.now()-replyAt, "StoreAgeMs", p.cfg.Store.AgeMs())
 		return "", ErrNoJob
 	}
 	return "", errors.Mark(err, ErrStateUnknown)
