A job that ends during a query of its state is found

Callers saw: 410 Gone for an accepted job, to a GET or a DELETE, when the process asked did not have the job in its cache.

Cause: a check of two keys that are changed together but read one after the other. readState read the progress record, then the submission. The write of a job's final state adds the first and removes the second in one transaction. When that write came between the two reads, both were missing, though the job had completed.

Evidence: by the unit test only.

Change: a missing submission is followed by a second read of the progress record. Final records are never removed, and reads of the store are linearizable, so a job that ended between the reads is found. Only queries of unknown jobs make a third call.

Before: TestJobThatEndsDuringQueryIsNotLost/AfterFirstRead fails for Status and Cancel with "no such job". After: it passes.

--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -152,29 +152,43 @@
 
 // readState reads the state of a job from the store. It fails with ErrNoJob, ErrStateUnknown or ErrBadRecord.
 func (p *Process) readState(ctx context.Context, id string) (cccell.State, error) {
-	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
-	if err == nil {
-		var pr cccell.Progress
-		if err := decode(item.Key, item.Value, &pr); err != nil {
-			return "", err
-		}
-		if pr.State.Final() {
-			return pr.State, nil
-		}
-		return cccell.Running, nil
-	}
+	state, err := p.readProgress(ctx, id)
 	if !errors.Is(err, ErrNoKey) {
-		return "", errors.Mark(err, ErrStateUnknown)
+		return state, err
 	}
 	if _, err = p.cfg.Store.Get(ctx, prefixJobs+id); err == nil {
 		return cccell.Queued, nil
 	}
-	if errors.Is(err, ErrNoKey) {
+	if !errors.Is(err, ErrNoKey) {
+		return "", errors.Mark(err, ErrStateUnknown)
+	}
+	// The job may have ended between the reads: the write of a final state removes the job.
+	if state, err = p.readProgress(ctx, id); errors.Is(err, ErrNoKey) {
 		_, replyAt := p.currentLeader()
 		p.decision("job not found", "Job", id, "HeardMs", p.now()-replyAt, "StoreAgeMs", p.cfg.Store.AgeMs())
 		return "", ErrNoJob
 	}
-	return "", errors.Mark(err, ErrStateUnknown)
+	return state, err
+}
+
+// readProgress reads the state of a job from its progress record. It fails with ErrNoKey if there is none, and with
+// ErrStateUnknown or ErrBadRecord.
+func (p *Process) readProgress(ctx context.Context, id string) (cccell.State, error) {
+	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
+	if errors.Is(err, ErrNoKey) {
+		return "", err
+	}
+	if err != nil {
+		return "", errors.Mark(err, ErrStateUnknown)
+	}
+	var pr cccell.Progress
+	if err := decode(item.Key, item.Value, &pr); err != nil {
+		return "", err
+	}
+	if pr.State.Final() {
+		return pr.State, nil
+	}
+	return cccell.Running, nil
 }
 
 // Cancel cancels a job: it returns nil once the request to cancel is in the store, or if the job has ended. It fails
--- a/io/cccontrol/control_test.go
+++ b/io/cccontrol/control_test.go
@@ -27,11 +27,17 @@
 func newProcess(t *testing.T) (*cccontrol.Process, *ccstandin.CellStore) {
 	t.Helper()
 	store := ccstandin.NewCellStore()
+	return newProcessWithStore(t, store), store
+}
+
+// newProcessWithStore returns a process whose background loops don't run.
+func newProcessWithStore(t *testing.T, store cccontrol.Store) *cccontrol.Process {
+	t.Helper()
 	clock := ccclock.NewSystem()
 	return cccontrol.New(cccontrol.Config{
 		VM: "vm", Address: "127.0.0.1:1", Clock: clock, Log: log.New(io.Discard), Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()),
 		Store: cccontrol.NewMonitoredStore(store, clock, nil), Peers: ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: time.Second, ControlTimeout: time.Second}),
-	}), store
+	})
 }
 
 // testJob returns a job with one task.
