A simulated worker executes no call after a crash that was due

Worker.checkCall looked whether the worker was up before it brought the worker up to the present time. A start that arrived when a crash was due, but not yet carried out, was executed by a process that had ended, and its attempt outlived the restart. TestNoCallAfterCrash failed before (the outcome of the start was Executed) and passes; core/ccworkersim, core/cccell and platform/ccemulator with -race: green.

--- a/core/ccworkersim/crash_test.go
+++ b/core/ccworkersim/crash_test.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// A worker that has been due to crash when a call arrives does not execute the call.
+func TestNoCallAfterCrash(t *testing.T) {
+	checker := newCrashChecker()
+	w := newCrashWorker("w", 0, checker)
+	start(w, deadly, 1, 3000, 1000)
+	neighbour := cccell.TaskID{Job: "neighbour"}
+	assert.Equal(t, start(w, neighbour, 2, 3000, 1100).Outcome, cccell.Unsent)
+	assert.Equal(t, checker.Live(neighbour), 0)
+}
+
 // Of two tasks that were due to crash a worker, the second did not get to it.
 func TestFirstCrashIsTheCause(t *testing.T) {
 	checker := newCrashChecker()
--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -159,10 +159,10 @@
 // checkCall does the checks that every call has in common. It returns true with the reply if the call is not to be
 // executed: the worker is down, the call is for another incarnation, or it is from an earlier leader.
 func (w *Worker) checkCall(h *cccell.OrderHeader, now ms) (cccell.Reply, bool) {
+	w.AdvanceTo(now)
 	if w.down {
 		return cccell.Reply{Outcome: cccell.Unsent, Sent: now, Received: now}, true
 	}
-	w.AdvanceTo(now)
 	switch {
 	case h.IncarnationMs != w.Info.IncarnationMs:
 		return w.reply(now, cccell.Refused, cccell.OtherIncarnation), true
