Tasks without a need for the scarce resource were started on workers that had shrunk below what runs there

Callers saw: a worker that has shrunk below what runs there, in memory, say, got more tasks that need no memory (and in cores, best-effort tasks), so that a start left it over its capacity (rule LIMIT). Cause: fit returned the limit, "as many as wanted", for a resource of which nothing is needed, before it looked at the free amount, which is negative on such a worker. ccwork.Size.Fits, by which the checker of the simulated workers judges, says that nothing fits. Ruled out, each by a case in core/cccell/capacity_test.go that passes without the change: needs above 0 on a worker that is over; what is being stopped counts; gangs fit as a whole on present capacities; no hold and no ticket for a worker that is too small for one task when empty; a take-over and a relisting count the capacity of the registration, not of the roster, in either order; a restart with less capacity, with a start in doubt; copies of stragglers; a stage that fits nowhere waits, is not failed, and starts when workers grow. Change: nothing fits into a negative amount. Evidence: TestTasksStartedOnShrunkWorker. Before, 4 of its 13 cases failed: NeedsNoAccelerators, NeedsNoCores, NeedsNoMemory, BestEffortBelowRunning: capacity_test.go:70: assertion failed: 6 (started int) != 0 (test.want int) After: all pass; go test -race ./core/cccell is green. Conclusion: fixed in the one place that placement, holds and advice requests share.

--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -150,9 +150,13 @@
 	return int(max(n, 0))
 }
 
-// fit returns how often need fits into free, or limit when nothing is needed.
+// fit returns how often need fits into free, or limit when nothing is needed. Nothing fits when free is negative: more
+// runs than the present capacity of the worker.
 func fit(free, need, limit int64) int64 {
-	if need <= 0 {
+	switch {
+	case free < 0:
+		return 0
+	case need <= 0:
 		return limit
 	}
 	return free / need
