Workers without cores got best-effort tasks and counted for the workers that may be held

Callers saw: (by test) best-effort tasks were started on a worker that has shrunk to no cores but has memory left, where they make no progress; and when most workers of a service had shrunk to nothing, all others were held for one stage of large tasks: 3 of 3 instead of a share of 0.3. A best-effort task reserves no cores, so it fits there, and best prefers such a worker (its free share is smallest). maxHeld counts them. Ruled out: LIMIT itself, since such a task brings no worker over its capacity. Change: a worker without cores is not usable. It is polled and its leases are renewed as before. Conclusion: one condition serves placement, holds and advice requests.

--- a/core/cccell/capacity_test.go
+++ b/core/cccell/capacity_test.go
@@ -17,7 +17,8 @@
 }
 
 // A worker shrinks below what runs there. Tasks that need nothing of the resource of which it has too little were
-// started there all the same. When the worker has grown again, the tasks that waited start.
+// started there all the same, and best-effort tasks on a worker without cores. When the worker has grown again, the
+// tasks that waited start.
 func TestTasksStartedOnShrunkWorker(t *testing.T) {
 	// The tasks that run hold 8,000 milli cores, 800 MB and 8 accelerators.
 	runningNeed := ccwork.Size{MilliCores: 1000, MemoryMB: 100, Accelerators: 1}
@@ -42,6 +43,7 @@
 		"NeedsNoAccelerators":     {running: 8, capacity: ccwork.Size{MilliCores: 16000, MemoryMB: 16000, Accelerators: 4}, need: ccwork.Size{MilliCores: 1000, MemoryMB: 100}},
 		"BestEffortBelowRunning":  {running: 8, capacity: ccwork.Size{MilliCores: 4000, MemoryMB: 16000, Accelerators: 16}, need: ccwork.Size{MilliCores: 1000, MemoryMB: 100}, bestEffort: true},
 		"BestEffortToRunning":     {running: 8, capacity: ccwork.Size{MilliCores: 8000, MemoryMB: 16000, Accelerators: 16}, need: ccwork.Size{MilliCores: 1000, MemoryMB: 100}, bestEffort: true, want: 6},
+		"BestEffortWithoutCores":  {capacity: ccwork.Size{MemoryMB: 16000, Accelerators: 16}, need: ccwork.Size{MilliCores: 1000, MemoryMB: 100}, bestEffort: true},
 		"BestEffortWithoutMemory": {capacity: ccwork.Size{MilliCores: 16000}, need: ccwork.Size{MilliCores: 1000, MemoryMB: 100}, bestEffort: true},
 	}
 	for name, test := range tests {
@@ -104,7 +106,8 @@
 	}
 }
 
-// No worker is held for a stage of which no task fits there, also when it is empty.
+// No worker is held for a stage of which no task fits there, also when it is empty, and workers without cores do not
+// raise the number of workers that may be held.
 func TestShrunkWorkersAreNotHeld(t *testing.T) {
 	tests := map[string]struct {
 		// capacity is that of the first shrunk workers out of ten, all of which are full when the stage arrives.
@@ -114,6 +117,8 @@
 	}{
 		"NoneShrunk":      {shrunk: 0, want: 3},
 		"AllToNothing":    {shrunk: 10, want: 0},
+		"SevenToNothing":  {shrunk: 7, want: 0},
+		"FourToNothing":   {shrunk: 4, want: 1},
 		"AllToTooLittle":  {capacity: ccwork.Size{MilliCores: 15000, MemoryMB: 16000}, shrunk: 10, want: 0},
 		"NineToTooLittle": {capacity: ccwork.Size{MilliCores: 15000, MemoryMB: 16000}, shrunk: 9, want: 1},
 		"AllToNoMemory":   {capacity: ccwork.Size{MilliCores: 16000}, shrunk: 10, want: 0},
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -123,9 +123,10 @@
 	return w.info.Capacity.Minus(w.used)
 }
 
-// usable reports whether tasks may be started on the worker.
+// usable reports whether tasks may be started on the worker. On a worker without cores even best-effort tasks would
+// make no progress.
 func (w *worker) usable(now ms) bool {
-	return w.listed && w.admitted && w.drainSince == 0 && w.silentSince == 0 && w.orphans == 0 && w.health.usable(now)
+	return w.listed && w.admitted && w.drainSince == 0 && w.silentSince == 0 && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
 }
 
 // addAttempt adds an attempt, which holds capacity from then on.
