Changes of a worker's capacity are logged and counted

Seen by operators: nothing told that a worker had shrunk; its tasks and those that wait were not explained by any line. Change: one line "worker capacity changed" with the old and the new capacity and what is used; it is counted in coriandercross_decisions_total as every line of the cell. Evidence: TestCapacityChangeIsLogged; before, it got no lines where it wants two. go test -race ./core/cccell is green.

--- a/core/cccell/capacity_test.go
+++ b/core/cccell/capacity_test.go
@@ -259,3 +259,22 @@
 	assert.Equal(t, len(copies), 1)
 	assert.Equal(t, copies[0].WorkerID, other)
 }
+
+// Each change of a worker's capacity is logged once, with the old and the new one.
+func TestCapacityChangeIsLogged(t *testing.T) {
+	var got []string
+	c := New(Config{Token: 1, LeaseMs: 4000, PriorLeaseMs: 4000, Log: func(event string, kv ...any) {
+		if event == "worker capacity changed" {
+			got = append(got, fmt.Sprint(kv[:6]...))
+		}
+	}}, 1000)
+	full := testWorker("w")
+	shrunk := resized(full, ccwork.Size{MemoryMB: 5})
+	for _, w := range []WorkerInfo{full, full, shrunk, shrunk, full} {
+		c.SetWorker(w, 1000)
+	}
+	assert.DeepEqual(t, got, []string{
+		fmt.Sprint("Worker", "w", "Before", full.Capacity, "Capacity", shrunk.Capacity),
+		fmt.Sprint("Worker", "w", "Before", shrunk.Capacity, "Capacity", full.Capacity),
+	})
+}
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -9,6 +9,8 @@
 		// end after that.
 		w.priorLeasesEndAt = max(now, c.handoverAt) + maxLeaseDuration(c.cfg.PriorLeaseMs)
 		c.workers[info.ID] = w
+	} else if w.info.Capacity != info.Capacity {
+		c.cfg.Log("worker capacity changed", "Worker", info.ID, "Before", w.info.Capacity, "Capacity", info.Capacity, "Used", w.used, "Attempts", len(w.attempts))
 	}
 	if info.Draining && w.drainSince == 0 {
 		w.drainSince = now
