Emulated workers shrink and grow, and the checker knows since when

What no test showed: a start on a worker that has shrunk. The checker compared with the present capacity, which never changed. Change: Worker.SetCapacity (core/ccworkersim) keeps the prior capacities; a start is a violation if it brings the worker over each capacity that it had in the last ShrinkGraceMs (0 in TestCellModel, as strict as before; contact time and one heartbeat, 4,300 ms, in the soak). Emulator.SetCapacity changes what a worker's registration shows. The soak shrinks a random worker each 0.5 to 1.5 s, to 0, 0, 5 or 20 %, for 5 to 8 s. Evidence: TestStartOverCapacityIsViolation, TestRegistrationShowsCapacity.

--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -53,6 +53,8 @@
 	// lastUncertain is the number of the last end that was listed when the lease lapsed.
 	lastUncertain int64
 	down          bool
+	// priorCapacities are the capacities before Info.Capacity, oldest first.
+	priorCapacities []priorCapacity
 }
 
 // Clock returns the time of the worker's clock.
