The model of the cell has workers that shrink and grow

What no test showed: placement after a worker has shrunk, over take-overs, restarts, lost calls and stops in doubt. Change: TestCellModelResizes, the model with one fault more: the capacity of a worker is drawn anew, from nothing to full. All leaders read the registration at once and calls that were to be executed late at that worker are dropped, so that the check needs no grace period: no start may exceed the capacity read. A third of the jobs need no memory.

--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -67,6 +67,7 @@
 	}, faultTests...)},
 	{"OnThePlatform", []propertyTest{
 		{cellPkg, "TestCellModel", 9, true},
+		{cellPkg, "TestCellModelResizes", 10, true},
 		{quorumPkg, "TestOneLeaderActs", 6, true},
 		{soakPkg, "TestSoak", 10, false},
 	}},
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -30,8 +30,9 @@
 
 // lateCall is a call that is executed some time after its sender has given it up.
 type lateCall struct {
-	at ms
-	do func(now ms)
+	at     ms
+	worker int
+	do     func(now ms)
 }
 
 // record is the stored progress of a job.
@@ -63,6 +64,8 @@
 	faultsOff   bool
 	roster      []cccell.WorkerInfo
 	longRunning int
+	// resizes is true when workers shrink and grow.
+	resizes bool
 }
 
 const (
@@ -73,6 +76,9 @@
 	modelWorkers     = 4
 )
 
+// modelCapacity is the capacity of a worker that has not shrunk.
+var modelCapacity = ccwork.Size{MilliCores: 4000, MemoryMB: 4000}
+
 // newSimulation returns a simulation with one leader.
 func newSimulation(t *rapid.T) *simulation {
 	sim := &simulation{
@@ -94,7 +100,7 @@
 		sim.workers = append(sim.workers, &ccworkersim.Worker{
 			Info: cccell.WorkerInfo{
 				ID: fmt.Sprintf("w%d", i), Address: "a:1", Service: "s", Labels: []string{"a", "r-1"}, IncarnationMs: 1000,
-				Capacity: ccwork.Size{MilliCores: 4000, MemoryMB: 4000},
+				Capacity: modelCapacity,
 			},
 			MaxLeaseMs: modelMaxLeaseMs, ClockOffset: int64(1_000_000 * i), Rate: 1 - 0.02*float64(i%2), Checker: sim.checker, Plan: sim.plan,
 		})
@@ -181,6 +187,9 @@
 	id := "j" + strconv.Itoa(len(sim.jobIDs))
 	j := &cccell.Job{ID: id, Queue: cccell.Queue{Name: "q", Service: "s", MaxAttempts: modelMaxAttempts, TargetMs: 500, SlackFactor: 1.5}, Spec: "x"}
 	size := ccwork.Size{MilliCores: int64(500 * (1 + sim.draw(4, "size"))), MemoryMB: 500}
+	if sim.resizes && sim.draw(3, "noMemory") == 0 {
+		size.MemoryMB = 0
+	}
 	j.Stages = []cccell.Stage{{Count: 1 + sim.draw(4, "count"), Size: size, EstimateMs: 300}}
 	switch sim.draw(4, "shape") {
 	case 0:
@@ -228,7 +237,7 @@
 		do(sim.now)
 		reply(lost)
 	case fault == 3:
-		sim.lateCalls = append(sim.lateCalls, lateCall{at: sim.now + ms(100+sim.draw(12_000, "late")), do: func(now ms) { do(now) }})
+		sim.lateCalls = append(sim.lateCalls, lateCall{at: sim.now + ms(100+sim.draw(12_000, "late")), worker: i, do: func(now ms) { do(now) }})
 		reply(lost)
 	default:
 		reply(do(sim.now))
@@ -350,10 +359,27 @@
 	}
 }
 
+// resize changes the capacity of a worker, also to nothing or below what runs there. All leaders see its registration
+// at once, and calls that are executed late do not reach it, so that no start may exceed the new capacity.
+func (sim *simulation) resize(i int) {
+	if sim.storeDown {
+		return
+	}
+	sim.workers[i].SetCapacity(ccwork.Size{MilliCores: 500 * int64(sim.draw(9, "cores")), MemoryMB: 500 * int64(sim.draw(9, "memory"))}, sim.now)
+	sim.lateCalls = slices.DeleteFunc(sim.lateCalls, func(l lateCall) bool { return l.worker == i })
+	for _, l := range sim.leaders {
+		sim.listWorkers(l)
+	}
+}
+
 // injectFault injects one random fault or change.
 func (sim *simulation) injectFault() {
+	faults := 11
+	if sim.resizes {
+		faults = 12
+	}
 	i := sim.draw(modelWorkers, "worker")
-	switch sim.draw(11, "fault") {
+	switch sim.draw(faults, "fault") {
 	case 0:
 		sim.workers[i].Crash(sim.now)
 	case 1:
@@ -384,6 +410,8 @@
 		}
 	case 10:
 		sim.workers[i].Info.Draining = !sim.workers[i].Info.Draining
+	case 11:
+		sim.resize(i)
 	}
 }
 
@@ -393,6 +421,7 @@
 	sim.disconnected = map[int]bool{}
 	for _, x := range sim.workers {
 		x.Info.Draining = false
+		x.SetCapacity(modelCapacity, sim.now)
 		if !x.Up() {
 			x.Restart(sim.now)
 		}
@@ -425,8 +454,20 @@
 // its capacity, no task fails more often than permitted. After the faults end, every job ends, except long-running ones,
 // each task of which has exactly one attempt.
 func TestCellModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	rapid.Check(t, modelRun(false))
+}
+
+// TestCellModelResizes is TestCellModel with workers that shrink and grow. It is a test of its own, so that the recorded
+// seeds of TestCellModel keep their meaning.
+func TestCellModelResizes(t *testing.T) {
+	rapid.Check(t, modelRun(true))
+}
+
+// modelRun returns a function that runs one simulation and checks the invariants.
+func modelRun(resizes bool) func(t *rapid.T) {
+	return func(t *rapid.T) {
 		sim := newSimulation(t)
+		sim.resizes = resizes
 		for range 60 {
 			switch sim.draw(4, "action") {
 			case 0:
@@ -466,5 +507,5 @@
 				}
 			}
 		}
-	})
+	}
 }
