A task that crashes its workers is tried apart and given up

Cause: an attempt that ended since its worker was gone (EndVanished) was counted nowhere. A retry without a budget and without a record of what was tried.

Change (core/cccell/crash.go): a crash is recorded with each task that may have run on the worker, stored with the job's progress when the worker falls silent, withdrawn when the worker replies again, and confirmed when a later process has its address. A task that was lost soon after its start gets a trial on a worker of its own, empty if there is one. It is given up at the third crash if each came soon after its start and no other workers fell silent then, or if it was alone in the last one; else at the fourth. Log lines `worker crashed`, `trial of a task that was lost with its worker`, `task given up: it crashes workers`; all count as decisions in the metrics.

TestRestartWithLessCapacity restarts its worker a second later, so that its tasks get no trial; what it checks is the same.

Conclusion: a task costs three workers, four at most; the first crash can't be foreseen.

--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -29,6 +29,7 @@
 	if s.CancelRequested {
 		j.cancelRequested = true
 	}
+	c.adoptCrashes(j, now)
 	c.startDueRuns(j, now, nowUnix)
 	if s.CancelRequested && j.final == "" {
 		c.finish(j, Cancelled, now)
--- a/core/cccell/capacity_test.go
+++ b/core/cccell/capacity_test.go
@@ -228,15 +228,15 @@
 		c.OnStartReply(&out.Starts[i], r, 1110)
 	}
 	restarted := resized(testWorker("w"), ccwork.Size{MilliCores: 3000, MemoryMB: 16000})
-	restarted.IncarnationMs = 2000
-	c.SetWorker(restarted, 2000)
-	c.Schedule(2050, 2050)
+	restarted.IncarnationMs = 3000
+	c.SetWorker(restarted, 3000) // Later than recentStartMs after the starts, so that no task gets a trial.
+	c.Schedule(3050, 3050)
 	polls := c.TakeOrders().Polls
 	assert.Equal(t, len(polls), 1)
-	r := executedReply(2060)
-	r.IncarnationMs = 2000
-	c.OnPollReply(&polls[0], r, &TaskLists{}, 2060)
-	got := runStarts(c, 2000+refusalDelayMs+100)
+	r := executedReply(3060)
+	r.IncarnationMs = 3000
+	c.OnPollReply(&polls[0], r, &TaskLists{}, 3060)
+	got := runStarts(c, 3000+refusalDelayMs+100)
 	assert.Equal(t, len(got), 2)
 	assert.Assert(t, !slices.ContainsFunc(got, func(o StartOrder) bool { return o.Task == out.Starts[0].Task }))
 }
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -53,6 +53,8 @@
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
 	usable []*worker
+	// suspects refers to the crashes that are not confirmed, by the address of the worker.
+	suspects map[string][]suspect
 	// held counts the workers that are held in the current round, by service.
 	held  map[string]int
 	stats Stats
@@ -74,6 +76,9 @@
 	Vanished int64
 	Lapsed   int64
 	Failures int64
+	// Crashes counts crashes of workers with attempts, GivenUp the tasks that were given up because of them.
+	Crashes int64
+	GivenUp int64
 	// Moved counts stragglers that were stopped or are to be copied.
 	Moved int64
 }
@@ -89,7 +94,7 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
 		workerTypes: newWorkerTypeTable(), handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
 }
@@ -223,7 +228,7 @@
 		spec := &j.spec.Stages[i]
 		r.stages = append(r.stages, &stage{
 			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
-			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, checkpoints: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
+			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, crashes: map[int][]Crash{}, checkpoints: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
 			perWorker: map[*worker]int{}, tickets: newTickets(),
 		})
 	}
@@ -353,6 +358,9 @@
 // RemoveEndedJobs drops the jobs that arrived before a time, whose final state is published, and that have no live
 // attempts.
 func (c *Cell) RemoveEndedJobs(arrivedBefore ms) {
+	for address := range c.suspects {
+		c.forgetSuspects(address)
+	}
 	for id, j := range c.jobs {
 		if _, unwritten := c.unwritten[j]; !unwritten && j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
 			delete(c.jobs, id)
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -99,7 +99,7 @@
 	for i := range modelWorkers {
 		sim.workers = append(sim.workers, &ccworkersim.Worker{
 			Info: cccell.WorkerInfo{
-				ID: fmt.Sprintf("w%d", i), Address: "a:1", Service: "s", Labels: []string{"a", "r-1"}, IncarnationMs: 1000,
+				ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("a%d:1", i), Service: "s", Labels: []string{"a", "r-1"}, IncarnationMs: 1000,
 				Capacity: modelCapacity,
 			},
 			MaxLeaseMs: modelMaxLeaseMs, ClockOffset: int64(1_000_000 * i), Rate: 1 - 0.02*float64(i%2), Checker: sim.checker, Plan: sim.plan,
@@ -442,6 +442,20 @@
 	}
 }
 
+// mayHaveFailed reports whether a task of a job has failed as often as permitted, or several workers have crashed under
+// it.
+func (sim *simulation) mayHaveFailed(j *cccell.Job) bool {
+	for s := range j.Stages {
+		for i := range j.Stages[s].Count {
+			id := cccell.TaskID{Job: j.ID, Stage: s, Index: i}
+			if crashes, _ := sim.checker.CrashedUnder(id); crashes >= 2 || (!j.Stages[s].LongRunning && sim.checker.Failures(id) >= modelMaxAttempts) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // check fails the test when an invariant was violated.
 func (sim *simulation) check() {
 	if len(sim.checker.Violations) > 0 {
@@ -451,8 +465,8 @@
 
 // TestCellModel injects random faults while leaders take over from each other. The simulated workers check the
 // invariants: no task runs twice at a time, none starts after it was done or before its predecessors, no worker exceeds
-// its capacity, no task fails more often than permitted. After the faults end, every job ends, except long-running ones,
-// each task of which has exactly one attempt.
+// its capacity, no task fails more often than permitted, no job fails without a cause. After the faults end, every job ends,
+// except long-running ones, each task of which has exactly one attempt.
 func TestCellModel(t *testing.T) {
 	rapid.Check(t, modelRun(false))
 }
@@ -486,6 +500,10 @@
 			switch {
 			case sim.cancelled[id]:
 				assert.Assert(t, state.Final(), "%s was cancelled and is %q", id, state)
+			case state == cccell.Failed:
+				if !sim.mayHaveFailed(j) {
+					t.Fatalf("%s is published as failed without a cause", id)
+				}
 			case j.LongRunning():
 				for i := 0; i < j.Stages[0].Count; i++ {
 					if sim.checker.Live(cccell.TaskID{Job: id, Index: i}) != 1 {
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -32,6 +32,7 @@
 			}
 			c.place(s, now)
 			c.holdWorkers(s, now)
+			c.holdForTrial(s, now)
 		}
 	}
 	c.scheduleStops(now)
@@ -176,6 +177,9 @@
 // with a ticket have too little capacity.
 func (c *Cell) place(s *stage, now ms) {
 	advised := c.queue(s.job).Advice != nil
+	if c.placeTrials(s, advised, now) {
+		return
+	}
 	list, fitting := c.candidates(s, advised, now)
 	if fitting < s.unplaced {
 		reason := delayCapacity
@@ -195,7 +199,7 @@
 		number = c.nextAttempt()
 	}
 	for i := 0; i < s.spec.Count && len(list) > 0; i++ {
-		if !s.needsStart(i) {
+		if !s.needsStart(i) || s.onTrial(i) {
 			continue
 		}
 		k := c.best(s, list)
@@ -256,7 +260,7 @@
 	s.placementDelay.logged = true
 	var byReason []any
 	totalMs := ms(0)
-	for _, reason := range []string{delayHandover, delayRetry, delayTicket, delayCapacity, delayRound} {
+	for _, reason := range []string{delayHandover, delayRetry, delayTicket, delayCapacity, delayTrial, delayRound} {
 		if delay := s.placementDelay.byReason[reason]; delay > 0 {
 			totalMs += delay
 			byReason = append(byReason, reason+"Ms", delay)
@@ -317,8 +321,8 @@
 	return c.cfg.Token<<attemptBits + c.attemptCount
 }
 
-// start orders the start of one attempt.
-func (c *Cell) start(s *stage, index int, w *worker, number int64, now ms) {
+// start orders the start of one attempt, and returns it.
+func (c *Cell) start(s *stage, index int, w *worker, number int64, now ms) *attempt {
 	a := &attempt{
 		task:   TaskID{Job: s.id.Job, Run: s.id.Run, Stage: s.id.Stage, Index: index},
 		number: number, stage: s, worker: w, need: s.need, sentAt: now, progressAt: now,
@@ -335,4 +339,5 @@
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		OrderHeader: c.header(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: checkpoint, Ticket: ticket, LeaseUntilMs: leaseUntil, attempt: a,
 	})
+	return a
 }
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -34,6 +34,8 @@
 	Done []uint64 `cbor:"1,keyasint,omitempty"`
 	// Failures holds the failures of each task that has any. Those of a gang are under task 0.
 	Failures []Failure `cbor:"2,keyasint,omitempty"`
+	// Crashes holds the crashes of workers under each task that has any. Those of a gang are under task 0.
+	Crashes []TaskCrashes `cbor:"3,keyasint,omitempty"`
 }
 
 // Failure holds the numbers of the failed attempts of one task. Numbers are stored instead of a count, since a new
@@ -43,6 +45,12 @@
 	Attempts []int64 `cbor:"2,keyasint"`
 }
 
+// TaskCrashes holds the crashes of workers under one task.
+type TaskCrashes struct {
+	Index   int     `cbor:"1,keyasint"`
+	Crashes []Crash `cbor:"2,keyasint"`
+}
+
 // Check returns ErrBadProgress for an unknown state.
 func (p *Progress) Check() error {
 	if err := p.State.Check(); err != nil {
@@ -113,10 +121,14 @@
 		sp.Failures = append(sp.Failures, Failure{Index: i, Attempts: f})
 	}
 	sort.Slice(sp.Failures, func(a, b int) bool { return sp.Failures[a].Index < sp.Failures[b].Index })
-	return sp, len(sp.Done)+len(sp.Failures) > 0
+	for i, k := range s.crashes {
+		sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: k})
+	}
+	sort.Slice(sp.Crashes, func(a, b int) bool { return sp.Crashes[a].Index < sp.Crashes[b].Index })
+	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes) > 0
 }
 
-// restore sets a stage to its stored progress. Bits and failures of tasks that the stage does not have are ignored.
+// restore sets a stage to its stored progress. Bits, failures and crashes of tasks that the stage does not have are ignored.
 func (s *stage) restore(sp StageProgress) {
 	for i := 0; i < s.spec.Count; i++ {
 		if bitset(sp.Done).has(i) {
@@ -128,4 +140,9 @@
 			s.failures[f.Index] = f.Attempts
 		}
 	}
+	for _, k := range sp.Crashes {
+		if k.Index >= 0 && k.Index < s.spec.Count {
+			s.crashes[k.Index] = k.Crashes
+		}
+	}
 }
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -24,6 +24,7 @@
 		w.admitted = false // The worker has restarted: its task lists have to be read before it gets tasks.
 	}
 	w.info, w.rack, w.workerType, w.listed = info, info.Rack(), info.Kind(), true
+	c.confirmCrashes(info.Address, info.IncarnationMs, now)
 }
 
 // MarkUnlisted records that the registration of a worker was removed from the store. Its leases are not renewed any
@@ -136,9 +137,11 @@
 			if len(w.attempts) > 0 {
 				c.cfg.Log("worker lapsed", "Worker", id, "Attempts", len(w.attempts), "Listed", w.listed, "SilentMs", w.silentMs(now))
 			}
+			c.suspectAll(w, now)
 			for _, a := range w.attempts {
 				c.endAttempt(a, EndVanished, "", now)
 			}
+			c.confirmKnownCrashes(w.info.Address, now)
 			if !w.listed {
 				delete(c.workers, id)
 			}
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -87,7 +87,7 @@
 // markSilent records that a poll failed or that a start did not reach the worker; see worker.silentSince.
 func (w *worker) markSilent(now ms) {
 	if w.silentSince == 0 {
-		w.silentSince = now
+		w.silentSince, w.fellSilentAt = now, now
 	}
 }
 
@@ -154,6 +154,9 @@
 			c.cfg.Log("worker silent", "Worker", w.info.ID, "Outcome", r.Outcome, "Reason", r.Reason, "Attempts", len(w.attempts))
 		}
 		w.markSilent(now)
+		if w.failedPolls == 1 {
+			c.suspectRecent(w, now)
+		}
 		return
 	}
 	if w.silentSince != 0 {
@@ -163,6 +166,7 @@
 		c.handleRestart(w, r.IncarnationMs, now)
 	}
 	w.recordReply(&r)
+	c.withdrawCrashes(w)
 	w.failedPolls = 0
 	w.confirmedAck = max(w.confirmedAck, o.AckedEnd)
 	w.answeredPollSentAt = max(w.answeredPollSentAt, r.Sent)
@@ -208,6 +212,7 @@
 	if w.incarnation != 0 {
 		c.cfg.Log("worker started again", "Worker", w.info.ID, "Born", incarnation, "Before", w.incarnation, "Attempts", len(w.attempts))
 	}
+	c.suspectAll(w, now)
 	w.incarnation = incarnation
 	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds = 0, 0, 0, nil
 	w.clockAt, w.leaseUntil, w.listsClock = 0, 0, 0
@@ -220,6 +225,7 @@
 		}
 		a.state, a.confirmedAt, a.stopWanted, a.stopConfirmed = inDoubt, 0, true, false
 	}
+	c.confirmCrashes(w.info.Address, incarnation, now)
 }
 
 // endMissing ends the attempts that were confirmed before the poll was sent but are not in its list. A list says
@@ -245,6 +251,7 @@
 	if t.Percent > a.percent {
 		a.percent, a.progressAt = t.Percent, now
 	}
+	w.endTrial(a, now)
 	if t.Checkpoint != "" && a.stage != nil {
 		a.stage.saveCheckpoint(a.task.Index, t.Checkpoint)
 	}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -54,6 +54,8 @@
 	tasks [][]*attempt
 	// failures holds the numbers of the failed attempts of each task. Those of a gang are under task 0.
 	failures map[int][]int64
+	// crashes holds the crashes of workers under each task. Those of a gang are under task 0.
+	crashes map[int][]Crash
 	// checkpoints holds the newest checkpoint of each task. That of a gang is under task 0.
 	checkpoints map[int]string
 	// durations holds the durations of completed tasks in ms, scaled to the fastest worker type in the rack of the
@@ -99,6 +101,8 @@
 	delayTicket = "Ticket"
 	// delayCapacity: the workers that may run the tasks have too little free capacity for all of them.
 	delayCapacity = "Room"
+	// delayTrial: a task that was lost with its worker waits for a worker without another trial, or for an empty one.
+	delayTrial = "Trial"
 	// delayRound: no scheduling round has processed the stage since it became ready.
 	delayRound = "Turn"
 )
@@ -120,7 +124,7 @@
 	case s.done.has(i) || len(live) > 1:
 		return false
 	case len(live) == 1:
-		return s.spec.Speculative && live[0].straggler && !live[0].stopWanted && s.moves[i] == 1
+		return s.spec.Speculative && len(s.crashes[i]) == 0 && live[0].straggler && !live[0].stopWanted && s.moves[i] == 1
 	}
 	return true
 }
@@ -165,6 +169,9 @@
 	stopSentAt    ms
 	stopConfirmed bool
 	stopInFlight  bool
+	// trial is true until a task that was lost with an earlier worker has run for trialMs. alone is true while the
+	// attempt holds the whole capacity of its worker for that.
+	trial, alone bool
 	// straggler is true when the attempt was found to be a straggler.
 	straggler bool
 	// adopted is true when a prior leader started the attempt, so that the time of its start is not known.
--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -149,6 +149,15 @@
 	return out
 }
 
+// Oldest returns the running attempt with the lowest number, and false if there is none.
+func (w *Worker) Oldest() (Attempt, bool) {
+	list := w.sortedAttempts()
+	if len(list) == 0 {
+		return Attempt{}, false
+	}
+	return *list[0], true
+}
+
 // endAttempt ends an attempt and adds it to the list of ends.
 func (w *Worker) endAttempt(a *Attempt, end cccell.End, now ms) {
 	delete(w.attempts[a.Task], a.Attempt)
