Workers that fall silent later count when a crash is judged

A rack that loses its power falls silent within a second, and the first of its workers was recorded as lost alone. The record is judged again when the worker's leases have lapsed, or when it has restarted.

--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -126,12 +126,12 @@
 	case s.spec.LongRunning && a.percent >= 100 && ran >= recentStartMs:
 		return // A task that crashes workers when it starts does not get that far.
 	}
-	i := s.crashKey(a.task)
+	i, together := s.crashKey(a.task), c.lostTogether(w, now)
 	if k := s.crash(i, a.number); k != nil {
-		k.at = now
-		return // Recorded when the worker fell silent, or for another member of the gang.
+		// Recorded when the worker fell silent, or for another member of the gang. Others may have fallen silent later.
+		k.at, k.Together, k.Alone = now, k.Together || together, k.Alone && !together
+		return
 	}
-	together := c.lostTogether(w, now)
 	k := Crash{
 		Attempt: a.number, RanMs: int64(ran), Alone: a.alone && a.state == running && !together, Together: together,
 		Address: w.info.Address, IncarnationMs: w.incarnation, at: now,
