Stages that wait for 5 s are logged with the reasons

A stage that was never placed left no line: `stage placed` gives the reasons for its delay only once all tasks have started. So a task that never ran could not be traced to the policy service, to a lack of room or to a handover. `stage waits` has the same fields, once a stage.

Test: TestWaitingStageIsLogged.

--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -179,6 +179,7 @@
 			reason = delayTicket
 		}
 		s.placementDelay.add(now, reason)
+		c.logWaiting(s, now)
 		if s.spec.Gang || len(list) == 0 {
 			return
 		}
@@ -243,6 +244,19 @@
 	return list, fitting
 }
 
+// stageWaitsMs is the time after which a stage whose tasks could not all be placed is logged.
+const stageWaitsMs ms = 5000
+
+// logWaiting logs once that the tasks of a stage have not been placed for stageWaitsMs, and the reasons so far.
+func (c *Cell) logWaiting(s *stage, now ms) {
+	d := &s.placementDelay
+	if d.waitLogged || now-s.readyAt < stageWaitsMs {
+		return
+	}
+	d.waitLogged = true
+	c.logDelay("stage waits", s, now, "Unplaced", s.unplaced, "Requested", s.tickets.requested)
+}
+
 // logPlacementDelay logs once, when all tasks of a stage can be placed, how long and for which reasons they were
 // delayed.
 func (c *Cell) logPlacementDelay(s *stage, now ms) {
@@ -250,6 +264,11 @@
 		return
 	}
 	s.placementDelay.logged = true
+	c.logDelay("stage placed", s, now)
+}
+
+// logDelay logs the placement delay of a stage by reason, after the fields kv.
+func (c *Cell) logDelay(event string, s *stage, now ms, kv ...any) {
 	var byReason []any
 	totalMs := ms(0)
 	for _, reason := range []string{delayHandover, delayRetry, delayTicket, delayCapacity, delayRound} {
@@ -258,8 +277,8 @@
 			byReason = append(byReason, reason+"Ms", delay)
 		}
 	}
-	kv := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
-	c.cfg.Log("stage placed", append(kv, byReason...)...)
+	fields := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
+	c.cfg.Log(event, append(append(fields, kv...), byReason...)...)
 }
 
 // best returns the index of the worker for the next task. The lowest cost is best; among workers of the same cost it is
--- a/core/cccell/place_test.go
+++ b/core/cccell/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"coriandercross/core/ccwork"
@@ -211,3 +212,37 @@
 	assert.Equal(t, out.Polls[0].AckedEnd, int64(0))
 	assert.Equal(t, out.Polls[0].LeaseUntilMs, int64(0))
 }
+
+// TestWaitingStageIsLogged checks that a stage that is never placed leaves a line with the reason, once.
+func TestWaitingStageIsLogged(t *testing.T) {
+	tests := map[string]struct {
+		advice *AdviceConfig
+		size   int64
+		want   string
+	}{
+		"Ticket":   {&AdviceConfig{DecideMs: 60_000, ValidMs: 2500}, 1, "TicketMs"},
+		"Capacity": {nil, 1 << 40, "RoomMs"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			logged := 0
+			c.cfg.Log = func(event string, kv ...any) {
+				if event == "stage waits" {
+					logged++
+					assert.Assert(t, slices.Contains(kv, any(test.want)), "%v", kv)
+				}
+			}
+			j := testJob("j", 1)
+			j.Queue.Advice, j.Stages[0].Size.MilliCores = test.advice, test.size
+			c.AddJob(j, 1000, 1000)
+			for now := ms(1000); now <= 1000+2*stageWaitsMs; now += 40 {
+				runRound(c, now)
+				if now < 1000+stageWaitsMs {
+					assert.Equal(t, logged, 0)
+				}
+			}
+			assert.Equal(t, logged, 1)
+		})
+	}
+}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -86,7 +86,8 @@
 	lastAt     ms
 	lastReason string
 	byReason   map[string]ms
-	logged     bool
+	// logged and waitLogged are true once logPlacementDelay and logWaiting have logged the stage.
+	logged, waitLogged bool
 }
 
 // Reasons for a placement delay. With the suffix Ms, the values are log keys.
