--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -71,11 +71,11 @@
 crash="-run=TestTaskThatCrashes|TestTrials|TestJobsSurvive|TestTaskIsNotBlamed"
 mutant crashes-are-not-confirmed $cells/crash.go 'if k := &crashes[i]; k.Confirmed {' 'if k := &crashes[i]; true {' ./$cells "$crash"
 mutant crashes-together-blame-a-task $cells/crash.go 'return n >= lostTogetherWorkers' 'return false' ./$cells "$crash"
-mutant crashes-are-not-stored $cells/progress.go 'sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: k})' '_, _ = i, k' ./$cells "$crash"
+mutant crashes-are-not-stored $cells/progress.go 'sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: slices.Clone(k)})' '_, _ = i, slices.Clone(k)' ./$cells "$crash"
 mutant suspects-are-not-stored-at-once $cells/replies.go 'c.suspectRecent(w, now)' '_ = now' ./$cells "$crash"
 mutant cut-off-workers-have-crashed $cells/replies.go 'c.withdrawCrashes(w)' '_ = w' ./$cells "$crash"
 mutant long-running-tasks-at-work-are-suspects $cells/crash.go 'case s.spec.LongRunning && a.percent >= 100 && ran >= recentStartMs:' 'case false:' ./$cells "$crash"
-mutant trials-share-a-worker $cells/crash.go '(empty && n > 0) || cand.w.hasTrial()' 'false' ./$cells "$crash"
+mutant trials-share-a-worker $cells/crash.go '(empty && n > 0) || cand.w.trialJob() != ""' 'false' ./$cells "$crash"
 quorum="-run=TestOneLeaderActs -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 quorums=core/ccquorum
 mutant handover-awaits-no-voters $quorums/quorum.go 'endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}' 'endsAt: wonAt + priorAuthorityMs}' ./$quorums "$quorum"
--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -17,8 +17,10 @@
 	recentStartMs ms = 1000
 	// trialMs is the time for which a task has to run until its trial is over.
 	trialMs ms = 500
-	// maxEmptyWaitMs is the longest wait of a task for an empty worker. Long-running tasks may leave no worker empty.
-	maxEmptyWaitMs ms = 2000
+	// maxEmptyWaitMs is the longest wait of a task for an empty worker, maxTrialWaitMs that for one without another trial.
+	// Long-running tasks may leave no worker empty, and a small service has few workers for the trials of many tasks.
+	maxEmptyWaitMs ms = 1000
+	maxTrialWaitMs ms = 1500
 	// crashesBeforeEmpty is the number of crashes after which a task waits for an empty worker.
 	crashesBeforeEmpty = 2
 	// crashesToBlame is the number of crashes after which a task is given up if each of them is its fault by all that is
@@ -28,6 +30,9 @@
 	// maxCrashes is the number of crashes after which a task is given up without further evidence. The platform allows
 	// two starts after the third crash; one of them is left for crashes that a change of the leader hides.
 	maxCrashes = 4
+	// suspectAllPolls is the number of polls that fail in a row until all attempts of a worker are suspects. A connection
+	// that was reset fails one.
+	suspectAllPolls = 2
 	// A worker is lost together with others when lostTogetherWorkers or more fall silent within lostTogetherMs of it.
 	lostTogetherWorkers    = 2
 	lostTogetherMs      ms = 500
@@ -49,9 +54,8 @@
 	IncarnationMs int64  `cbor:"6,keyasint"`
 	// Together is true when several other workers were lost at the same time, as with a rack.
 	Together bool `cbor:"7,keyasint,omitempty"`
-
-	// at is when the crash was recorded, 0 if by a prior leader.
-	at ms
+	// Started is true when the worker had confirmed the start. The attempt may not have run otherwise.
+	Started bool `cbor:"8,keyasint,omitempty"`
 }
 
 // recent reports whether the attempt is the likely cause of the crash.
@@ -67,34 +71,33 @@
 	for i := range crashes {
 		if k := &crashes[i]; k.Confirmed {
 			n++
-			allRecent = allRecent && k.recent() && !k.Together
+			allRecent = allRecent && k.Started && k.recent() && !k.Together
 			last = k
 		}
 	}
 	return n >= maxCrashes || (n >= crashesToBlame && (allRecent || (last.Alone && last.recent())))
 }
 
-// onTrial reports whether the next attempt at task i is a trial.
-func (s *stage) onTrial(i int) bool {
-	if s.spec.Gang {
-		return false // Its tasks can only run all at the same time.
+// onTrial reports whether the next attempt at task i is a trial. Crashes that are not confirmed count.
+func (s *stage) onTrial(i int, now ms) bool {
+	if s.spec.Gang || s.waitedForTrial(i, now) >= maxTrialWaitMs {
+		return false // The tasks of a gang can only run all at the same time.
 	}
 	crashes := s.crashes[i]
 	return len(crashes) >= crashesBeforeEmpty || (len(crashes) > 0 && crashes[len(crashes)-1].recent())
 }
 
-// waitsForEmpty reports whether task i is not started on a worker with other tasks.
+// waitsForEmpty reports whether the trial of task i is not started on a worker with other tasks.
 func (s *stage) waitsForEmpty(i int, now ms) bool {
-	crashes := s.crashes[i]
-	return len(crashes) >= crashesBeforeEmpty && now-crashes[len(crashes)-1].at < maxEmptyWaitMs
+	return len(s.crashes[i]) >= crashesBeforeEmpty && s.waitedForTrial(i, now) < maxEmptyWaitMs
 }
 
-// crashKey returns the task under which the crashes of a task are recorded.
-func (s *stage) crashKey(t TaskID) int {
-	if s.spec.Gang {
-		return 0
+// waitedForTrial returns how long task i has waited for a worker for its trial.
+func (s *stage) waitedForTrial(i int, now ms) ms {
+	if since, waits := s.trialWaitSince[i]; waits {
+		return now - since
 	}
-	return t.Index
+	return 0
 }
 
 // suspectRecent records the attempts that started shortly before a worker fell silent. The next leader then knows them
@@ -118,6 +121,9 @@
 func (c *Cell) suspectCrash(a *attempt, now ms) {
 	w, s := a.worker, a.stage
 	ran := a.ranUntilSilentMs(now)
+	if a.adopted {
+		ran = max(ran, recentStartMs) // It has run since before this leader's term.
+	}
 	switch {
 	case s == nil || s.job.final != "" || s.done.has(a.task.Index):
 		return
@@ -126,15 +132,14 @@
 	case s.spec.LongRunning && a.percent >= 100 && ran >= recentStartMs:
 		return // A task that crashes workers when it starts does not get that far.
 	}
-	i, together := s.crashKey(a.task), c.lostTogether(w, now)
-	if k := s.crash(i, a.number); k != nil {
-		// Recorded when the worker fell silent, or for another member of the gang. Others may have fallen silent later.
-		k.at, k.Together, k.Alone = now, k.Together || together, k.Alone && !together
-		return
+	i := a.task.Index
+	if s.crash(i, a.number) != nil {
+		return // Recorded when the worker fell silent.
 	}
+	together := c.lostTogether(w, a.task.Job, now)
 	k := Crash{
-		Attempt: a.number, RanMs: int64(ran), Alone: a.alone && a.state == running && !together, Together: together,
-		Address: w.info.Address, IncarnationMs: w.incarnation, at: now,
+		Attempt: a.number, RanMs: int64(ran), Started: a.state == running, Alone: a.alone && a.state == running && !together, Together: together,
+		Address: w.info.Address, IncarnationMs: w.incarnation,
 	}
 	s.crashes[i] = append(s.crashes[i], k)
 	c.markDirty(s.job)
@@ -161,15 +166,16 @@
 	return max(now-a.sentAt, 0)
 }
 
-// lostTogether reports whether several other workers fell silent at about the same time as a worker.
-func (c *Cell) lostTogether(w *worker, now ms) bool {
+// lostTogether reports whether several other workers fell silent at about the same time as a worker with an attempt at a
+// job. Those with a trial of the same job don't count: several tasks of a job may crash their workers at the same time.
+func (c *Cell) lostTogether(w *worker, job string, now ms) bool {
 	at := now
 	if w.silentSince != 0 {
 		at = w.silentSince
 	}
 	n := 0
 	for _, other := range c.workers {
-		if other != w && other.fellSilentAt != 0 && max(other.fellSilentAt-at, at-other.fellSilentAt) < lostTogetherMs {
+		if other != w && other.fellSilentAt != 0 && other.silentTrialJob != job && max(other.fellSilentAt-at, at-other.fellSilentAt) < lostTogetherMs {
 			n++
 		}
 	}
@@ -243,6 +249,7 @@
 	for _, u := range list {
 		if k := u.stage.crash(u.index, u.attempt); k != nil && k.IncarnationMs == w.incarnation {
 			u.stage.removeCrash(u.index, u.attempt)
+			c.markDirty(u.stage.job)
 		}
 	}
 	c.forgetSuspects(w.info.Address)
@@ -284,6 +291,9 @@
 
 // confirmKnownCrashes confirms the crashes of workers at an address from the workers that have it now.
 func (c *Cell) confirmKnownCrashes(address string, now ms) {
+	if len(c.suspects[address]) == 0 {
+		return
+	}
 	for _, w := range c.workers {
 		if w.info.Address == address {
 			c.confirmCrashes(address, w.newestIncarnation(), now)
@@ -301,14 +311,14 @@
 	c.suspects[address] = list
 }
 
-// hasTrial reports whether a trial is under way on the worker.
-func (w *worker) hasTrial() bool {
+// trialJob returns the job that has a trial under way on the worker, or "" if there is none.
+func (w *worker) trialJob() string {
 	for _, a := range w.attempts {
 		if a.trial {
-			return true
+			return a.task.Job
 		}
 	}
-	return false
+	return ""
 }
 
 // placeTrials starts the tasks of a stage that are on trial, each on a worker of its own. It requests tickets when the
@@ -320,11 +330,14 @@
 	list, _ := c.candidates(s, advised, now)
 	waiting := 0
 	for i := range s.tasks {
-		if !s.needsStart(i) || !s.onTrial(i) {
+		if !s.needsStart(i) || !s.onTrial(i, now) {
 			continue
 		}
 		w := c.trialWorker(s, list, s.waitsForEmpty(i, now))
 		if w == nil {
+			if _, waits := s.trialWaitSince[i]; !waits {
+				s.trialWaitSince[i] = now
+			}
 			waiting++
 			continue
 		}
@@ -353,7 +366,7 @@
 	for i := range list {
 		cand := &list[i]
 		n := len(cand.w.attempts)
-		if c.fitting(s, cand.w) == 0 || (empty && n > 0) || cand.w.hasTrial() {
+		if c.fitting(s, cand.w) == 0 || (empty && n > 0) || cand.w.trialJob() != "" {
 			continue
 		}
 		if best == nil || n < len(best.w.attempts) || (n == len(best.w.attempts) && cand.cost < best.cost) {
@@ -385,7 +398,7 @@
 func (c *Cell) holdForTrial(s *stage, now ms) {
 	waits := false
 	for i := range s.tasks {
-		waits = waits || (s.needsStart(i) && s.onTrial(i) && s.waitsForEmpty(i, now))
+		waits = waits || (s.needsStart(i) && s.onTrial(i, now) && s.waitsForEmpty(i, now))
 	}
 	if !waits || s.spec.Gang {
 		return
--- a/core/cccell/crash_test.go
+++ b/core/cccell/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 
@@ -442,6 +443,108 @@
 	}
 }
 
+// A worker of each member of a gang crashed once. The crashes were added up, and the job failed.
+func TestCrashesOfGangMembersAreCountedApart(t *testing.T) {
+	for name, ranMs := range map[string]ms{"JustStarted": 300, "RanForLong": 3000} {
+		t.Run(name, func(t *testing.T) {
+			l := newCrashLoad(t)
+			stage := cccell.Stage{Count: 4, Gang: true, MaxPerWorker: 1, Size: ccwork.Size{MilliCores: 1000, MemoryMB: 1000}, EstimateMs: 30_000}
+			l.submit(&cccell.Job{ID: "innocent", Stages: []cccell.Stage{stage}})
+			member, nextAt := 0, ms(0)
+			l.run(60_000, func() {
+				if member == 4 || l.now < nextAt {
+					return
+				}
+				for _, w := range l.workers {
+					if a, ok := w.Oldest(); ok && w.Up() && a.Task.Index == member && l.now-a.StartedAt >= ranMs {
+						member++
+						nextAt = l.now + 6000
+						l.crash(w)
+						return
+					}
+				}
+			})
+			assert.Equal(t, member, 4)
+			assert.Assert(t, l.states["innocent"] != cccell.Failed)
+		})
+	}
+}
+
+// One worker of a small service crashes just after a burst of small jobs was started on it. The trials of their tasks, one
+// at a time on each worker, took up to 7 s.
+func TestTrialsDoNotDelaySmallService(t *testing.T) {
+	const maxDelayMs ms = 3000 // A task that could run has to run within that time.
+	size := ccwork.Size{MilliCores: 400, MemoryMB: 500}
+	for _, workers := range []int{3, 4, 6, 12} {
+		for _, estimateMs := range []int64{400, 20_000} {
+			t.Run(fmt.Sprintf("%dWorkers/%dms", workers, estimateMs), func(t *testing.T) {
+				l := newCrashLoad(t)
+				for _, w := range l.workers[workers:] {
+					l.cell.MarkUnlisted(w.Info.ID)
+				}
+				l.workers = l.workers[:workers]
+				startedAt, submittedAt := map[string]ms{}, map[string]ms{}
+				l.deadly = func(id cccell.TaskID) (ms, bool) {
+					startedAt[id.Job] = l.now
+					return 0, false
+				}
+				for i := range 40 {
+					l.submit(&cccell.Job{ID: fmt.Sprintf("innocent%02d", i), Stages: []cccell.Stage{{Count: 1, Size: size, EstimateMs: estimateMs}}})
+				}
+				l.run(200, nil)
+				lost := maps.Clone(startedAt)
+				busy := slices.IndexFunc(l.workers, func(w *ccworkersim.Worker) bool { _, ok := w.Oldest(); return ok })
+				l.crash(l.workers[busy])
+				crashedAt := l.now
+				l.run(20_000, func() {
+					if n := l.now - crashedAt; n >= 4400 && n < 6000 && n%200 == 0 {
+						id := fmt.Sprintf("innocent-new%04d", n)
+						submittedAt[id] = l.now
+						l.submit(&cccell.Job{ID: id, Stages: []cccell.Stage{{Count: 1, Size: size, EstimateMs: 400}}})
+					}
+				})
+				first := ms(math.MaxInt64)
+				for id, at := range lost {
+					assert.Assert(t, startedAt[id] > at, "%s was not started again", id)
+					first = min(first, startedAt[id])
+				}
+				for id := range lost {
+					assert.Check(t, startedAt[id]-first < maxDelayMs, id)
+				}
+				for id, at := range submittedAt {
+					assert.Check(t, startedAt[id]-at < maxDelayMs, id)
+				}
+			})
+		}
+	}
+}
+
+// A task crashes its workers 1.5 s after its start, and the leader is replaced again and again. Only the attempts that had
+// just started were recorded when the worker fell silent.
+func TestLateCrashesOutliveLeaders(t *testing.T) {
+	const crashAfterMs, phaseMs ms = 1500, 1000
+	for _, eachMs := range []ms{4000, 5000, 7000, 10_000, 15_000} {
+		t.Run(fmt.Sprint(eachMs), func(t *testing.T) {
+			for phase := ms(0); phase < eachMs; phase += phaseMs {
+				l := newCrashLoad(t)
+				l.deadly = func(id cccell.TaskID) (ms, bool) { return crashAfterMs, id.Job == "deadly" && id.Index == 2 }
+				l.submit(&cccell.Job{ID: "deadly", Stages: []cccell.Stage{{Count: 6, Size: ccwork.Size{MilliCores: 1500, MemoryMB: 3000}, EstimateMs: 3000}}})
+				replacedAt := l.now + phase
+				l.run(60_000, func() {
+					if l.now >= replacedAt {
+						replacedAt += eachMs
+						l.replaceLeader()
+					}
+				})
+				assert.Equal(t, l.states["deadly"], cccell.Failed)
+				for id, n := range l.startsAfter {
+					assert.Assert(t, n < 3, "%v started %d times more after three crashes", id, n)
+				}
+			}
+		})
+	}
+}
+
 // listed returns the workers that are registered in the store.
 func (l *crashLoad) listed() []cccell.WorkerInfo {
 	var out []cccell.WorkerInfo
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -200,7 +200,7 @@
 		number = c.nextAttempt()
 	}
 	for i := 0; i < s.spec.Count && len(list) > 0; i++ {
-		if !s.needsStart(i) || s.onTrial(i) {
+		if !s.needsStart(i) || s.onTrial(i, now) {
 			continue
 		}
 		k := c.best(s, list)
@@ -347,6 +347,7 @@
 		number: number, stage: s, worker: w, need: s.need, sentAt: now, progressAt: now,
 	}
 	w.addAttempt(a)
+	delete(s.trialWaitSince, index)
 	checkpoint := s.checkpoints[index]
 	if s.spec.Gang {
 		checkpoint = s.checkpoints[0]
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -85,7 +85,7 @@
 		return min(longPollTimeoutMs, int64(c.handoverAt-now))
 	case c.needsFreshPoll(w):
 		return 0
-	case w.slowdown.current(now) > stragglerFactor || w.hasTrial():
+	case w.slowdown.current(now) > stragglerFactor || w.trialJob() != "":
 		return slowWorkerPollTimeoutMs
 	}
 	return longPollTimeoutMs
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
@@ -17,8 +18,8 @@
 	State State `cbor:"1,keyasint,omitempty"`
 	// Runs holds the progress of each run that has started, by number.
 	Runs map[int]RunProgress `cbor:"2,keyasint,omitempty"`
-	// EndedMs is the time of day at which the job ended, in Unix milliseconds. The record is removed some time after
-	// it.
+	// EndedMs is the time of day at which the job ended, in Unix milliseconds. Final records are never removed: a query of
+	// the state that finds no submission relies on it.
 	EndedMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -34,7 +35,7 @@
 	Done []uint64 `cbor:"1,keyasint,omitempty"`
 	// Failures holds the failures of each task that has any. Those of a gang are under task 0.
 	Failures []Failure `cbor:"2,keyasint,omitempty"`
-	// Crashes holds the crashes of workers under each task that has any. Those of a gang are under task 0.
+	// Crashes holds the crashes of workers under each task that has any.
 	Crashes []TaskCrashes `cbor:"3,keyasint,omitempty"`
 }
 
@@ -122,7 +123,7 @@
 	}
 	sort.Slice(sp.Failures, func(a, b int) bool { return sp.Failures[a].Index < sp.Failures[b].Index })
 	for i, k := range s.crashes {
-		sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: k})
+		sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: slices.Clone(k)})
 	}
 	sort.Slice(sp.Crashes, func(a, b int) bool { return sp.Crashes[a].Index < sp.Crashes[b].Index })
 	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes) > 0
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -87,7 +87,7 @@
 // markSilent records that a poll failed or that a start did not reach the worker; see worker.silentSince.
 func (w *worker) markSilent(now ms) {
 	if w.silentSince == 0 {
-		w.silentSince, w.fellSilentAt = now, now
+		w.silentSince, w.fellSilentAt, w.silentTrialJob = now, now, w.trialJob()
 	}
 }
 
@@ -153,9 +153,13 @@
 		if w.silentSince == 0 {
 			c.cfg.Log("worker silent", "Worker", w.info.ID, "Outcome", r.Outcome, "Reason", r.Reason, "Attempts", len(w.attempts))
 		}
+		fellSilent := w.silentSince == 0
 		w.markSilent(now)
-		if w.failedPolls == 1 {
+		switch {
+		case fellSilent:
 			c.suspectRecent(w, now)
+		case w.failedPolls >= suspectAllPolls:
+			c.suspectAll(w, now)
 		}
 		return
 	}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -54,8 +54,10 @@
 	tasks [][]*attempt
 	// failures holds the numbers of the failed attempts of each task. Those of a gang are under task 0.
 	failures map[int][]int64
-	// crashes holds the crashes of workers under each task. Those of a gang are under task 0.
-	crashes map[int][]Crash
+	// crashes holds the crashes of workers under each task. trialWaitSince holds the times since which tasks wait for a
+	// worker for their trial.
+	crashes        map[int][]Crash
+	trialWaitSince map[int]ms
 	// checkpoints holds the newest checkpoint of each task. That of a gang is under task 0.
 	checkpoints map[int]string
 	// durations holds the durations of completed tasks in ms, scaled to the fastest worker type in the rack of the
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -95,8 +95,9 @@
 	// silentSince is when a poll first failed, for any reason, or a start did not reach the worker. It is 0 again after
 	// the next poll or stop that the worker executes, or start that it replies to.
 	silentSince ms
-	// fellSilentAt is the last time at which silentSince was set.
-	fellSilentAt ms
+	// fellSilentAt is the last time at which silentSince was set, silentTrialJob the job that had a trial there then.
+	fellSilentAt   ms
+	silentTrialJob string
 	// drainSince is when the worker was first seen to drain, 0 when it does not drain.
 	drainSince ms
 	// priorLeasesEndAt is when the leases of prior leaders have ended at a worker that this leader has not reached.
