An unlisted worker is dropped only when no poll of it is in flight

Cause: the first reply of a new incarnation sets the lease end to 0, so an unlisted worker was dropped at once. When it registered again, a new record without the pending poll was admitted and tasks started there, while that poll still made the worker forget ends. Before: TestNoStartDuringPollSentBeforeWorkerWasDropped fails (1 != 0 at 1350). After: core/cccell green with -race.

--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -127,7 +127,7 @@
 }
 
 // expireLeases ends the attempts on silent and unlisted workers whose leases have ended, and drops such workers when
-// they are unlisted.
+// they are unlisted and no poll of them is in flight.
 func (c *Cell) expireLeases(now ms) {
 	for id, w := range c.workers {
 		if w.silentSince == 0 && w.listed {
@@ -142,7 +142,9 @@
 				c.endAttempt(a, EndVanished, "", now)
 			}
 			c.confirmKnownCrashes(w.info.Address, now)
-			if !w.listed {
+			// A poll in flight may acknowledge ends of an earlier incarnation. If the worker registers again meanwhile,
+			// it must not be admitted before that poll has ended.
+			if !w.listed && !w.pollInFlight && !w.urgentPollInFlight {
 				delete(c.workers, id)
 			}
 		}
--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -102,6 +102,65 @@
 	assert.Assert(t, len(c.TakeOrders().Starts) > 0)
 }
 
+// As TestNoStartDuringPollOfEarlierIncarnation, but the worker was not registered while it restarted, so that its state here was dropped. Seen in the soak (seed 1).
+func TestNoStartDuringPollSentBeforeWorkerWasDropped(t *testing.T) {
+	c := readyCell(t, testWorker("w"))
+	w := c.workers["w"]
+	w.ackedEnd, w.confirmedAck, w.priorLeasesEndAt = 13, 12, 0
+	c.AddJob(testJob("a", 1), 1100, 1100)
+	c.Schedule(1100, 1100)
+	out := c.TakeOrders()
+	assert.Equal(t, len(out.Starts), 1)
+	assert.Equal(t, len(out.Polls), 1)
+	oldPoll := out.Polls[0]
+	assert.Equal(t, oldPoll.AckedEnd, int64(13))
+	c.OnStartReply(&out.Starts[0], executedReply(1105), 1105)
+	c.MarkUnlisted("w")
+	newReply := func(now ms) Reply {
+		return Reply{Outcome: Executed, ClockMs: 1_000_000 + int64(now), IncarnationMs: 2000, Sent: now - 2, Received: now}
+	}
+	c.OnPollReply(&PollOrder{worker: w, urgent: true}, newReply(1150), &TaskLists{}, 1150)
+	// round runs a round, answers its polls and returns the number of its starts.
+	round := func(now ms) int {
+		c.Schedule(now, now)
+		out := c.TakeOrders()
+		for i := range out.Polls {
+			assert.Equal(t, out.Polls[i].AckedEnd, int64(0))
+			c.OnPollReply(&out.Polls[i], newReply(now+5), &TaskLists{}, now+5)
+		}
+		return len(out.Starts)
+	}
+	assert.Equal(t, round(1160), 0)
+	restarted := testWorker("w")
+	restarted.IncarnationMs = 2000
+	c.SetWorker(restarted, 1300)
+	c.AddJob(testJob("b", 1), 1300, 1300)
+	for now := ms(1300); now < 2100; now += 50 {
+		assert.Equal(t, round(now), 0, "at %d", now)
+	}
+	c.OnPollReply(&oldPoll, newReply(2100), &TaskLists{}, 2100)
+	assert.Equal(t, round(2110), 0)
+	assert.Equal(t, round(2130), 0)
+	assert.Assert(t, round(2150) > 0)
+}
+
+// A worker that is not registered is dropped once the last poll of it has ended, also one without a reply.
+func TestUnlistedWorkerIsDroppedAfterItsLastPoll(t *testing.T) {
+	c := readyCell(t, testWorker("w"))
+	c.AddJob(testJob("a", 1), 1100, 1100)
+	c.Schedule(1100, 1100)
+	out := c.TakeOrders()
+	assert.Equal(t, len(out.Polls), 1)
+	c.MarkUnlisted("w")
+	const late = 100_000
+	c.Schedule(late, late)
+	assert.Equal(t, len(c.workers), 1)
+	assert.Equal(t, len(c.workers["w"].attempts), 0)
+	c.OnPollReply(&out.Polls[0], Reply{Outcome: ReplyLost, Sent: 1100, Received: late}, nil, late)
+	c.Schedule(late+1, late+1)
+	assert.Equal(t, len(c.workers), 0)
+}
+
 // After a poll that failed the worker may have restarted, so the next one names no end. Seen in the soak (seed 1): the next incarnation forgot ends that no leader had read.
 func TestPollAfterFailedPollNamesNoEnd(t *testing.T) {
 	c := readyCell(t, testWorker("w"))
