Two mutants of the crash records that survived are caught

On two survived: suspects-are-not-stored-at-once, since attempts are also recorded at the second failed poll by then, and trials-share-a-worker, since an empty worker is reserved whole. Change: the script runs TestCrashAfterStartReplyIsRecorded, which catches the first; TestTrialsDoNotShareWorker catches the second.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -68,7 +68,7 @@
 mutant early-completions-forgotten $cells/early.go 'j := c.jobs[id]
 		if j == nil || j.final == Completed {' 'j := c.jobs[id]
 		if true {' ./$cells "$cell"
-crash="-run=TestTaskThatCrashes|TestTrials|TestJobsSurvive|TestTaskIsNotBlamed"
+crash="-run=TestTaskThatCrashes|TestTrials|TestCrashAfterStartReply|TestJobsSurvive|TestTaskIsNotBlamed"
 mutant crashes-are-not-confirmed $cells/crash.go 'if k := &crashes[i]; k.Confirmed {' 'if k := &crashes[i]; true {' ./$cells "$crash"
 mutant crashes-together-blame-a-task $cells/crash.go 'return n >= lostTogetherWorkers' 'return false' ./$cells "$crash"
 mutant crashes-are-not-stored $cells/progress.go 'sp.Crashes = append(sp.Crashes, TaskCrashes{Index: i, Crashes: slices.Clone(k)})' '_, _ = i, slices.Clone(k)' ./$cells "$crash"
--- a/core/cccell/trial_test.go
+++ b/core/cccell/trial_test.go
@@ -50,3 +50,24 @@
 		})
 	}
 }
+
+// Three tasks were lost with a worker, and two workers are left, one of them busy. Each gets one trial, so the third task
+// waits.
+func TestTrialsDoNotShareWorker(t *testing.T) {
+	c := readyCell(t, testWorker("w1"), testWorker("w2"))
+	one := testJob("one", 2)
+	one.Stages[0].MaxPerWorker = 1
+	c.AddJob(one, 1100, 1100)
+	assert.Equal(t, len(runStarts(c, 1100)), 2)
+	c.AddJob(testJob("two", 2), 1120, 1120)
+	got := runStarts(c, 1120)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].WorkerID, got[1].WorkerID, "packed on one worker")
+	w := c.workers[got[0].WorkerID]
+	reply := executedReply(1200)
+	reply.IncarnationMs = 1200
+	c.OnPollReply(&PollOrder{OrderHeader: c.header(w), worker: w}, reply, &TaskLists{}, 1200)
+	trials := runStarts(c, 1220)
+	assert.Equal(t, len(trials), 2)
+	assert.Assert(t, trials[0].WorkerID != trials[1].WorkerID)
+}
