Crash records: derived state and repeated loops are gone

Read again as a newcomer; behaviour stays as it is. - Crash.Alone held three conditions at once, and blamed repeated them: it now says only that no other task ran on the worker, and incriminating combines it. Two things were named busyMs.

--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -43,8 +43,7 @@
 	Attempt int64 `cbor:"1,keyasint"`
 	// RanMs is how long the attempt had run.
 	RanMs int64 `cbor:"2,keyasint,omitempty"`
-	// Alone is true when the worker had confirmed the start, no other task ran there, and the worker was not lost Together
-	// with others.
+	// Alone is true when no other task ran on the worker.
 	Alone bool `cbor:"3,keyasint,omitempty"`
 	// Confirmed is true once a process that was started later was found at the address of the worker. Until then, the
 	// worker may have been cut off.
@@ -58,24 +57,30 @@
 	Started bool `cbor:"8,keyasint,omitempty"`
 }
 
-// recent reports whether the attempt is the likely cause of the crash.
+// recent reports whether the attempt had just started.
 func (k *Crash) recent() bool {
 	return ms(k.RanMs) < recentStartMs
 }
 
-// blamed reports whether a task with these crashes is given up: each came soon after its start, and no other workers
-// were lost then; or it was alone on the worker in the last one; or there are too many.
+// incriminating reports whether the crash speaks against the task: it ran, had just started, and no other workers were
+// lost then.
+func (k *Crash) incriminating() bool {
+	return k.Started && k.recent() && !k.Together
+}
+
+// blamed reports whether a task with these crashes is given up: all of them speak against it; or the last one does, and
+// it was alone on the worker; or there are too many.
 func blamed(crashes []Crash) bool {
-	n, allRecent := 0, true
+	n, all := 0, true
 	var last *Crash
 	for i := range crashes {
 		if k := &crashes[i]; k.Confirmed {
 			n++
-			allRecent = allRecent && k.Started && k.recent() && !k.Together
+			all = all && k.incriminating()
 			last = k
 		}
 	}
-	return n >= maxCrashes || (n >= crashesToBlame && (allRecent || (last.Alone && last.recent())))
+	return n >= maxCrashes || (n >= crashesToBlame && (all || (last.Alone && last.incriminating())))
 }
 
 // onTrial reports whether the next attempt at task i is a trial. Crashes that are not confirmed count.
@@ -87,6 +92,20 @@
 	return len(crashes) >= crashesBeforeEmpty || (len(crashes) > 0 && crashes[len(crashes)-1].recent())
 }
 
+// trials returns the tasks to be started of which the start is a trial.
+func (s *stage) trials(now ms) []int {
+	if len(s.crashes) == 0 {
+		return nil
+	}
+	var out []int
+	for i := range s.tasks {
+		if s.needsStart(i) && s.onTrial(i, now) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // waitsForEmpty reports whether the trial of task i is not started on a worker with other tasks.
 func (s *stage) waitsForEmpty(i int, now ms) bool {
 	return len(s.crashes[i]) >= crashesBeforeEmpty && s.waitedForTrial(i, now) < maxEmptyWaitMs
@@ -136,9 +155,8 @@
 	if s.crash(i, a.number) != nil {
 		return // Recorded when the worker fell silent.
 	}
-	together := c.lostTogether(w, a.task.Job, now)
 	k := Crash{
-		Attempt: a.number, RanMs: int64(ran), Started: a.state == running, Alone: a.alone && a.state == running && !together, Together: together,
+		Attempt: a.number, RanMs: int64(ran), Started: a.state == running, Alone: a.alone, Together: c.lostTogether(w, a.task.Job, now),
 		Address: w.info.Address, IncarnationMs: w.incarnation,
 	}
 	s.crashes[i] = append(s.crashes[i], k)
@@ -279,13 +297,8 @@
 			}
 		}
 	}
-	if len(addresses) == 0 {
-		return
-	}
-	for _, w := range c.workers {
-		if addresses[w.info.Address] {
-			c.confirmCrashes(w.info.Address, w.newestIncarnation(), now)
-		}
+	for address := range addresses {
+		c.confirmKnownCrashes(address, now)
 	}
 }
 
@@ -324,15 +337,13 @@
 // placeTrials starts the tasks of a stage that are on trial, each on a worker of its own. It requests tickets when the
 // workers with a ticket are not suitable. It returns true if no other tasks of the stage are left to be started.
 func (c *Cell) placeTrials(s *stage, advised bool, now ms) (done bool) {
-	if len(s.crashes) == 0 || s.spec.Gang {
+	trials := s.trials(now)
+	if len(trials) == 0 {
 		return false
 	}
 	list, _ := c.candidates(s, advised, now)
 	waiting := 0
-	for i := range s.tasks {
-		if !s.needsStart(i) || !s.onTrial(i, now) {
-			continue
-		}
+	for _, i := range trials {
 		w := c.trialWorker(s, list, s.waitsForEmpty(i, now))
 		if w == nil {
 			if _, waits := s.trialWaitSince[i]; !waits {
@@ -396,21 +407,16 @@
 
 // holdForTrial holds a worker for a task that waits for an empty one: the worker that will be empty first.
 func (c *Cell) holdForTrial(s *stage, now ms) {
-	waits := false
-	for i := range s.tasks {
-		waits = waits || (s.needsStart(i) && s.onTrial(i, now) && s.waitsForEmpty(i, now))
-	}
-	if !waits || s.spec.Gang {
+	if !slices.ContainsFunc(s.trials(now), func(i int) bool { return s.waitsForEmpty(i, now) }) {
 		return
 	}
-	advised := c.queue(s.job).Advice != nil
 	var best *worker
 	var bestMs int64
 	for _, w := range c.usable {
-		if _, allowed := s.tickets.allowed[w.info.ID]; (advised && !allowed) || !c.eligible(s, w, now) {
+		if !c.mayHold(s, w, now) {
 			continue
 		}
-		if busyMs, ends := w.busyMs(now); ends && (best == nil || busyMs < bestMs || (busyMs == bestMs && w.info.ID < best.info.ID)) {
+		if busyMs, ends := w.untilEmptyMs(now); ends && (best == nil || busyMs < bestMs || (busyMs == bestMs && w.info.ID < best.info.ID)) {
 			best, bestMs = w, busyMs
 		}
 	}
@@ -419,8 +425,8 @@
 	}
 }
 
-// busyMs returns the expected time until a worker is empty, and false if it runs a task that does not end by itself.
-func (w *worker) busyMs(now ms) (busyMs int64, ends bool) {
+// untilEmptyMs returns the expected time until a worker is empty, and false if it runs a task that does not end by itself.
+func (w *worker) untilEmptyMs(now ms) (busyMs int64, ends bool) {
 	for _, a := range w.attempts {
 		if a.stage == nil || a.stage.spec.LongRunning {
 			return 0, false
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -77,13 +77,9 @@
 
 // holdCandidates returns the workers that may run a stage, if its tasks are large.
 func (c *Cell) holdCandidates(s *stage, now ms) []holdCandidate {
-	advised := c.queue(s.job).Advice != nil
 	var list []holdCandidate
 	for _, w := range c.usable {
-		if _, allowed := s.tickets.allowed[w.info.ID]; (advised && !allowed) || !c.eligible(s, w, now) {
-			continue
-		}
-		if !s.isLargeFor(w) {
+		if !c.mayHold(s, w, now) || !s.isLargeFor(w) {
 			continue
 		}
 		h := holdCandidate{w: w, held: s.held[w]}
@@ -95,6 +91,15 @@
 	return list
 }
 
+// mayHold reports whether a worker may be held for a stage: it may run its tasks. The ticket may have expired, since it
+// is renewed when they are started.
+func (c *Cell) mayHold(s *stage, w *worker, now ms) bool {
+	if _, allowed := s.tickets.allowed[w.info.ID]; !allowed && c.queue(s.job).Advice != nil {
+		return false
+	}
+	return c.eligible(s, w, now)
+}
+
 // isLargeFor reports whether the tasks of a stage are large in proportion to a worker.
 func (s *stage) isLargeFor(w *worker) bool {
 	need, capacity := s.need, &w.info.Capacity
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -150,13 +150,11 @@
 		case r.Reason == OtherIncarnation:
 			w.admitted = false
 		}
-		if w.silentSince == 0 {
-			c.cfg.Log("worker silent", "Worker", w.info.ID, "Outcome", r.Outcome, "Reason", r.Reason, "Attempts", len(w.attempts))
-		}
 		fellSilent := w.silentSince == 0
 		w.markSilent(now)
 		switch {
 		case fellSilent:
+			c.cfg.Log("worker silent", "Worker", w.info.ID, "Outcome", r.Outcome, "Reason", r.Reason, "Attempts", len(w.attempts))
 			c.suspectRecent(w, now)
 		case w.failedPolls >= suspectAllPolls:
 			c.suspectAll(w, now)
