Written completions are state changes from the start

The cell collected the IDs of early completions that were written in a list of its own, which the leadership turned into state changes. The cell returns the changes.

--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -88,8 +88,6 @@
 	Polls          []PollOrder
 	AdviceRequests []AdviceRequest
 	Changes        []StateChange
-	// Written holds the IDs of early completions that are written now, so that the voters need not keep them.
-	Written []string
 }
 
 // Outcome is the outcome of a call to a worker. Logs show its number.
--- a/core/cccell/persist.go
+++ b/core/cccell/persist.go
@@ -58,7 +58,7 @@
 			if j.early {
 				j.early = false
 				c.earlyCount--
-				c.orders.Written = append(c.orders.Written, p.Job)
+				c.orders.Changes = append(c.orders.Changes, StateChange{Job: p.Job, State: Completed, Written: true})
 			}
 		}
 		if p.Progress.State.Final() && j.published == "" {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -266,12 +266,8 @@
 // sendOrders publishes the state changes, and sends the orders to the workers and to the policy service.
 func (l *leadership) sendOrders(o cccell.Orders, now ms) {
 	p := l.p
-	changes := o.Changes
-	for _, id := range o.Written {
-		changes = append(changes, cccell.StateChange{Job: id, State: cccell.Completed, Written: true})
-	}
-	if len(changes) > 0 {
-		p.stateCache.apply(changes, now)
+	if len(o.Changes) > 0 {
+		p.stateCache.apply(o.Changes, now)
 	}
 	for i := range o.Starts {
 		s := &o.Starts[i]
