One list of the other processes, and the leader record decoded once

announceTargets repeated the loop of peerAddresses: both use otherMembers. peerAddresses sorted addresses that it shuffled next. campaign decoded the record that readLeader decodes, and warned twice of one that can't be: readLeader returns it. go test -race ./io/cccontrol green.

--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -63,24 +63,9 @@
 	}
 }
 
-// announceTargets returns the other members and the prior leader. Only the addresses of the seeds are known while there
-// are no members.
+// announceTargets returns the other members and the prior leader.
 func (p *Process) announceTargets(prior leaderRecord) []member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []member
-	for _, m := range p.members {
-		if m.VM != p.cfg.VM {
-			out = append(out, m)
-		}
-	}
-	if len(out) == 0 {
-		for _, s := range p.cfg.Seeds {
-			if s != p.cfg.Address {
-				out = append(out, member{Address: s})
-			}
-		}
-	}
+	out := p.otherMembers()
 	isPrior := func(m member) bool { return m.Address == prior.Address }
 	if prior.Token != 0 && prior.VM != p.cfg.VM && !slices.ContainsFunc(out, isPrior) {
 		out = append(out, member{VM: prior.VM, Address: prior.Address, StartMs: prior.StartMs})
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -269,10 +269,7 @@
 		return false
 	}
 	if err == nil {
-		if err := decode(item.Key, item.Value, &stored); err != nil {
-			p.cfg.Log.Warn("leader record can't be decoded", "Error", err)
-		}
-		p.readLeader(&item, "campaign")
+		stored = p.readLeader(&item, "campaign")
 		if current, _ := p.currentLeader(); current.Token > prior.Token {
 			return true
 		}
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -115,18 +115,20 @@
 	return listed || len(members) == 0
 }
 
-// readLeader decodes the leader record and passes it to observeLeader. It ignores items with another key.
-func (p *Process) readLeader(item *Item, source string) {
+// readLeader decodes the leader record, passes it to observeLeader and returns it. It returns an empty record for an item
+// with another key, and for one that can't be decoded.
+func (p *Process) readLeader(item *Item, source string) leaderRecord {
 	if item.Key != keyLeader {
-		return
+		return leaderRecord{}
 	}
 	var r leaderRecord
 	if err := decode(item.Key, item.Value, &r); err != nil {
 		p.cfg.Log.Warn("leader record can't be decoded", "Error", err)
-		return
+		return leaderRecord{}
 	}
 	r.revision = item.Revision
 	p.observeLeader(r, source)
+	return r
 }
 
 // rank returns the position, from 0, of this process in the order in which processes try to take over from a failed
@@ -173,24 +175,32 @@
 	return len(p.members)
 }
 
-// peerAddresses returns the addresses of the other processes in random order, or the seeds if none are listed.
-func (p *Process) peerAddresses() []string {
+// otherMembers returns the other members. Only the addresses of the seeds are known while there are none.
+func (p *Process) otherMembers() []member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
+	var out []member
 	for _, m := range p.members {
 		if m.VM != p.cfg.VM {
-			out = append(out, m.Address)
+			out = append(out, m)
 		}
 	}
 	if len(out) == 0 {
 		for _, s := range p.cfg.Seeds {
 			if s != p.cfg.Address {
-				out = append(out, s)
+				out = append(out, member{Address: s})
 			}
 		}
 	}
-	sort.Strings(out)
+	return out
+}
+
+// peerAddresses returns the addresses of the other processes in random order, or the seeds if none are listed.
+func (p *Process) peerAddresses() []string {
+	var out []string
+	for _, m := range p.otherMembers() {
+		out = append(out, m.Address)
+	}
 	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
 	return out
 }
