A stage is looked up by its ID; a method that only tests called is gone

keepAdvice, refreshAdvice and OnAdviceReply built a TaskID from a StageID: stageByID serves them and stageOf.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -103,7 +103,7 @@
 
 // keepAdvice reports whether a request that is queued or assigned is still needed, and extends its deadline if so.
 func (c *Cell) keepAdvice(r *AdviceRequest, now ms) bool {
-	s := c.stageOf(TaskID{Job: r.Stage.Job, Run: r.Stage.Run, Stage: r.Stage.Stage})
+	s := c.stageByID(r.Stage)
 	if s == nil || !s.tickets.requested || s.tickets.requestID != r.ID {
 		return false
 	}
@@ -121,7 +121,7 @@
 	if r.chosenAt == now {
 		return true
 	}
-	s := c.stageOf(TaskID{Job: r.Stage.Job, Run: r.Stage.Run, Stage: r.Stage.Stage})
+	s := c.stageByID(r.Stage)
 	if r.Workers = c.adviceCandidates(s, now); len(r.Workers) == 0 {
 		s.tickets.requested = false
 		s.tickets.noCandidatesUntil = now + noCandidatesDelayMs
@@ -228,7 +228,7 @@
 // OnAdviceReply handles a reply of the policy service, or its absence. It reports whether the stage still has tasks to
 // be started.
 func (c *Cell) OnAdviceReply(a *AdviceReply, now ms) bool {
-	s := c.stageOf(TaskID{Job: a.Stage.Job, Run: a.Stage.Run, Stage: a.Stage.Stage})
+	s := c.stageByID(a.Stage)
 	if s == nil {
 		return false
 	}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -115,11 +115,6 @@
 	return c.authorityUntil
 }
 
-// OnPriorLeaderEnded is called when the prior leader is known to have ended, so that its authority need not run out.
-func (c *Cell) OnPriorLeaderEnded(now ms) {
-	c.SetHandover(now, now)
-}
-
 // SetHandover sets the time at which the authority of the prior leaders ends, and that from which their early
 // completions are known. A later end of the authority than that known is ignored.
 func (c *Cell) SetHandover(at, informedAt ms) {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -287,17 +287,22 @@
 
 // stageOf returns the stage of a task, or nil when no job in memory has that task.
 func (c *Cell) stageOf(t TaskID) *stage {
-	j := c.jobs[t.Job]
-	if j == nil {
+	s := c.stageByID(StageID{Job: t.Job, Run: t.Run, Stage: t.Stage})
+	if s == nil || t.Index < 0 || t.Index >= s.spec.Count {
 		return nil
 	}
-	r := j.runs[t.Run]
-	if r == nil || t.Stage < 0 || t.Stage >= len(r.stages) {
+	return s
+}
+
+// stageByID returns a stage, or nil when no job in memory has it.
+func (c *Cell) stageByID(id StageID) *stage {
+	j := c.jobs[id.Job]
+	if j == nil {
 		return nil
 	}
-	s := r.stages[t.Stage]
-	if t.Index < 0 || t.Index >= s.spec.Count {
+	r := j.runs[id.Run]
+	if r == nil || id.Stage < 0 || id.Stage >= len(r.stages) {
 		return nil
 	}
-	return s
+	return r.stages[id.Stage]
 }
