Interfaces of the parts on teams: team of a job, keys as digests, limits, one place for the length of a job's chain

Change: types only, no behaviour. core/ccquota will hold the books of caps, core/cckey the look-up of keys; the cell gets the teams with SetTeams and asks chainMs for the length of a chain, so that learned run times and shares can be built side by side.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -25,6 +25,7 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	queues  map[string]*Queue
+	teams   map[string]*Team
 	// open holds the unfinished stages whose predecessors are finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that are not due yet.
@@ -146,6 +147,14 @@
 	return out
 }
 
+// SetTeams activates the limits of teams.
+func (c *Cell) SetTeams(teams []Team) {
+	c.teams = map[string]*Team{}
+	for i := range teams {
+		c.teams[teams[i].Name] = &teams[i]
+	}
+}
+
 // SetQueues activates a configuration. A job whose queue it does not contain keeps the last configuration of that
 // queue.
 func (c *Cell) SetQueues(queues []Queue) {
--- a/core/cccell/config.go
+++ b/core/cccell/config.go
@@ -3,6 +3,9 @@
 import (
 	"strings"
 
+	"coriandercross/core/cckey"
+	"coriandercross/core/ccquota"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -16,6 +19,15 @@
 	Queue  Queue
 	// TimeoutMs is the time limit for the response to a caller.
 	TimeoutMs int64
+	// Public is true when requests need no API key.
+	Public bool
+}
+
+// Team is a customer whose jobs are told apart by API keys.
+type Team struct {
+	Name   string
+	Keys   []cckey.Digest
+	Limits ccquota.Limits
 }
 
 // Configuration is the configuration that the operators have activated.
@@ -25,6 +37,8 @@
 	Routes  []Route
 	// MaxBodyBytes is the size limit of a request body.
 	MaxBodyBytes int64
+	// Teams is empty when requests need no API keys.
+	Teams []Team
 }
 
 // Check returns ErrBadConfig for a configuration without a version, or with a route that lacks its prefix, name or
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -111,6 +111,8 @@
 	// AcceptedMs is the time of day at which the job was accepted, in Unix milliseconds. It affects only the order in
 	// which jobs are placed, so a wrong clock breaks no invariant.
 	AcceptedMs int64 `cbor:"8,keyasint,omitempty"`
+	// Team is the name of the team that submitted the job, or empty if the configuration has no teams.
+	Team string `cbor:"9,keyasint,omitempty"`
 }
 
 // Check returns ErrBadJob for a job that can't be run as described.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -123,10 +123,15 @@
 		return longRunningRank + float64(s.readyAt)
 	}
 	q := c.queue(s.job)
-	due := float64(s.job.arrivedAt) + q.SlackFactor*float64(s.job.spec.CriticalPathMs()) + float64(q.TargetMs)
+	due := float64(s.job.arrivedAt) + q.SlackFactor*float64(c.chainMs(s.job)) + float64(q.TargetMs)
 	return due + float64(q.Priority)*priorityRankMs
 }
 
+// chainMs returns the expected duration of the longest chain of dependent stages of a job.
+func (c *Cell) chainMs(j *job) int64 {
+	return j.spec.CriticalPathMs()
+}
+
 // eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage, and is
 // large enough for one task when empty. Tickets are not checked.
 func (c *Cell) eligible(s *stage, w *worker, now ms) bool {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -240,6 +240,7 @@
 	if c := p.config.Load(); c != nil && c.config.Version > l.configVersion {
 		l.configVersion = c.config.Version
 		l.cell.SetQueues(c.config.Queues())
+		l.cell.SetTeams(c.config.Teams)
 	}
 	l.cell.Schedule(now, unixNow())
 	l.publishEarly(now)
