Caps of teams are kept: books of what each team has running, and a model that checks them from the workers' side

Change: core/ccquota.Book counts every attempt at its full size from the order of its start until it is removed, which is when its end is confirmed or its lease has surely lapsed. A stage at the cap of its team requests no tickets and holds no workers. After a change of the leader, tasks of a capped team wait until all that prior leaders may have running is known. Configuration.CheckCap refuses a gang that the cap can never admit.

Ruled out: a bound of what silent workers may run, in place of the wait; attempts of jobs that ended are in no record that a new leader reads, so that bound would be likely, not certain.

--- /dev/null
+++ b/core/cccell/caps.go
@@ -0,0 +1,182 @@
+package cccell
+
+import (
+	"coriandercross/core/ccquota"
+	"coriandercross/core/ccwork"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Caps of teams. What counts against a cap is every attempt from the order of its start until it is certain that it does
+// not run, at its full size: while the reply is pending or lost, while it is being stopped, and while its worker is
+// silent. Load: a team hands in far more than its cap while workers fall silent and leaders change.
+
+// ErrOverCap reports a job that the cap of its team will never admit.
+var ErrOverCap = errors.New("job needs more than the cap of its team at a time")
+
+// capLeftMs is the time without a stage that waited for the cap after which a team has left its cap. A wide stage that
+// runs in waves has room for a moment in each.
+const capLeftMs ms = 2000
+
+// CheckCap returns ErrOverCap for a job with a gang that is larger than the cap of the job's team. A single task that is
+// larger runs while its team has nothing else running.
+func (c *Configuration) CheckCap(j *Job) error {
+	if j.Team == "" {
+		return nil
+	}
+	for i := range c.Teams {
+		if t := &c.Teams[i]; t.Name == j.Team {
+			return checkCap(&t.Limits, j)
+		}
+	}
+	return nil
+}
+
+// checkCap returns ErrOverCap for a job with a gang that limits never admit.
+func checkCap(l *ccquota.Limits, j *Job) error {
+	for i := range j.Stages {
+		s := &j.Stages[i]
+		if s.Gang && s.Count > 1 && !l.Admits(s.Size, s.Count) {
+			return errors.Wrapf(ErrOverCap, "stage %d is a gang of %d tasks of %+v, and the cap of team %q is %+v", i, s.Count, s.Size, j.Team, l.Cap)
+		}
+	}
+	return nil
+}
+
+// SetTeams activates the limits of teams. A team that is left out keeps its last known limits while its jobs run on.
+// Before the first call, no task of a team is started.
+func (c *Cell) SetTeams(teams []Team) {
+	c.teams = map[string]*Team{}
+	limits := make(map[string]ccquota.Limits, len(teams))
+	for i := range teams {
+		t := &teams[i]
+		c.teams[t.Name] = t
+		limits[t.Name] = t.Limits
+		if a := c.book.Account(t.Name); a.Limits().Cap != t.Limits.Cap {
+			running, tasks := a.Running()
+			c.cfg.Log("cap of the team changed", "Team", t.Name, "Before", a.Limits().Cap, "Cap", t.Limits.Cap, "Running", running, "Tasks", tasks)
+		}
+	}
+	c.book.SetLimits(limits)
+}
+
+// capWait is the time in which stages of a team wait for its cap.
+type capWait struct {
+	since, lastAt ms
+}
+
+// runningKnown reports whether all that prior leaders may have running is known. A worker that has not answered yet may
+// run tasks of any team until the leases of the prior leaders have ended. The team and the size of an orphan are not
+// known.
+func (c *Cell) runningKnown(now ms) bool {
+	if now < c.handoverAt {
+		return false
+	}
+	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
+	lapsed := now >= c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)
+	for _, w := range c.workers {
+		if w.orphans > 0 || (!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt) {
+			return false
+		}
+	}
+	return true
+}
+
+// capRoom returns how many of n tasks of a stage the cap of its team admits now; of a gang all or none.
+func (c *Cell) capRoom(s *stage, n int) int {
+	a := s.job.account
+	if !a.Capped() {
+		return n
+	}
+	if !c.runningIsKnown {
+		return 0
+	}
+	room := a.Fitting(s.spec.Size, n)
+	if s.spec.Gang && room < n {
+		return 0
+	}
+	return room
+}
+
+// limitToCap limits the tasks of a stage that are placed in this round to those that the cap of its team admits. It
+// returns false if there are none: the stage then requests no tickets and holds no workers.
+func (c *Cell) limitToCap(s *stage, now ms) bool {
+	room := c.capRoom(s, s.unplaced)
+	s.overCap = room < s.unplaced
+	if !s.overCap {
+		return true
+	}
+	s.unplaced = room
+	reason := delayHandover
+	if c.runningIsKnown {
+		reason = delayCap
+		c.noteCapWait(s, now)
+	}
+	if room > 0 {
+		return true
+	}
+	s.held = nil
+	s.placementDelay.add(now, reason)
+	c.logWaiting(s, now)
+	return false
+}
+
+// noteCapWait records that a stage waits for the cap of its team.
+func (c *Cell) noteCapWait(s *stage, now ms) {
+	a := s.job.account
+	wait := c.capWaits[a]
+	if wait == nil {
+		wait = &capWait{since: now}
+		c.capWaits[a] = wait
+		running, tasks := a.Running()
+		c.cfg.Log("team at its cap", "Team", a.Team(), "Running", running, "Tasks", tasks, "Cap", a.Limits().Cap, "Job", s.id.Job)
+	}
+	wait.lastAt = now
+}
+
+// endCapWaits logs the teams that have left their caps.
+func (c *Cell) endCapWaits(now ms) {
+	for a, wait := range c.capWaits {
+		if now-wait.lastAt < capLeftMs {
+			continue
+		}
+		delete(c.capWaits, a)
+		running, tasks := a.Running()
+		c.cfg.Log("team below its cap", "Team", a.Team(), "Running", running, "Tasks", tasks, "Cap", a.Limits().Cap, "ForMs", wait.lastAt-wait.since)
+	}
+}
+
+// TeamSummary is what a team has running, as shown in the state dump and in the metrics.
+type TeamSummary struct {
+	Team string
+	// Tasks is the number of attempts that count against the cap, Running their total size.
+	Tasks   int
+	Running ccwork.Size
+	// Cap is what the team may have running; a value of 0 means no limit.
+	Cap ccwork.Size
+	// Waiting is the number of tasks that could start now.
+	Waiting int
+	// AtCapMs is the time for which tasks have waited for the cap, 0 if none do.
+	AtCapMs int64
+}
+
+// Teams returns the summaries of all teams, ordered by name.
+func (c *Cell) Teams(now ms) []TeamSummary {
+	waiting := map[*ccquota.Account]int{}
+	for s := range c.open {
+		waiting[s.job.account] += s.countUnplaced()
+	}
+	var out []TeamSummary
+	for _, a := range c.book.Accounts() {
+		if a.Team() == "" {
+			continue
+		}
+		t := TeamSummary{Team: a.Team(), Cap: a.Limits().Cap, Waiting: waiting[a]}
+		t.Running, t.Tasks = a.Running()
+		if wait := c.capWaits[a]; wait != nil {
+			t.AtCapMs = int64(now - wait.since)
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "coriandercross/core/ccquota"
+
 // Config configures a Cell.
 type Config struct {
 	// Token is the fencing token of this leader, higher than that of each leader before it. Workers refuse calls with a
@@ -26,6 +28,11 @@
 	workers map[string]*worker
 	queues  map[string]*Queue
 	teams   map[string]*Team
+	// book holds what each team has running; see caps.go. capWaits holds the teams with stages that wait for a cap.
+	book     *ccquota.Book
+	capWaits map[*ccquota.Account]*capWait
+	// runningIsKnown is the result of runningKnown in the current round.
+	runningIsKnown bool
 	// open holds the unfinished stages whose predecessors are finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that are not due yet.
@@ -96,6 +103,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
+		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
 }
@@ -147,14 +155,6 @@
 	return out
 }
 
-// SetTeams activates the limits of teams.
-func (c *Cell) SetTeams(teams []Team) {
-	c.teams = map[string]*Team{}
-	for i := range teams {
-		c.teams[teams[i].Name] = &teams[i]
-	}
-}
-
 // SetQueues activates a configuration. A job whose queue it does not contain keeps the last configuration of that
 // queue.
 func (c *Cell) SetQueues(queues []Queue) {
@@ -179,7 +179,7 @@
 	}
 	j := c.insert(spec, now)
 	j.adopted = now < c.handoverAt
-	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning())
+	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Team", spec.Team, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning())
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
 }
@@ -191,7 +191,7 @@
 
 // insert adds a job to memory, without runs.
 func (c *Cell) insert(spec *Job, now ms) *job {
-	j := &job{spec: spec, queue: &spec.Queue, runs: map[int]*run{}, arrivedAt: now}
+	j := &job{spec: spec, queue: &spec.Queue, account: c.book.Account(spec.Team), runs: map[int]*run{}, arrivedAt: now}
 	c.jobs[spec.ID] = j
 	return j
 }
--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -344,6 +344,9 @@
 	list, _ := c.candidates(s, advised, now)
 	waiting := 0
 	for _, i := range trials {
+		if c.capRoom(s, 1) == 0 {
+			break
+		}
 		w := c.trialWorker(s, list, s.waitsForEmpty(i, now))
 		if w == nil {
 			if _, waits := s.trialWaitSince[i]; !waits {
@@ -360,14 +363,15 @@
 		}
 		c.cfg.Log("trial of a task that was lost with its worker", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "Crashes", len(s.crashes[i]), "Alone", a.alone)
 	}
-	s.unplaced = s.countUnplaced()
+	left := s.countUnplaced()
+	s.unplaced = c.capRoom(s, left)
 	if waiting > 0 {
 		s.placementDelay.add(now, delayTrial)
 		if advised {
 			c.requestAdvice(s, now)
 		}
 	}
-	return s.unplaced == waiting
+	return left == waiting || s.unplaced == 0
 }
 
 // trialWorker returns the worker for a trial: an empty one, or else, unless it has to be empty, the one with the fewest
@@ -407,6 +411,9 @@
 
 // holdForTrial holds a worker for a task that waits for an empty one: the worker that will be empty first.
 func (c *Cell) holdForTrial(s *stage, now ms) {
+	if c.capRoom(s, 1) == 0 {
+		return
+	}
 	if !slices.ContainsFunc(s.trials(now), func(i int) bool { return s.waitsForEmpty(i, now) }) {
 		return
 	}
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -30,7 +30,7 @@
 
 // holdWorkers holds workers for the tasks of a stage that were not placed in this round.
 func (c *Cell) holdWorkers(s *stage, now ms) {
-	missing := s.countUnplaced()
+	missing := c.capRoom(s, s.countUnplaced())
 	if missing == 0 || s.spec.LongRunning || now-s.readyAt < holdAfterMs {
 		s.held = nil
 		return
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -26,6 +26,8 @@
 	token int64
 	// writes are in flight to the store.
 	writes []cccell.ProgressWrite
+	// configVersion is the newest version of the caps that the leader knows.
+	configVersion int
 }
 
 // lateCall is a call that is executed some time after its sender has given it up.
@@ -66,6 +68,10 @@
 	longRunning int
 	// resizes is true when workers shrink and grow.
 	resizes bool
+	// caps has the versions of the caps of teams, oldest first; it is empty without teams. capRefused counts the jobs that
+	// were refused because of them.
+	caps       []modelCaps
+	capRefused int
 }
 
 const (
@@ -80,7 +86,7 @@
 var modelCapacity = ccwork.Size{MilliCores: 4000, MemoryMB: 4000}
 
 // newSimulation returns a simulation with one leader.
-func newSimulation(t *rapid.T) *simulation {
+func newSimulation(t *rapid.T, teams bool) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
 		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{},
@@ -105,6 +111,9 @@
 			MaxLeaseMs: modelMaxLeaseMs, ClockOffset: int64(1_000_000 * i), Rate: 1 - 0.02*float64(i%2), Checker: sim.checker, Plan: sim.plan,
 		})
 	}
+	if teams {
+		sim.addTeams()
+	}
 	sim.takeOver()
 	return sim
 }
@@ -121,7 +130,7 @@
 	if s.LongRunning && h%5 != 0 {
 		runMs = 0
 	}
-	return runMs, end, s.Size
+	return runMs, end, s.Reserved()
 }
 
 // takeOver adds a leader with a new token, which reads the store and the list of workers.
@@ -149,6 +158,7 @@
 		c.Adopt(s, sim.now, sim.now)
 	}
 	c.AdoptCompletions(slices.Sorted(maps.Keys(sim.early)), sim.now)
+	sim.learnSomeCaps(l)
 	sim.leaders = append(sim.leaders, l)
 }
 
@@ -201,6 +211,9 @@
 			j.Stages[0].Count, j.Stages[0].Size.MilliCores = 2, 500
 		}
 	}
+	if len(sim.caps) > 0 && !sim.joinTeam(j) {
+		return
+	}
 	sim.jobs[id] = j
 	sim.jobIDs = append(sim.jobIDs, id)
 	if sim.draw(3, "notified") > 0 {
@@ -250,6 +263,7 @@
 		// Only the newest leader is confirmed, by the store or by all other processes.
 		l.cell.ExtendAuthority(sim.now + modelAuthorityMs)
 	}
+	sim.learnCapsInTime(l)
 	l.cell.Schedule(sim.now, sim.now)
 	if l.token == sim.token {
 		// Only the newest leader has a majority of the voters.
@@ -379,6 +393,10 @@
 		faults = 12
 	}
 	i := sim.draw(modelWorkers, "worker")
+	if len(sim.caps) > 0 && sim.draw(5, "changeCaps") == 0 {
+		sim.changeCaps()
+		return
+	}
 	switch sim.draw(faults, "fault") {
 	case 0:
 		sim.workers[i].Crash(sim.now)
@@ -418,6 +436,7 @@
 // heal ends all faults and runs for 40 s, in which every job that is not long-running should end.
 func (sim *simulation) heal() {
 	sim.faultsOff, sim.storeDown = true, false
+	sim.liftCaps()
 	sim.disconnected = map[int]bool{}
 	for _, x := range sim.workers {
 		x.Info.Draining = false
@@ -446,6 +465,9 @@
 // it.
 func (sim *simulation) mayHaveFailed(j *cccell.Job) bool {
 	for s := range j.Stages {
+		if j.Stages[s].Gang && sim.gangFailures(j, s) >= modelMaxAttempts {
+			return true
+		}
 		for i := range j.Stages[s].Count {
 			id := cccell.TaskID{Job: j.ID, Stage: s, Index: i}
 			if crashes, _ := sim.checker.CrashedUnder(id); crashes >= 2 || (!j.Stages[s].LongRunning && sim.checker.Failures(id) >= modelMaxAttempts) {
@@ -468,19 +490,19 @@
 // its capacity, no task fails more often than permitted, no job fails without a cause. After the faults end, every job ends,
 // except long-running ones, each task of which has exactly one attempt.
 func TestCellModel(t *testing.T) {
-	rapid.Check(t, modelRun(false))
+	rapid.Check(t, modelRun(false, false))
 }
 
 // TestCellModelResizes is TestCellModel with workers that shrink and grow. It is a test of its own, so that the recorded
 // seeds of TestCellModel keep their meaning.
 func TestCellModelResizes(t *testing.T) {
-	rapid.Check(t, modelRun(true))
+	rapid.Check(t, modelRun(true, false))
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
-func modelRun(resizes bool) func(t *rapid.T) {
+func modelRun(resizes, teams bool) func(t *rapid.T) {
 	return func(t *rapid.T) {
-		sim := newSimulation(t)
+		sim := newSimulation(t, teams)
 		sim.resizes = resizes
 		for range 60 {
 			switch sim.draw(4, "action") {
@@ -516,6 +538,9 @@
 				}
 				if state == cccell.Completed {
 					for s := range j.Stages {
+						if j.Stages[s].Gang {
+							continue // The end of one member completes it.
+						}
 						for i := 0; i < j.Stages[s].Count; i++ {
 							if !sim.checker.Done(cccell.TaskID{Job: id, Stage: s, Index: i}) {
 								t.Fatalf("%s is published as completed without task %d of stage %d", id, i, s)
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -19,6 +19,7 @@
 	if now < c.authorityUntil {
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
+		c.runningIsKnown = c.runningKnown(now)
 		for _, w := range c.workers {
 			w.heldFor = nil
 			if w.usable(now) {
@@ -30,10 +31,14 @@
 				c.requestAdviceEarly(s, now)
 				continue
 			}
+			if !c.limitToCap(s, now) {
+				continue
+			}
 			c.place(s, now)
 			c.holdWorkers(s, now)
 			c.holdForTrial(s, now)
 		}
+		c.endCapWaits(now)
 	}
 	c.scheduleStops(now)
 	c.schedulePolls(now)
@@ -196,6 +201,9 @@
 		if s.spec.Gang || len(list) == 0 {
 			return
 		}
+	} else if s.overCap {
+		s.placementDelay.add(now, delayCap)
+		c.logWaiting(s, now)
 	} else {
 		s.placementDelay.add(now, "")
 		c.logPlacementDelay(s, now)
@@ -204,7 +212,8 @@
 	if s.spec.Gang {
 		number = c.nextAttempt()
 	}
-	for i := 0; i < s.spec.Count && len(list) > 0; i++ {
+	left := s.unplaced
+	for i := 0; i < s.spec.Count && left > 0 && len(list) > 0; i++ {
 		if !s.needsStart(i) || s.onTrial(i, now) {
 			continue
 		}
@@ -217,6 +226,7 @@
 			number = c.nextAttempt()
 		}
 		c.start(s, i, w, number, now)
+		left--
 		if c.fitting(s, w) == 0 {
 			list = append(list[:k], list[k+1:]...)
 		}
@@ -284,13 +294,13 @@
 func (c *Cell) logDelay(event string, s *stage, now ms, kv ...any) {
 	var byReason []any
 	totalMs := ms(0)
-	for _, reason := range []string{delayHandover, delayRetry, delayTicket, delayCapacity, delayTrial, delayRound} {
+	for _, reason := range []string{delayHandover, delayRetry, delayTicket, delayCapacity, delayCap, delayTrial, delayRound} {
 		if delay := s.placementDelay.byReason[reason]; delay > 0 {
 			totalMs += delay
 			byReason = append(byReason, reason+"Ms", delay)
 		}
 	}
-	fields := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
+	fields := []any{"Job", s.id.Job, "Team", s.job.spec.Team, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
 	c.cfg.Log(event, append(append(fields, kv...), byReason...)...)
 }
 
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -1,6 +1,9 @@
 package cccell
 
-import "coriandercross/core/ccwork"
+import (
+	"coriandercross/core/ccquota"
+	"coriandercross/core/ccwork"
+)
 
 // job is the in-memory state of a job.
 type job struct {
@@ -8,6 +11,8 @@
 	spec *Job
 	// queue is the newest known configuration of the job's queue.
 	queue *Queue
+	// account is that of the job's team.
+	account *ccquota.Account
 	// runs holds the runs that have started, by number. A job without a schedule has only run 0.
 	runs map[int]*run
 	// final is the final state as decided, or empty. It is published once it is persisted.
@@ -79,6 +84,8 @@
 	notBefore ms
 	// unplaced is the number of tasks to be started in this round.
 	unplaced int
+	// overCap is true when more tasks are to be started in this round than the cap of the team admits.
+	overCap bool
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
 }
@@ -104,6 +111,8 @@
 	delayTicket = "Ticket"
 	// delayCapacity: the workers that may run the tasks have too little free capacity for all of them.
 	delayCapacity = "Room"
+	// delayCap: the team has as much running as its cap admits.
+	delayCap = "Cap"
 	// delayTrial: a task that was lost with its worker waits for a worker without another trial, or for an empty one.
 	delayTrial = "Trial"
 	// delayRound: no scheduling round has processed the stage since it became ready.
--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -11,6 +11,7 @@
 	// PendingWrites is the result of Cell.PendingWrites.
 	PendingWrites int `json:"Unnoted"`
 	Stats         Stats
+	Teams         []TeamSummary `json:",omitempty"`
 	Workers       []WorkerSummary
 }
 
@@ -33,7 +34,7 @@
 
 // Summary returns the state of the cell for the state dump.
 func (c *Cell) Summary(now ms) *Summary {
-	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats}
+	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats, Teams: c.Teams(now)}
 	for id, w := range c.workers {
 		free := w.free()
 		ws := WorkerSummary{
--- a/core/ccworkersim/checker.go
+++ b/core/ccworkersim/checker.go
@@ -17,6 +17,10 @@
 	MaxAttempts int
 	// ShrinkGraceMs is the time for which a start may still use the capacity that a worker had before it shrank.
 	ShrinkGraceMs ms
+	// Team returns the team of a task and the size that counts against the team's cap. Cap returns the highest cap of the
+	// team that may be in force; a value of 0 means no limit. Both are nil if there are no teams.
+	Team func(t cccell.TaskID) (team string, size ccwork.Size)
+	Cap  func(team string, now ms) ccwork.Size
 	// Violations has one line for each violation of an invariant.
 	Violations []string
 	// Starts is the number of attempts started.
@@ -81,6 +85,7 @@
 		c.live[a.Task] = map[*Attempt]*Worker{}
 	}
 	c.live[a.Task][a] = w
+	c.checkCap(w, a, now)
 	c.used[w] = c.used[w].Plus(a.Size)
 	if used := c.used[w]; !w.hasCapacity(used, c.ShrinkGraceMs, now) {
 		c.violation("capacity exceeded: %s uses %+v of %+v at %d, before %+v", w.Info.ID, used, w.Info.Capacity, now, w.priorCapacities)
