Tests of caps: each form that counts, each end that frees, changes of caps, silent workers and orphans after a change of the leader

Nine mutants of the books, each caught: order in doubt, silent worker, orphan, stop counted too early, older limits, unknown limits, count lost at a takeover, best-effort cores and copies. Two survived the first model (teams too many, authority as long as most leases); the model has two teams and a short authority now, and both are caught within 4,000 runs.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -76,6 +76,19 @@
 mutant cut-off-workers-have-crashed $cells/replies.go 'c.withdrawCrashes(w)' '_ = w' ./$cells "$crash"
 mutant long-running-tasks-at-work-are-suspects $cells/crash.go 'case s.spec.LongRunning && a.percent >= 100 && ran >= recentStartMs:' 'case false:' ./$cells "$crash"
 mutant trials-share-a-worker $cells/crash.go '(empty && n > 0) || cand.w.trialJob() != ""' 'false' ./$cells "$crash"
+caps="-run=TestCellModelCaps -rapid.checks=4000 -rapid.shrinktime=1s -rapid.nofailfile"
+book=core/ccquota/book.go
+mutant cap-order-in-doubt-not-counted $cells/replies.go 'a.state, a.inDoubtSince = inDoubt, now' 'a.state, a.inDoubtSince = inDoubt, now; a.stage.job.account.Release(a.stage.spec.Size)' ./$cells "$caps"
+mutant cap-silent-worker-not-counted $cells/caps.go '(!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt)' '(lapsed && false)' ./$cells "$caps"
+mutant cap-orphan-not-counted $cells/caps.go 'w.orphans > 0 ||' 'false ||' ./$cells "-run=TestNewLeaderCounts"
+mutant cap-stop-counted-too-early $cells/replies.go 'a.stopConfirmed = true' 'a.stopConfirmed = true; if a.stage != nil { a.stage.job.account.Release(a.stage.spec.Size) }' ./$cells "$caps"
+mutant cap-older-limits-used $book 'b.Account(team).limits = l' 'if a := b.Account(team); a.limits == (Limits{}) { a.limits = l }' ./$cells "$caps"
+mutant cap-unknown-means-none $book 'case !a.book.known:
+		return 0' 'case !a.book.known:
+		return n' ./$cells "$caps"
+mutant cap-count-lost-at-takeover $cells/worker.go 's.job.account.Charge(s.spec.Size)' 'if !a.adopted { s.job.account.Charge(s.spec.Size) }' ./$cells "$caps"
+mutant cap-best-effort-not-counted $cells/worker.go 's.job.account.Charge(s.spec.Size)' 's.job.account.Charge(s.need)' ./$cells "$caps"
+mutant cap-copy-not-counted $cells/worker.go 's.job.account.Charge(s.spec.Size)' 'if len(s.tasks[a.task.Index]) == 1 { s.job.account.Charge(s.spec.Size) }' ./$cells "-run=TestCapCountsCopies"
 quorum="-run=TestOneLeaderActs -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 quorums=core/ccquorum
 mutant handover-awaits-no-voters $quorums/quorum.go 'endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}' 'endsAt: wonAt + priorAuthorityMs}' ./$quorums "$quorum"
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -68,10 +68,10 @@
 	longRunning int
 	// resizes is true when workers shrink and grow.
 	resizes bool
-	// caps has the versions of the caps of teams, oldest first; it is empty without teams. capRefused counts the jobs that
-	// were refused because of them.
-	caps       []modelCaps
-	capRefused int
+	// caps has the versions of the caps of teams, oldest first; it is empty without teams.
+	caps []modelCaps
+	// authorityMs is the time for which a leader may give orders after a confirmation.
+	authorityMs ms
 }
 
 const (
@@ -89,7 +89,7 @@
 func newSimulation(t *rapid.T, teams bool) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
-		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{},
+		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, authorityMs: modelAuthorityMs,
 	}
 	sim.checker.MaxAttempts = modelMaxAttempts
 	sim.checker.LongRunning = func(id cccell.TaskID) bool { return sim.jobs[id.Job].Stages[id.Stage].LongRunning }
@@ -140,7 +140,7 @@
 	}
 	sim.token++
 	sim.revision++
-	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: modelAuthorityMs, PriorAuthorityMs: modelAuthorityMs, RemoteFactor: 2, Log: sim.log(sim.token)}, sim.now)
+	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token)}, sim.now)
 	l := &leader{cell: c, token: sim.token}
 	sim.listWorkers(l)
 	for _, info := range sim.roster {
@@ -261,7 +261,7 @@
 func (sim *simulation) round(l *leader) {
 	if l.token == sim.token {
 		// Only the newest leader is confirmed, by the store or by all other processes.
-		l.cell.ExtendAuthority(sim.now + modelAuthorityMs)
+		l.cell.ExtendAuthority(sim.now + sim.authorityMs)
 	}
 	sim.learnCapsInTime(l)
 	l.cell.Schedule(sim.now, sim.now)
--- a/core/cccell/modelcaps_test.go
+++ b/core/cccell/modelcaps_test.go
@@ -20,9 +20,12 @@
 }
 
 const (
-	modelTeams = 3
+	modelTeams = 2
 	// modelConfigMs is the time within which each leader knows a new version.
 	modelConfigMs = 4000
+	// modelShortAuthorityMs leaves a long time between the end of the prior leader's authority and that of its leases, in
+	// which tasks run on silent workers.
+	modelShortAuthorityMs = 500
 )
 
 // teams returns the teams as a configuration has them.
@@ -47,6 +50,7 @@
 		first.caps[modelTeam(i)] = sim.drawCap()
 	}
 	sim.caps = []modelCaps{first}
+	sim.authorityMs = modelShortAuthorityMs
 	sim.checker.Team = func(t cccell.TaskID) (string, ccwork.Size) {
 		return sim.jobs[t.Job].Team, sim.jobs[t.Job].Stages[t.Stage].Size
 	}
@@ -55,7 +59,7 @@
 
 // drawCap draws a cap, often smaller than a task, and sometimes none.
 func (sim *simulation) drawCap() ccwork.Size {
-	out := ccwork.Size{MilliCores: 500 * int64(sim.draw(12, "capCores"))}
+	out := ccwork.Size{MilliCores: 500 * int64(sim.draw(8, "capCores"))}
 	if sim.draw(3, "capMemory") == 0 {
 		out.MemoryMB = 500 * int64(1+sim.draw(6, "capMB"))
 	}
@@ -127,9 +131,16 @@
 		return
 	}
 	next := sim.caps[l.configVersion]
-	if sim.now-next.at >= modelConfigMs-400 || sim.draw(4, "learns") == 0 {
-		sim.learnCaps(l, len(sim.caps))
+	switch {
+	case sim.faultsOff:
+	case l.configVersion == 0: // It starts nothing until then.
+		if sim.draw(8, "learnsFirst") > 0 {
+			return
+		}
+	case sim.now-next.at < modelConfigMs-400 && sim.draw(4, "learns") > 0:
+		return
 	}
+	sim.learnCaps(l, len(sim.caps))
 }
 
 func (sim *simulation) learnCaps(l *leader, version int) {
@@ -154,7 +165,6 @@
 	}
 	version := sim.caps[len(sim.caps)-1]
 	if err := (&cccell.Configuration{Teams: version.teams()}).CheckCap(j); err != nil || (s.Gang && s.Count > 2) {
-		sim.capRefused++
 		return false
 	}
 	return true
