--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -110,7 +110,9 @@
 	reason := delayHandover
 	if c.runningIsKnown {
 		reason = delayCap
-		c.noteCapWait(s, now)
+		if c.book.Known() {
+			c.noteCapWait(s, now)
+		}
 	}
 	if room > 0 {
 		return true
@@ -129,7 +131,7 @@
 		wait = &capWait{since: now}
 		c.capWaits[a] = wait
 		running, tasks := a.Running()
-		c.cfg.Log("team at its cap", "Team", a.Team(), "Running", running, "Tasks", tasks, "Cap", a.Limits().Cap, "Job", s.id.Job)
+		c.cfg.Log("team at its cap", "Team", a.Team(), "Running", running, "Tasks", tasks, "Cap", a.Limits().Cap)
 	}
 	wait.lastAt = now
 }
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -298,6 +298,7 @@
 	got := runStarts(c, 1100)
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].Task.Job, "b")
+	assert.Equal(t, len(c.capWaits), 0, "no team is at its cap as far as is known")
 	c.SetTeams(nil)
 	assert.Equal(t, len(runStarts(c, 1110)), 1)
 }
--- a/core/ccquota/book.go
+++ b/core/ccquota/book.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// Known reports whether any limits were put in force.
+func (b *Book) Known() bool {
+	return b.known
+}
+
 // Team returns the name of the team, empty for jobs without a team.
 func (a *Account) Team() string {
 	return a.team
--- a/io/cccmds/explain.go
+++ b/io/cccmds/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 
@@ -25,6 +26,8 @@
 	text string
 	// namesJob is true for a line that contains the job's ID, false for a line that concerns all jobs.
 	namesJob bool
+	// team is the team that a line of teamMessages is about, or else empty.
+	team string
 }
 
 // linePattern matches a logfmt line and captures the time and the rest. A log collector may have put a prefix before
@@ -38,6 +41,46 @@
 	`msg="process was suspended"`, `msg=stopping`, `msg=stopped`, `msg=serving`, `msg="leader before has ended"`,
 }
 
+// teamMessages are the messages of lines that concern all jobs of one team.
+var teamMessages = []string{`msg="team at its cap"`, `msg="team below its cap"`, `msg="cap of the team changed"`}
+
+// teamPattern captures the team that a line names.
+var teamPattern = regexp.MustCompile(` Team=("(?:[^"\\]|\\.)*"|\S+)`)
+
+// teamOf returns the team that a line names, quoted as in the log, or "".
+func teamOf(text string) string {
+	if m := teamPattern.FindStringSubmatch(text); m != nil && m[1] != `""` {
+		return m[1]
+	}
+	return ""
+}
+
+// dropOtherTeams returns the lines without those of other teams than the job's, which the lines that name the job tell.
+func dropOtherTeams(lines []logLine) []logLine {
+	team := ""
+	for i := range lines {
+		if lines[i].namesJob && team == "" {
+			team = teamOf(lines[i].text)
+		}
+	}
+	return slices.DeleteFunc(lines, func(l logLine) bool { return !l.namesJob && l.team != "" && l.team != team })
+}
+
+// withCapBefore returns the lines from index first to last. If the job's team was at its cap before the first, they begin
+// with the line that says so.
+func withCapBefore(lines []logLine, first, last int) []logLine {
+	out := lines[first : last+1]
+	for i := first - 1; i >= 0; i-- {
+		switch {
+		case strings.Contains(lines[i].text, `msg="team at its cap"`):
+			return append([]logLine{lines[i]}, out...)
+		case strings.Contains(lines[i].text, `msg="team below its cap"`):
+			return out
+		}
+	}
+	return out
+}
+
 // run implements runner.
 func (c *explainCommand) run(o *output) error {
 	var lines []logLine
@@ -49,6 +92,7 @@
 		lines = append(lines, found...)
 	}
 	sort.SliceStable(lines, func(a, b int) bool { return lines[a].time < lines[b].time })
+	lines = dropOtherTeams(lines)
 	first, last := -1, -1
 	for i := range lines {
 		if lines[i].namesJob {
@@ -61,14 +105,14 @@
 	if first < 0 {
 		return errors.Newf("no line of %d log files names job %s", len(c.Args.Files), c.Args.ID)
 	}
-	for _, l := range lines[first : last+1] {
+	for _, l := range withCapBefore(lines, first, last) {
 		mark := "  "
 		if l.namesJob {
 			mark = "* "
 		}
 		_, _ = fmt.Fprintf(o.out, "%s%s %s\n", mark, l.time, l.text)
 	}
-	_, _ = fmt.Fprintln(o.out, "times are from the clock of each VM, and the clocks may differ; lines with * name the job, the others concern all jobs")
+	_, _ = fmt.Fprintln(o.out, "times are from the clock of each VM, and the clocks may differ; lines with * name the job, the others concern all jobs or all of its team")
 	return nil
 }
 
@@ -89,11 +133,12 @@
 			continue
 		}
 		l := logLine{time: m[1], text: m[2], namesJob: strings.Contains(m[2], id)}
-		for _, text := range contextMessages {
-			if l.namesJob || strings.Contains(l.text, text) {
-				out = append(out, l)
-				break
-			}
+		names := func(message string) bool { return strings.Contains(l.text, message) }
+		if slices.ContainsFunc(teamMessages, names) {
+			l.team = teamOf(l.text)
+		}
+		if l.namesJob || l.team != "" || slices.ContainsFunc(contextMessages, names) {
+			out = append(out, l)
 		}
 	}
 	return out, errors.Wrapf(s.Err(), "reading %s", path)
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -209,6 +209,7 @@
 func (l *leadership) loop() {
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
+	defer l.p.cfg.Metrics.teams.set(nil)
 	for {
 		select {
 		case <-l.ended:
@@ -251,6 +252,7 @@
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
+		p.cfg.Metrics.teams.set(l.cell.Teams(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
 	}
 }
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -16,6 +16,7 @@
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
+	teams         *teamMetrics
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -47,8 +48,9 @@
 		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
 		}, []string{"outcome"}),
+		teams: newTeamMetrics(),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
+	reg.MustRegister(m.teams, m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
 	return m
 }
 
--- /dev/null
+++ b/io/cccontrol/teammetrics.go
@@ -0,0 +1,87 @@
+package cccontrol
+
+import (
+	"sync/atomic"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccwork"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	// maxTeamMetrics bounds the teams with metrics of their own. The others, in the order of names, are added up under
+	// otherTeams.
+	maxTeamMetrics = 100
+	otherTeams     = "(others)"
+)
+
+// teamMetrics shows what each team has running, while this process leads.
+type teamMetrics struct {
+	teams                           atomic.Pointer[[]cccell.TeamSummary]
+	tasks, waiting, running, limits *prometheus.Desc
+}
+
+// newTeamMetrics returns metrics without teams.
+func newTeamMetrics() *teamMetrics {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, append([]string{"team"}, labels...), nil)
+	}
+	return &teamMetrics{
+		tasks:   desc("coriandercross_team_tasks", "Tasks that count against the cap of the team."),
+		waiting: desc("coriandercross_team_waiting_tasks", "Tasks of the team that could start now."),
+		running: desc("coriandercross_team_running", "Capacity that counts against the cap of the team.", "resource"),
+		limits:  desc("coriandercross_team_cap", "What the team may have running; absent without a cap.", "resource"),
+	}
+}
+
+// set sets the teams to be shown.
+func (m *teamMetrics) set(teams []cccell.TeamSummary) {
+	if len(teams) > maxTeamMetrics {
+		others := cccell.TeamSummary{Team: otherTeams}
+		for i := range teams[maxTeamMetrics:] {
+			t := &teams[maxTeamMetrics+i]
+			others.Tasks += t.Tasks
+			others.Waiting += t.Waiting
+			others.Running = others.Running.Plus(t.Running)
+		}
+		teams = append(teams[:maxTeamMetrics:maxTeamMetrics], others)
+	}
+	m.teams.Store(&teams)
+}
+
+// Describe implements prometheus.Collector.
+func (m *teamMetrics) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{m.tasks, m.waiting, m.running, m.limits} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (m *teamMetrics) Collect(ch chan<- prometheus.Metric) {
+	teams := m.teams.Load()
+	if teams == nil {
+		return
+	}
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	const milli = 1e-3
+	resources := func(d *prometheus.Desc, team string, s ccwork.Size, zeros bool) {
+		for _, r := range []struct {
+			name  string
+			value float64
+		}{{"cores", milli * float64(s.MilliCores)}, {"memory_mb", float64(s.MemoryMB)}, {"accelerators", float64(s.Accelerators)}} {
+			if r.value != 0 || zeros {
+				gauge(d, r.value, team, r.name)
+			}
+		}
+	}
+	for i := range *teams {
+		t := &(*teams)[i]
+		gauge(m.tasks, float64(t.Tasks), t.Team)
+		gauge(m.waiting, float64(t.Waiting), t.Team)
+		resources(m.running, t.Team, t.Running, true)
+		resources(m.limits, t.Team, t.Cap, false)
+	}
+}
