Early requests for tickets are limited to the cap; jobs without a team log no team

Cause: before the handover is complete, a stage of a team at its cap requested tickets for tasks that could not start. Test first failed.

--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -60,6 +60,14 @@
 	c.book.SetLimits(limits)
 }
 
+// teamField returns the log field with the team of a job, none without a team.
+func teamField(j *Job) []any {
+	if j.Team == "" {
+		return nil
+	}
+	return []any{"Team", j.Team}
+}
+
 // capWait is the time in which stages of a team wait for its cap.
 type capWait struct {
 	since, lastAt ms
@@ -91,7 +99,12 @@
 	if !c.runningIsKnown {
 		return 0
 	}
-	room := a.Fitting(s.spec.Size, n)
+	return s.capRoomBesideKnown(n)
+}
+
+// capRoomBesideKnown is capRoom while more may run than is known.
+func (s *stage) capRoomBesideKnown(n int) int {
+	room := s.job.account.Fitting(s.spec.Size, n)
 	if s.spec.Gang && room < n {
 		return 0
 	}
@@ -164,12 +177,16 @@
 
 // Teams returns the summaries of all teams, ordered by name.
 func (c *Cell) Teams(now ms) []TeamSummary {
+	accounts := c.book.Accounts()
+	if len(accounts) == 0 || (len(accounts) == 1 && accounts[0].Team() == "") {
+		return nil
+	}
 	waiting := map[*ccquota.Account]int{}
 	for s := range c.open {
 		waiting[s.job.account] += s.countUnplaced()
 	}
 	var out []TeamSummary
-	for _, a := range c.book.Accounts() {
+	for _, a := range accounts {
 		if a.Team() == "" {
 			continue
 		}
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -498,3 +498,19 @@
 	larger.Stages[0].Gang, larger.Stages[0].Size.MilliCores = true, 5000
 	assert.NilError(t, config.CheckCap(larger))
 }
+
+// Before the handover is complete, tickets are requested early, but not for tasks that the cap does not admit beside what
+// is known to run.
+func TestEarlyAdviceIsLimitedToTheCap(t *testing.T) {
+	for _, limit := range []int64{1, 2} {
+		c := testCell(2, 1000)
+		c.SetTeams([]Team{capOf("t", limit)})
+		c.SetWorker(testWorker("w1"), 1000)
+		j := teamJob("a", "t", 4)
+		j.Queue.Advice = &AdviceConfig{DecideMs: 10, PerWorkerMs: 1}
+		c.Adopt(StoredJob{Job: j}, 1000, 1000)
+		running := &TaskLists{Running: []RunningTask{{Task: TaskID{Job: "a"}, Attempt: 1<<attemptBits + 1}}}
+		pollAll(t, c, 1010, map[string]*TaskLists{"w1": running})
+		assert.Equal(t, len(pollAll(t, c, 1050, map[string]*TaskLists{"w1": running}).AdviceRequests), int(limit)-1)
+	}
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -179,7 +179,7 @@
 	}
 	j := c.insert(spec, now)
 	j.adopted = now < c.handoverAt
-	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Team", spec.Team, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning())
+	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
 }
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -93,6 +93,9 @@
 	if c.queue(s.job).Advice == nil || now < s.notBefore {
 		return
 	}
+	if s.unplaced = s.capRoomBesideKnown(s.unplaced); s.unplaced == 0 {
+		return
+	}
 	if _, fitting := c.candidates(s, true, now); fitting < s.unplaced {
 		c.requestAdvice(s, now)
 	}
@@ -300,7 +303,8 @@
 			byReason = append(byReason, reason+"Ms", delay)
 		}
 	}
-	fields := []any{"Job", s.id.Job, "Team", s.job.spec.Team, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
+	fields := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
+	fields = append(fields, teamField(s.job.spec)...)
 	c.cfg.Log(event, append(append(fields, kv...), byReason...)...)
 }
 
