--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -325,7 +325,7 @@
 
 // publishState adds the current state of a job to the orders, for the processes that reply to callers.
 func (c *Cell) publishState(j *job) {
-	c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j)})
+	c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Team: j.spec.Team})
 }
 
 // stateOf returns the state of a job as published to callers.
@@ -343,7 +343,7 @@
 func (c *Cell) States() []StateChange {
 	out := make([]StateChange, 0, len(c.jobs))
 	for _, j := range c.jobs {
-		out = append(out, StateChange{Job: j.spec.ID, State: c.stateOf(j)})
+		out = append(out, StateChange{Job: j.spec.ID, State: c.stateOf(j), Team: j.spec.Team})
 	}
 	return out
 }
--- a/core/cccell/config.go
+++ b/core/cccell/config.go
@@ -41,8 +41,8 @@
 	Teams []Team
 }
 
-// Check returns ErrBadConfig for a configuration without a version, or with a route that lacks its prefix, name or
-// service.
+// Check returns ErrBadConfig for a configuration without a version, with a route that lacks its prefix, name or
+// service, with two teams that share a name or a key, or with a team whose limits are malformed.
 func (c *Configuration) Check() error {
 	if c.Version <= 0 {
 		return errors.Wrapf(ErrBadConfig, "version %d is not positive", c.Version)
@@ -53,7 +53,27 @@
 			return errors.Wrapf(ErrBadConfig, "route %q lacks a name, a prefix or a service", r.Queue.Name)
 		}
 	}
-	return nil
+	for i := range c.Teams {
+		if err := c.Teams[i].Limits.Check(); err != nil {
+			return errors.Mark(errors.Wrapf(err, "team %q", c.Teams[i].Name), ErrBadConfig)
+		}
+	}
+	_, err := c.KeyTable()
+	return err
+}
+
+// KeyTable returns the table of the teams' keys, nil if the configuration has no teams. It fails with ErrBadConfig.
+func (c *Configuration) KeyTable() (*cckey.Table, error) {
+	if len(c.Teams) == 0 {
+		return nil, nil
+	}
+	t := cckey.NewTable()
+	for i := range c.Teams {
+		if err := t.Add(c.Teams[i].Name, c.Teams[i].Keys); err != nil {
+			return nil, errors.Mark(err, ErrBadConfig)
+		}
+	}
+	return t, nil
 }
 
 // Find returns the route with the longest prefix that matches a host and path, or nil.
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -6,6 +6,7 @@
 
 import (
 	"coriandercross/core/ccclock"
+	"coriandercross/core/cckey"
 	"coriandercross/core/ccwork"
 
 	"github.com/cockroachdb/errors"
@@ -113,6 +114,26 @@
 	AcceptedMs int64 `cbor:"8,keyasint,omitempty"`
 	// Team is the name of the team that submitted the job, or empty if the configuration has no teams.
 	Team string `cbor:"9,keyasint,omitempty"`
+	// Key is the API key with which the job was submitted, or 0.
+	Key cckey.ID `cbor:"10,keyasint,omitempty"`
+}
+
+// Owner says who may read and cancel a job.
+type Owner struct {
+	// Team is the name of the team at the time of the submission, or empty for a job that belongs to no team.
+	Team string `cbor:"1,keyasint,omitempty"`
+	// Key is the API key with which the job was submitted. If the team has been renamed since, its keys tell who it is.
+	Key cckey.ID `cbor:"2,keyasint,omitempty"`
+	// Queue is the name of the job's queue.
+	Queue string `cbor:"3,keyasint,omitempty"`
+}
+
+// Owner returns the owner of the job, the zero value if it belongs to no team.
+func (j *Job) Owner() Owner {
+	if j.Team == "" {
+		return Owner{}
+	}
+	return Owner{Team: j.Team, Key: j.Key, Queue: j.Queue.Name}
 }
 
 // Check returns ErrBadJob for a job that can't be run as described.
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -79,6 +79,9 @@
 	// Running then. Written tells them that they need not remember it any longer.
 	Early   bool `cbor:"3,keyasint,omitempty"`
 	Written bool `cbor:"4,keyasint,omitempty"`
+	// Team is the name of the team that submitted the job. Between processes, only the first change of a job in a term
+	// carries it.
+	Team string `cbor:"5,keyasint,omitempty"`
 }
 
 // Orders holds the calls to be made and the states to be published.
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -21,6 +21,9 @@
 	// EndedMs is the time of day at which the job ended, in Unix milliseconds. Final records are never removed: a query of
 	// the state that finds no submission relies on it.
 	EndedMs int64 `cbor:"3,keyasint,omitempty"`
+	// Owner is the owner of the job, nil if it belongs to no team or has not ended: the submission, which has the owner as
+	// well, is removed when the job ends.
+	Owner *Owner `cbor:"4,keyasint,omitempty"`
 }
 
 // RunProgress is the progress of one run.
@@ -91,6 +94,9 @@
 	p := Progress{State: j.final}
 	if j.final != "" {
 		p.EndedMs = nowUnixMs
+		if o := j.spec.Owner(); o.Team != "" {
+			p.Owner = &o
+		}
 		return p
 	}
 	p.Runs = map[int]RunProgress{}
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -56,18 +56,6 @@
 	maxStateAgeMs ms = 1500
 )
 
-// Route returns the route of a request. It fails with ErrNoConfig or ErrNoRoute.
-func (p *Process) Route(host, path string) (*cccell.Route, error) {
-	c := p.config.Load()
-	if c == nil {
-		return nil, ErrNoConfig
-	}
-	if r := c.config.Find(host, path); r != nil {
-		return r, nil
-	}
-	return nil, ErrNoRoute
-}
-
 // Configuration returns the configuration in force, nil if there is none.
 func (p *Process) Configuration() *cccell.Configuration {
 	if c := p.config.Load(); c != nil {
@@ -77,31 +65,42 @@
 }
 
 // Submit accepts a job: it returns nil once the job is in the store. It fails with *Refusal if the job was certainly
-// not accepted, and with ccstore.ErrInDoubt if it may have been accepted, or may still be. budgetMs is the caller's
-// time budget.
-func (p *Process) Submit(ctx context.Context, j *cccell.Job, budgetMs ms) error {
+// not accepted, with ErrOtherTeam if another team has a job of that ID, and with ccstore.ErrInDoubt if it may have been
+// accepted, or may still be. budgetMs is the caller's time budget. The job becomes one of the caller's team.
+func (p *Process) Submit(ctx context.Context, caller Caller, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
-	err := p.submit(ctx, j, began+ms(float64(budgetMs)*inDoubtFraction))
+	j.Team, j.Key = caller.Team, caller.Key
+	err := p.submit(ctx, &caller, j, began+ms(float64(budgetMs)*inDoubtFraction))
 	outcome := "accepted"
 	var refusal *Refusal
 	switch {
-	case errors.As(err, &refusal):
+	case errors.As(err, &refusal), errors.Is(err, ErrOtherTeam):
 		outcome = "refused"
 	case err != nil:
 		outcome = "in doubt"
 	}
 	p.cfg.Metrics.submitted.WithLabelValues(j.Queue.Name, outcome).Observe(float64(p.now() - began))
+	if caller.Team != "" {
+		p.cfg.Metrics.teamSubmitted.inc(caller.Team, outcome)
+	}
 	if err != nil {
 		// "hand-in" is the name of a submission in the log.
-		p.cfg.Log.Info("hand-in "+outcome, "Job", j.ID, "Queue", j.Queue.Name, "TookMs", p.now()-began, "BudgetMs", budgetMs, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+		p.cfg.Log.Info("hand-in "+outcome, "Job", j.ID, "Queue", j.Queue.Name, "Team", j.Team, "TookMs", p.now()-began, "BudgetMs", budgetMs, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
 	}
 	return err
 }
 
 // submit writes a job to the store, through the leader if this process can't reach the store, and notifies the leader.
 // A write with an unknown outcome is retried until the deadline.
-func (p *Process) submit(ctx context.Context, j *cccell.Job, deadline ms) error {
-	if _, known := p.stateCache.state(j.ID); known {
+func (p *Process) submit(ctx context.Context, caller *Caller, j *cccell.Job, deadline ms) error {
+	if _, team, known := p.stateCache.job(j.ID); known {
+		ok, err := p.authorize(ctx, caller, j.ID, team)
+		if err != nil {
+			return errors.Mark(err, ccstore.ErrInDoubt)
+		}
+		if !ok {
+			return ErrOtherTeam
+		}
 		return nil // The job was accepted before.
 	}
 	j.AcceptedMs = int64(unixNow())
@@ -110,7 +109,11 @@
 		write = p.submitThroughLeader
 	}
 	if err := write(ctx, j, deadline); err != nil {
-		if errors.Is(err, errAlreadyStored) {
+		var stored *alreadyStored
+		if errors.As(err, &stored) {
+			if !p.checkOwner(caller, j.ID, &stored.owner) {
+				return ErrOtherTeam
+			}
 			return nil // The job was accepted before: it has ended, or the leader has it.
 		}
 		if errors.Is(err, ccstore.ErrInDoubt) {
@@ -118,7 +121,7 @@
 		}
 		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), RetryAfterMs: jitterRetryAfter(storeRetryAfterMs)}
 	}
-	p.stateCache.merge(j.ID, cccell.Queued, p.now())
+	p.stateCache.merge(j.ID, j.Team, cccell.Queued, p.now())
 	p.notifier.job(j)
 	return nil
 }
@@ -128,83 +131,143 @@
 	return afterMs/2 + rand.Int64N(afterMs+1)
 }
 
-// Status returns the state of a job, from the cache or the store. It fails with ErrNoJob, ErrStateUnknown or
-// ErrBadRecord.
-func (p *Process) Status(ctx context.Context, id string) (cccell.State, error) {
-	s, known := p.stateCache.state(id)
+// Status returns the state of a job, from the cache or the store. It fails with ErrNoJob, also for a job that the caller
+// may not access, and with ErrStateUnknown or ErrBadRecord.
+func (p *Process) Status(ctx context.Context, caller Caller, id string) (cccell.State, error) {
+	s, team, known := p.stateCache.job(id)
+	if known {
+		if ok, err := p.authorize(ctx, &caller, id, team); !ok {
+			return "", noAccess(err)
+		}
+	}
 	_, at := p.stateCache.queuedJobs("")
 	if known && (s.Final() || p.leading() != nil || p.now()-at < maxStateAgeMs || p.cfg.Store.Lost()) {
 		return s, nil
 	}
-	stored, err := p.readState(ctx, id)
+	stored, err := p.readState(ctx, id, !known && caller.keys != nil)
 	if err != nil {
 		if known {
 			return s, nil
 		}
 		return "", err
 	}
-	p.stateCache.merge(id, stored, p.now())
-	if known && !stored.Final() {
+	if !known && !p.checkOwner(&caller, id, &stored.owner) {
+		return "", ErrNoJob
+	}
+	p.stateCache.merge(id, stored.owner.Team, stored.state, p.now())
+	if known && !stored.state.Final() {
 		return s, nil
 	}
-	return stored, nil
+	return stored.state, nil
 }
 
-// readState reads the state of a job from the store. It fails with ErrNoJob, ErrStateUnknown or ErrBadRecord.
-func (p *Process) readState(ctx context.Context, id string) (cccell.State, error) {
-	state, err := p.readProgress(ctx, id)
-	if !errors.Is(err, ErrNoKey) {
-		return state, err
+// noAccess returns the error for a job that the caller may not access, or for a check of that which failed with err. The
+// job is as unknown to the caller as one that does not exist.
+func noAccess(err error) error {
+	if err != nil {
+		return err
 	}
-	if _, err = p.cfg.Store.Get(ctx, prefixJobs+id); err == nil {
-		return cccell.Queued, nil
+	return ErrNoJob
+}
+
+// storedState is what the store has of the state of a job.
+type storedState struct {
+	state cccell.State
+	// owner is the zero value if the job belongs to no team. That of a job that has not ended is set only if asked for.
+	owner cccell.Owner
+}
+
+// readState reads the state of a job from the store, and also its owner if withOwner is set. It fails with ErrNoJob,
+// ErrStateUnknown or ErrBadRecord.
+func (p *Process) readState(ctx context.Context, id string, withOwner bool) (storedState, error) {
+	job, err := p.readProgress(ctx, id)
+	if (err == nil && (job.state.Final() || !withOwner)) || (err != nil && !errors.Is(err, ErrNoKey)) {
+		return job, err
+	}
+	begun := err == nil
+	item, err := p.cfg.Store.Get(ctx, prefixJobs+id)
+	if err == nil {
+		if !begun {
+			job.state = cccell.Queued
+		}
+		if withOwner {
+			job.owner, err = jobOwner(&item)
+		}
+		return job, err
 	}
 	if !errors.Is(err, ErrNoKey) {
-		return "", errors.Mark(err, ErrStateUnknown)
+		return storedState{}, errors.Mark(err, ErrStateUnknown)
 	}
 	// The job may have ended between the reads: the write of a final state removes the job.
-	if state, err = p.readProgress(ctx, id); errors.Is(err, ErrNoKey) {
+	if job, err = p.readProgress(ctx, id); errors.Is(err, ErrNoKey) {
 		_, replyAt := p.currentLeader()
 		p.decision("job not found", "Job", id, "HeardMs", p.now()-replyAt, "StoreAgeMs", p.cfg.Store.AgeMs())
-		return "", ErrNoJob
+		return storedState{}, ErrNoJob
 	}
-	return state, err
+	return job, err
+}
+
+// jobOwner returns the owner of a stored job. It fails with ErrBadRecord.
+func jobOwner(item *Item) (cccell.Owner, error) {
+	var j cccell.Job
+	if err := decode(item.Key, item.Value, &j); err != nil {
+		return cccell.Owner{}, err
+	}
+	return j.Owner(), nil
 }
 
 // readProgress reads the state of a job from its progress record. It fails with ErrNoKey if there is none, and with
 // ErrStateUnknown or ErrBadRecord.
-func (p *Process) readProgress(ctx context.Context, id string) (cccell.State, error) {
+func (p *Process) readProgress(ctx context.Context, id string) (storedState, error) {
 	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
 	if errors.Is(err, ErrNoKey) {
-		return "", err
+		return storedState{}, err
 	}
 	if err != nil {
-		return "", errors.Mark(err, ErrStateUnknown)
+		return storedState{}, errors.Mark(err, ErrStateUnknown)
 	}
+	return decodeState(&item)
+}
+
+// decodeState decodes the state of a job in its progress record, and the owner if the job has ended. It fails with
+// ErrBadRecord.
+func decodeState(item *Item) (storedState, error) {
 	var pr cccell.Progress
 	if err := decode(item.Key, item.Value, &pr); err != nil {
-		return "", err
+		return storedState{}, err
 	}
+	out := storedState{state: cccell.Running}
 	if pr.State.Final() {
-		return pr.State, nil
+		out.state = pr.State
+	}
+	if pr.Owner != nil {
+		out.owner = *pr.Owner
 	}
-	return cccell.Running, nil
+	return out, nil
 }
 
 // Cancel cancels a job: it returns nil once the request to cancel is in the store, or if the job has ended. It fails
-// with ErrNoJob or ErrBadRecord, or with ErrStateUnknown if the request may not be in the store.
-func (p *Process) Cancel(ctx context.Context, id string) error {
-	s, known := p.stateCache.state(id)
-	if known && s.Final() {
-		return nil
-	}
-	if !known {
-		stored, err := p.readState(ctx, id)
+// with ErrNoJob, also for a job that the caller may not access, with ErrBadRecord, or with ErrStateUnknown if the
+// request may not be in the store.
+func (p *Process) Cancel(ctx context.Context, caller Caller, id string) error {
+	s, team, known := p.stateCache.job(id)
+	if known {
+		if ok, err := p.authorize(ctx, &caller, id, team); !ok {
+			return noAccess(err)
+		}
+		if s.Final() {
+			return nil
+		}
+	} else {
+		stored, err := p.readState(ctx, id, caller.keys != nil)
 		if err != nil {
 			return err
 		}
-		if stored.Final() {
-			p.stateCache.merge(id, stored, p.now())
+		if !p.checkOwner(&caller, id, &stored.owner) {
+			return ErrNoJob
+		}
+		if stored.state.Final() {
+			p.stateCache.merge(id, stored.owner.Team, stored.state, p.now())
 			return nil
 		}
 	}
--- a/io/cccontrol/callers_test.go
+++ b/io/cccontrol/callers_test.go
@@ -41,14 +41,18 @@
 		"NotDuringTheQuery": {10, cccell.Queued},
 	}
 	calls := map[string]func(p *cccontrol.Process) (cccell.State, error){
-		"Status": func(p *cccontrol.Process) (cccell.State, error) { return p.Status(context.Background(), "j") },
-		"Cancel": func(p *cccontrol.Process) (cccell.State, error) { return "", p.Cancel(context.Background(), "j") },
+		"Status": func(p *cccontrol.Process) (cccell.State, error) {
+			return p.Status(context.Background(), cccontrol.Caller{}, "j")
+		},
+		"Cancel": func(p *cccontrol.Process) (cccell.State, error) {
+			return "", p.Cancel(context.Background(), cccontrol.Caller{}, "j")
+		},
 	}
 	for name, test := range tests {
 		for call, do := range calls {
 			t.Run(name+"/"+call, func(t *testing.T) {
 				p, cell := newProcess(t)
-				assert.NilError(t, p.Submit(context.Background(), testJob("j"), 3000))
+				assert.NilError(t, p.Submit(context.Background(), cccontrol.Caller{}, testJob("j"), 3000))
 				end := func() {
 					_, err := cell.Commit(&cccontrol.Txn{
 						Puts:   []cccontrol.Put{{Key: "cc/p/j", Value: []byte{0xa1, 0x01, 0x69, 'C', 'o', 'm', 'p', 'l', 'e', 't', 'e', 'd'}}},
--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/cckey"
 	"coriandercross/io/ccpeer"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,8 @@
 	raw []byte
 	// revision is that of the document in the store.
 	revision int64
+	// keys are the keys of the teams, nil if the configuration has no teams.
+	keys *cckey.Table
 }
 
 // watchConfig puts each new configuration in force. It reads the store, or peers while the store can't be reached.
@@ -87,23 +91,42 @@
 // it was read, for the log.
 func (p *Process) activate(raw []byte, revision int64, source string) {
 	c, err := p.cfg.ConfigSource.Decode(raw)
+	var keys *cckey.Table
+	if err == nil {
+		keys, err = c.KeyTable()
+	}
 	if err != nil {
-		p.cfg.Log.Error("configuration can't be decoded", "Revision", revision, "Source", source, "Error", err)
+		p.refuseConfig(raw, revision, source, err)
 		return
 	}
-	next := &activeConfig{config: c, raw: raw, revision: revision}
+	next := &activeConfig{config: c, raw: raw, revision: revision, keys: keys}
 	for {
 		old := p.config.Load()
 		if old != nil && old.config.Version >= c.Version {
 			return
 		}
 		if p.config.CompareAndSwap(old, next) {
-			p.cfg.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Revision", revision, "Source", source)
+			p.cfg.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Teams", len(c.Teams), "Revision", revision, "Source", source)
 			return
 		}
 	}
 }
 
+// refuseConfig records that a document is malformed, so that the version before stays in force. The same document is
+// read again and again, from the store and from peers, but recorded once.
+func (p *Process) refuseConfig(raw []byte, revision int64, source string, err error) {
+	digest := sha256.Sum256(raw)
+	if last := p.refusedConfig.Swap(&digest); last != nil && *last == digest {
+		return
+	}
+	var version int64
+	if c := p.config.Load(); c != nil {
+		version = c.config.Version
+	}
+	p.cfg.Metrics.refusedConfigs.Inc()
+	p.cfg.Log.Error("configuration refused", "Revision", revision, "Source", source, "InForce", version, "Error", err)
+}
+
 // CellConfig implements ccpeer.CellHandler: it returns the configuration in force, if it is newer than that of the
 // peer.
 func (p *Process) CellConfig(_ context.Context, in *ccpeer.CellConfigRequest) (*ccpeer.CellConfigReply, error) {
--- a/io/cccontrol/control_test.go
+++ b/io/cccontrol/control_test.go
@@ -79,7 +79,7 @@
 			p, store := newProcess(t)
 			store.SetFault(test.fault)
 			began := time.Now()
-			err := p.Submit(context.Background(), testJob("j"), 3000)
+			err := p.Submit(context.Background(), cccontrol.Caller{}, testJob("j"), 3000)
 			if test.want == nil {
 				assert.NilError(t, err)
 			} else {
@@ -100,20 +100,20 @@
 // after it has ended.
 func TestSubmitIsIdempotent(t *testing.T) {
 	p, store := newProcess(t)
-	assert.NilError(t, p.Submit(context.Background(), testJob("j"), 3000))
-	assert.NilError(t, p.Submit(context.Background(), testJob("j"), 3000))
+	assert.NilError(t, p.Submit(context.Background(), cccontrol.Caller{}, testJob("j"), 3000))
+	assert.NilError(t, p.Submit(context.Background(), cccontrol.Caller{}, testJob("j"), 3000))
 	other := cccontrol.New(cccontrol.Config{
 		VM: "other", Clock: ccclock.NewSystem(), Log: log.New(io.Discard), Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()),
 		Store: cccontrol.NewMonitoredStore(store, ccclock.NewSystem(), nil),
 	})
-	assert.NilError(t, other.Submit(context.Background(), testJob("j"), 3000))
+	assert.NilError(t, other.Submit(context.Background(), cccontrol.Caller{}, testJob("j"), 3000))
 	_, err := store.Commit(&cccontrol.Txn{Puts: []cccontrol.Put{{Key: "cc/p/done", Value: []byte{0xa1, 0x01, 0x69, 'C', 'o', 'm', 'p', 'l', 'e', 't', 'e', 'd'}}}})
 	assert.NilError(t, err)
-	assert.NilError(t, other.Submit(context.Background(), testJob("done"), 3000))
+	assert.NilError(t, other.Submit(context.Background(), cccontrol.Caller{}, testJob("done"), 3000))
 	items, _, err := store.Range(context.Background(), "cc/in/j/", false)
 	assert.NilError(t, err)
 	assert.Equal(t, len(items), 1)
-	state, err := other.Status(context.Background(), "done")
+	state, err := other.Status(context.Background(), cccontrol.Caller{}, "done")
 	assert.NilError(t, err)
 	assert.Equal(t, state, cccell.Completed)
 }
@@ -122,11 +122,11 @@
 // can't be reached.
 func TestStatusOfUnknownJobs(t *testing.T) {
 	p, store := newProcess(t)
-	_, err := p.Status(context.Background(), "nobody")
+	_, err := p.Status(context.Background(), cccontrol.Caller{}, "nobody")
 	assert.Assert(t, errors.Is(err, cccontrol.ErrNoJob))
-	assert.Assert(t, errors.Is(p.Cancel(context.Background(), "nobody"), cccontrol.ErrNoJob))
+	assert.Assert(t, errors.Is(p.Cancel(context.Background(), cccontrol.Caller{}, "nobody"), cccontrol.ErrNoJob))
 	store.SetFault(func(string) ccstandin.Fault { return ccstandin.Refuse })
-	_, err = p.Status(context.Background(), "nobody")
+	_, err = p.Status(context.Background(), cccontrol.Caller{}, "nobody")
 	assert.Assert(t, errors.Is(err, cccontrol.ErrStateUnknown))
 	_, err = p.QueuedJobs("q")
 	assert.Assert(t, errors.Is(err, cccontrol.ErrStateUnknown))
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -57,6 +57,7 @@
 	}
 	if c := p.config.Load(); c != nil {
 		l.cell.SetQueues(c.config.Queues())
+		l.cell.SetTeams(c.config.Teams)
 		l.configVersion = c.config.Version
 	}
 	l.adoptJobs(submissions, progress, now)
@@ -77,7 +78,11 @@
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
 		if pr.State.Final() {
-			p.stateCache.merge(id, pr.State, now)
+			var team string
+			if pr.Owner != nil {
+				team = pr.Owner.Team
+			}
+			p.stateCache.merge(id, team, pr.State, now)
 		}
 	}
 	cancels := map[string]bool{}
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -1,6 +1,8 @@
 package cccontrol
 
 import (
+	"sync"
+
 	"coriandercross/core/cccell"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +18,35 @@
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
+	// unknownKeys counts requests refused for their key, and refusedConfigs documents that were not put in force.
+	unknownKeys    *prometheus.CounterVec
+	refusedConfigs prometheus.Counter
+	teamSubmitted  *teamCounter
+}
+
+// maxTeamLabels bounds the teams that have series of their own. The others share the label otherTeams.
+const (
+	maxTeamLabels = 100
+	otherTeams    = "other"
+)
+
+// teamCounter counts events by team and outcome. The number of its series is bounded.
+type teamCounter struct {
+	vec   *prometheus.CounterVec
+	mu    sync.Mutex
+	teams map[string]bool
+}
+
+// inc counts an event of a team.
+func (c *teamCounter) inc(team, outcome string) {
+	c.mu.Lock()
+	if !c.teams[team] && len(c.teams) >= maxTeamLabels {
+		team = otherTeams
+	} else {
+		c.teams[team] = true
+	}
+	c.mu.Unlock()
+	c.vec.WithLabelValues(team, outcome).Inc()
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -47,7 +78,17 @@
 		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
 		}, []string{"outcome"}),
+		unknownKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_unknown_keys_total", Help: "Requests refused since their API key is missing or unknown.",
+		}, []string{"queue"}),
+		refusedConfigs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coriandercross_configs_refused_total", Help: "Configurations that are malformed and were not put in force.",
+		}),
+		teamSubmitted: &teamCounter{teams: map[string]bool{}, vec: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_team_submissions_total", Help: "Answers to hand-ins, by team.",
+		}, []string{"team", "outcome"})},
 	}
+	reg.MustRegister(m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
 	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
 	return m
 }
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,8 @@
 
 	// config is the configuration in force, nil for none.
 	config atomic.Pointer[activeConfig]
+	// refusedConfig is the digest of the last configuration that was refused, nil for none.
+	refusedConfig atomic.Pointer[[sha256.Size]byte]
 	// storeCheckedAt is when probeStore last read from the store.
 	storeCheckedAt atomic.Int64
 	// loadingToken is the token of a term that this process has won and is still loading state from the store for, 0
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -31,7 +31,7 @@
 }
 
 // writeThroughLeader sends a write to the leader. It fails with ccstore.ErrUnavailable if the write was certainly not
-// carried out, and with ccstore.ErrInDoubt if it may have been, or may still be.
+// carried out, with ccstore.ErrInDoubt if it may have been, or may still be, and with *alreadyStored.
 func (p *Process) writeThroughLeader(ctx context.Context, in *ccpeer.RelayWriteRequest) error {
 	leader, repliedAt := p.currentLeader()
 	if p.leading() != nil || repliedAt == 0 || p.now()-repliedAt > p.isolationTimeoutMs() {
@@ -45,6 +45,8 @@
 		return errors.Mark(errors.Wrapf(ccstore.ErrInDoubt, "through %s", leader.VM), ccstore.ErrInDoubt)
 	case out.Outcome == ccwork.NotRun:
 		return errors.Wrapf(ccstore.ErrUnavailable, "through %s", leader.VM)
+	case out.Owner != nil:
+		return &alreadyStored{*out.Owner}
 	}
 	return nil
 }
@@ -57,15 +59,22 @@
 	var err error
 	if in.Job != nil {
 		if err = p.submitter.submit(ctx, in.Job, p.now()+ms(in.BudgetMs)); err == nil {
-			p.stateCache.merge(in.Job.ID, cccell.Queued, p.now())
+			p.stateCache.merge(in.Job.ID, in.Job.Team, cccell.Queued, p.now())
 			p.notifier.job(in.Job)
 		}
 	} else if err = p.writeCancel(ctx, in.Cancel); err == nil {
 		p.notifier.cancel(in.Cancel)
 	}
+	var stored *alreadyStored
 	switch {
-	case err == nil || errors.Is(err, errAlreadyStored):
+	case err == nil:
 		return &ccpeer.RelayWriteReply{Outcome: ccwork.Ran}, nil
+	case errors.As(err, &stored):
+		out := &ccpeer.RelayWriteReply{Outcome: ccwork.Ran}
+		if stored.owner.Team != in.Job.Team {
+			out.Owner = &stored.owner
+		}
+		return out, nil
 	case errors.Is(err, ccstore.ErrUnavailable) && !errors.Is(err, ccstore.ErrInDoubt):
 		return &ccpeer.RelayWriteReply{Outcome: ccwork.NotRun}, nil
 	}
--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -21,6 +21,8 @@
 	token  int64
 	seq    int64
 	states map[string]cccell.State
+	// teams holds the teams of the jobs in states that belong to one.
+	teams map[string]jobTeam
 	// finalAt holds the time at which the final state of a job became known to this process.
 	finalAt map[string]ms
 	// early holds the jobs that have completed but may not be written yet, with the time at which this became known. The
@@ -36,12 +38,19 @@
 	changed chan struct{}
 }
 
+// jobTeam is the team of a job.
+type jobTeam struct {
+	name string
+	// sentIn is the term in which this process, as leader, has sent the team to the peers.
+	sentIn int64
+}
+
 // maxRecentChanges is the maximum number of changes retained for replication. When there are more, only the newest half
 // of that number is retained. A peer whose position is before the retained changes gets all states.
 const maxRecentChanges = 4096
 
 func newStateCache() *stateCache {
-	return &stateCache{states: map[string]cccell.State{}, finalAt: map[string]ms{}, early: map[string]ms{}, changed: make(chan struct{})}
+	return &stateCache{states: map[string]cccell.State{}, teams: map[string]jobTeam{}, finalAt: map[string]ms{}, early: map[string]ms{}, changed: make(chan struct{})}
 }
 
 // beginTerm starts the numbering of changes for a term of this process as leader.
@@ -62,6 +71,11 @@
 	for _, c := range changes {
 		if sc.setState(c, now) {
 			sc.seq++
+			if t, ok := sc.teams[c.Job]; ok && t.sentIn == sc.token {
+				c.Team = "" // The peers have it. Bytes between regions are expensive.
+			} else if ok {
+				sc.teams[c.Job] = jobTeam{t.name, sc.token}
+			}
 			sc.recent = append(sc.recent, c)
 		}
 	}
@@ -100,6 +114,9 @@
 		delete(sc.early, c.Job)
 		return true
 	}
+	if c.Team != "" && sc.teams[c.Job].name == "" {
+		sc.teams[c.Job] = jobTeam{name: c.Team}
+	}
 	old := sc.states[c.Job]
 	if old == c.State || old.Final() {
 		return false
@@ -111,15 +128,16 @@
 	return true
 }
 
-// merge sets the state of a job that was read from the store, or accepted by this process. It does not replace a known
-// state by one that is not final, since the known one may be newer.
-func (sc *stateCache) merge(job string, s cccell.State, now ms) {
+// merge sets the state of a job of a team, which was read from the store or accepted by this process. It does not
+// replace a known state by one that is not final, since the known one may be newer. team is empty if the job belongs to
+// no team or if it is not known to which.
+func (sc *stateCache) merge(job, team string, s cccell.State, now ms) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if _, known := sc.states[job]; known && !s.Final() {
 		return
 	}
-	sc.setState(cccell.StateChange{Job: job, State: s}, now)
+	sc.setState(cccell.StateChange{Job: job, State: s, Team: team}, now)
 }
 
 // broadcast wakes all that wait for a change. The caller holds mu.
@@ -130,10 +148,17 @@
 
 // state returns the state of a job, and whether it is known.
 func (sc *stateCache) state(job string) (cccell.State, bool) {
+	s, _, ok := sc.job(job)
+	return s, ok
+}
+
+// job returns the state of a job, its team, and whether the job is known. The team is empty if the job belongs to none,
+// or if this process learned of the job from a release without teams.
+func (sc *stateCache) job(job string) (cccell.State, string, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	s, ok := sc.states[job]
-	return s, ok
+	return s, sc.teams[job].name, ok
 }
 
 // queuedJobs returns the number of jobs of a queue that have not started, and the time of the last update of the
@@ -162,7 +187,7 @@
 		return sc.seq, false, append([]cccell.StateChange(nil), sc.recent[seq-first:]...), sc.changed
 	}
 	for job, s := range sc.states {
-		changes = append(changes, cccell.StateChange{Job: job, State: s})
+		changes = append(changes, cccell.StateChange{Job: job, State: s, Team: sc.teams[job].name})
 	}
 	for job := range sc.early {
 		changes = append(changes, cccell.StateChange{Job: job, State: cccell.Running, Early: true})
@@ -209,6 +234,7 @@
 		if now-at > retention {
 			delete(sc.finalAt, job)
 			delete(sc.states, job)
+			delete(sc.teams, job)
 		}
 	}
 }
--- a/io/cccontrol/statecache_test.go
+++ b/io/cccontrol/statecache_test.go
@@ -35,7 +35,7 @@
 				seq = -1
 			}
 			last, _, changes, _ := leader.changesSince(3, seq)
-			peer.merge("j", cccell.Running, 1000)
+			peer.merge("j", "", cccell.Running, 1000)
 			peer.applyReplicated(3, last, changes, 1300)
 			got := peer.completions(nil)
 			slices.Sort(got)
@@ -47,3 +47,72 @@
 		})
 	}
 }
+
+// TestTeamIsReplicatedOnce checks that each peer learns the team of a job, from the first change, from the states of all
+// jobs or at a change of the leader, and that later changes of the term don't repeat it.
+func TestTeamIsReplicatedOnce(t *testing.T) {
+	tests := map[string]struct {
+		// merged is true if the leader accepted the job itself, so that its state is no change. joins is the number of
+		// changes before the peer has a position, takeover the number before another process leads.
+		merged          bool
+		joins, takeover int
+	}{
+		"FromFirst":           {false, 0, 9},
+		"FromFirstMerged":     {true, 0, 9},
+		"JoinsLater":          {false, 1, 9},
+		"JoinsLaterMerged":    {true, 1, 9},
+		"JoinsAtEnd":          {true, 2, 9},
+		"TakeoverAfterFirst":  {false, 0, 1},
+		"TakeoverAfterSecond": {true, 0, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leader, peer := newStateCache(), newStateCache()
+			leader.beginTerm(3, nil, 1000)
+			if test.joins == 0 {
+				last, _, changes, _ := leader.changesSince(0, 0)
+				peer.applyReplicated(3, last, changes, 1000)
+			}
+			if test.merged {
+				leader.merge("j", "a", cccell.Queued, 1000)
+			}
+			states := []cccell.State{cccell.Queued, cccell.Running, cccell.Completed}
+			sent := 0
+			for i, s := range states {
+				if i == test.takeover {
+					next := newStateCache()
+					last, _, changes, _ := leader.changesSince(0, 0)
+					next.applyReplicated(3, last, changes, 1050)
+					next.beginTerm(4, []cccell.StateChange{{Job: "j", State: states[i-1], Team: "a"}}, 1060)
+					leader, sent = next, 0
+				}
+				leader.apply([]cccell.StateChange{{Job: "j", State: s, Team: "a"}}, 1100)
+				if i < test.joins {
+					continue
+				}
+				token, seq := peer.position()
+				last, full, changes, _ := leader.changesSince(token, seq)
+				for _, c := range changes {
+					if c.Team != "" && !full {
+						sent++
+					}
+				}
+				peer.applyReplicated(leader.token, last, changes, 1200)
+				if len(changes) > 0 {
+					state, team, known := peer.job("j")
+					assert.Assert(t, known)
+					assert.Equal(t, state, s)
+					assert.Equal(t, team, "a")
+				}
+			}
+			assert.Assert(t, sent <= 1, "the team was sent %d times in a term", sent)
+			if test.joins == 0 && test.takeover > len(states) {
+				assert.Equal(t, sent, 1)
+			}
+			state, team, known := peer.job("j")
+			assert.Assert(t, known && state == cccell.Completed && team == "a")
+			peer.expire(1000, 9000, false)
+			assert.Equal(t, len(peer.teams), 0)
+		})
+	}
+}
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -43,11 +43,19 @@
 	return &submitter{p: p}
 }
 
-// errAlreadyStored reports a job that was in the store before it was submitted. It may have ended already.
-var errAlreadyStored = errors.New("job is already stored")
+// alreadyStored is the error of a job that was in the store before it was submitted. It may have ended already.
+type alreadyStored struct {
+	// owner is the owner of the stored job, the zero value if it belongs to no team.
+	owner cccell.Owner
+}
+
+// Error implements error.
+func (*alreadyStored) Error() string {
+	return "job is already stored"
+}
 
 // submit writes a job to the store and blocks until the outcome is known or the deadline has passed. It fails with
-// errAlreadyStored if the job was in the store before, with ccstore.ErrUnavailable if the job was certainly not
+// *alreadyStored if the job was in the store before, with ccstore.ErrUnavailable if the job was certainly not
 // written, and with ccstore.ErrInDoubt if it may have been, or may still be.
 func (s *submitter) submit(ctx context.Context, j *cccell.Job, deadline ms) error {
 	sub := &submission{job: j, data: encode(j), deadline: deadline, done: make(chan error, 1)}
@@ -70,7 +78,7 @@
 func (s *submitter) run() {
 	for {
 		s.mu.Lock()
-		n := min(len(s.pending), submitBatch)
+		n := distinct(s.pending, submitBatch)
 		if n == 0 {
 			s.running = false
 			s.mu.Unlock()
@@ -86,6 +94,19 @@
 	}
 }
 
+// distinct returns the length of the longest prefix, up to limit, in which no two submissions have the same ID. Of two
+// such submissions, which may be of different teams, the second has to find the first in the store.
+func distinct(pending []*submission, limit int) int {
+	seen := map[string]bool{}
+	for i, sub := range pending {
+		if i == limit || seen[sub.job.ID] {
+			return i
+		}
+		seen[sub.job.ID] = true
+	}
+	return len(pending)
+}
+
 // write writes a batch in one transaction, and returns the submissions that have to be retried.
 func (s *submitter) write(batch []*submission) []*submission {
 	t := &Txn{}
@@ -98,7 +119,7 @@
 	_, err := s.p.cfg.Store.Write(ctx, t)
 	var conflict *Conflict
 	if errors.As(err, &conflict) {
-		return resolveConflict(batch, conflict)
+		return s.resolveConflict(batch, conflict)
 	}
 	if err == nil {
 		for _, sub := range batch {
@@ -127,24 +148,43 @@
 }
 
 // resolveConflict finishes the submissions whose jobs are in the store, and returns the others to be retried.
-func resolveConflict(batch []*submission, c *Conflict) []*submission {
-	found := map[string]bool{}
-	for _, item := range c.Found {
-		if item.Revision > 0 {
-			found[item.Key] = true
+func (s *submitter) resolveConflict(batch []*submission, c *Conflict) []*submission {
+	found := map[string]*Item{}
+	for i := range c.Found {
+		if c.Found[i].Revision > 0 {
+			found[c.Found[i].Key] = &c.Found[i]
 		}
 	}
 	var retry []*submission
 	for _, sub := range batch {
-		if found[prefixJobs+sub.job.ID] || found[prefixProgress+sub.job.ID] {
-			if sub.inDoubt {
-				sub.done <- nil // An earlier write of this submission was carried out.
-			} else {
-				sub.done <- errAlreadyStored
-			}
+		job, progress := found[prefixJobs+sub.job.ID], found[prefixProgress+sub.job.ID]
+		if job == nil && progress == nil {
+			retry = append(retry, sub)
 			continue
 		}
-		retry = append(retry, sub)
+		owner := s.storedOwner(job, progress)
+		if sub.inDoubt && owner.Team == sub.job.Team {
+			sub.done <- nil // An earlier write of this submission was carried out.
+		} else {
+			sub.done <- &alreadyStored{owner}
+		}
 	}
 	return retry
 }
+
+// storedOwner returns the owner of a job whose submission or progress, or both, are in the store. Either may be nil.
+func (s *submitter) storedOwner(job, progress *Item) cccell.Owner {
+	var owner cccell.Owner
+	var err error
+	if job != nil {
+		owner, err = jobOwner(job)
+	} else {
+		var ended storedState
+		ended, err = decodeState(progress)
+		owner = ended.owner
+	}
+	if err != nil {
+		s.p.cfg.Log.Error("owner of a stored job can't be decoded", "Error", err)
+	}
+	return owner
+}
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -207,6 +207,9 @@
 	// Outcome is Ran if the write was carried out, NotRun if it certainly was not and will not be, and Unknown
 	// otherwise.
 	Outcome ccwork.Outcome `cbor:"1,keyasint"`
+	// Owner is the owner of the job that was in the store before, nil if there was none or it is of the same team. The
+	// sender decides whether the caller may repeat the submission.
+	Owner *cccell.Owner `cbor:"2,keyasint,omitempty"`
 }
 
 // Check implements Message.
