--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -17,6 +17,10 @@
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
 	teams         *teamMetrics
+	// unknownKeys counts requests refused for their key, and refusedConfigs documents that were not put in force.
+	unknownKeys    *prometheus.CounterVec
+	refusedConfigs prometheus.Counter
+	teamSubmitted  *teamCounter
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -49,8 +53,18 @@
 			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
 		}, []string{"outcome"}),
 		teams: newTeamMetrics(),
+		unknownKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_unknown_keys_total", Help: "Requests refused since their API key is missing or unknown.",
+		}, []string{"queue"}),
+		refusedConfigs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coriandercross_configs_refused_total", Help: "Configurations that are malformed and were not put in force.",
+		}),
+		teamSubmitted: &teamCounter{teams: map[string]bool{}, vec: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_team_submissions_total", Help: "Answers to hand-ins, by team.",
+		}, []string{"team", "outcome"})},
 	}
-	reg.MustRegister(m.teams, m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
+	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
 	return m
 }
 
