The cell uses learned run times: order, stragglers, remaining times, held workers

Ruled out: replacing the percentage of progress by predictions (progress of five percent and more is better evidence), moving single tasks by a multiple of the median (three in a hundred take seven times as long wherever they run: the 99th percentile counts). Change: with Config.RunTimes (nil: as before) predictions give the length of a chain (chainMs), the remaining time of a task without progress, the first percent, and the usual duration of tasks without siblings; work that ends in time runs on held workers. Log lines of a stage say what was expected and why. A task that saved checkpoints but started from none now counts as a finished sibling, when run times are learned. Before and after: tests with the estimates alone and with learned run times, which decide differently; the model of the cell runs with a learner too (TestCellModelLearns). Conclusion: not switched on anywhere yet.

--- a/core/cccell/bench_test.go
+++ b/core/cccell/bench_test.go
@@ -3,11 +3,22 @@
 import (
 	"fmt"
 	"testing"
+
+	"coriandercross/core/ccruntimes"
 )
 
 // BenchmarkRound measures a scheduling round over 3,000 workers with two new jobs in each round. About a third of the
 // workers run tasks.
 func BenchmarkRound(b *testing.B) {
+	benchmarkRound(b, nil)
+}
+
+// BenchmarkRoundLearning is BenchmarkRound with learned run times.
+func BenchmarkRoundLearning(b *testing.B) {
+	benchmarkRound(b, ccruntimes.New())
+}
+
+func benchmarkRound(b *testing.B, runTimes *ccruntimes.Learner) {
 	const (
 		workers  = 3000
 		perRound = 2
@@ -15,6 +26,7 @@
 		runMs    = 1000
 	)
 	c := testCell(1, 1000)
+	c.cfg.RunTimes = runTimes
 	for i := range workers {
 		c.SetWorker(testWorker(fmt.Sprintf("w%d", i)), 1000)
 	}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "coriandercross/core/ccruntimes"
+
 // Config configures a Cell.
 type Config struct {
 	// Token is the fencing token of this leader, higher than that of each leader before it. Workers refuse calls with a
@@ -15,6 +17,11 @@
 	AuthorityMs, PriorAuthorityMs ms
 	// RemoteFactor is the ratio of a task's duration outside the rack of its data to its duration inside.
 	RemoteFactor float64
+	// RunTimes learns how long tasks take; nil to rely on the callers' estimates.
+	RunTimes *ccruntimes.Learner
+	// ObserveRunTime is called for each task that is done with the factors by which the prediction and the estimate of its
+	// run time were off; it may be nil.
+	ObserveRunTime func(queue string, predicted, estimated float64)
 	// Log is called with an event name and key-value pairs for each decision; it may be nil.
 	Log func(event string, kv ...any)
 }
@@ -49,7 +56,9 @@
 	// task of an adopted job starts before it.
 	informedAt ms
 	// initialPollDone is true once every worker was admitted or is silent.
-	initialPollDone     bool
+	initialPollDone bool
+	// roundAt is the time of the current round, or of the last one.
+	roundAt             ms
 	stragglersCheckedAt ms
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
@@ -82,6 +91,8 @@
 	GivenUp int64
 	// Moved counts stragglers that were stopped or are to be copied.
 	Moved int64
+	// Backfilled counts starts on workers that were held for another stage.
+	Backfilled int64
 }
 
 // attemptBits is the number of low bits of an attempt number that count the attempts of one leader. The bits above hold
--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -416,22 +416,22 @@
 		if !c.mayHold(s, w, now) {
 			continue
 		}
-		if busyMs, ends := w.untilEmptyMs(now); ends && (best == nil || busyMs < bestMs || (busyMs == bestMs && w.info.ID < best.info.ID)) {
+		if busyMs, ends := c.untilEmptyMs(w, now); ends && (best == nil || busyMs < bestMs || (busyMs == bestMs && w.info.ID < best.info.ID)) {
 			best, bestMs = w, busyMs
 		}
 	}
 	if best != nil {
-		best.heldFor = s
+		best.heldFor, best.heldMs = s, 0
 	}
 }
 
 // untilEmptyMs returns the expected time until a worker is empty, and false if it runs a task that does not end by itself.
-func (w *worker) untilEmptyMs(now ms) (busyMs int64, ends bool) {
+func (c *Cell) untilEmptyMs(w *worker, now ms) (busyMs int64, ends bool) {
 	for _, a := range w.attempts {
 		if a.stage == nil || a.stage.spec.LongRunning {
 			return 0, false
 		}
-		busyMs = max(busyMs, a.remainingMs(now))
+		busyMs = max(busyMs, c.remainingMs(a, now))
 	}
 	return busyMs, true
 }
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -26,6 +26,9 @@
 	if s == nil {
 		return
 	}
+	if end != EndDone {
+		c.learnUnfinished(a, end, now)
+	}
 	if checkpoint != "" {
 		s.saveCheckpoint(a.task.Index, checkpoint)
 	}
@@ -79,7 +82,10 @@
 			a.worker.slowdown.add(a.elapsedMs(now)/(usualMs*c.expectedSlowness(s, a.worker)), now)
 		}
 		s.durations = append(s.durations, a.elapsedMs(now)/c.expectedSlowness(s, a.worker))
+	} else if c.learns(s) && a.sentAt > 0 && !a.adopted && !a.resumed {
+		s.durations = append(s.durations, c.scaledElapsedMs(a, now)) // It has saved checkpoints, but started from none.
 	}
+	c.learnDone(a, now)
 	s.done.add(i)
 	if s.spec.Gang {
 		// The end of one member completes the gang.
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -57,7 +57,7 @@
 		if missing <= 0 || len(s.held) == limit {
 			break
 		}
-		list[i].w.heldFor = s
+		list[i].w.heldFor, list[i].w.heldMs = s, list[i].busyMs
 		s.held[list[i].w] = true
 		missing -= list[i].tasks
 	}
@@ -83,7 +83,7 @@
 			continue
 		}
 		h := holdCandidate{w: w, held: s.held[w]}
-		h.tasks, h.busyMs = s.fittingLater(w, now)
+		h.tasks, h.busyMs = c.fittingLater(s, w, now)
 		if h.tasks > 0 {
 			list = append(list, h)
 		}
@@ -97,7 +97,7 @@
 	if _, allowed := s.tickets.allowed[w.info.ID]; !allowed && c.queue(s.job).Advice != nil {
 		return false
 	}
-	return c.eligible(s, w, now)
+	return (w.heldFor == nil || w.heldFor == s) && c.eligible(s, w, now)
 }
 
 // isLargeFor reports whether the tasks of a stage are large in proportion to a worker.
@@ -109,7 +109,7 @@
 
 // fittingLater returns how many tasks of a stage fit on a worker once the running tasks, but for the long-running ones,
 // have ended, and the time until then. The time is 0 when as many fit now.
-func (s *stage) fittingLater(w *worker, now ms) (tasks int, busyMs int64) {
+func (c *Cell) fittingLater(s *stage, w *worker, now ms) (tasks int, busyMs int64) {
 	free := w.free()
 	fitNow := s.tasksIn(&free)
 	for _, a := range w.attempts {
@@ -117,7 +117,7 @@
 			continue
 		}
 		free = free.Plus(a.need)
-		busyMs = max(busyMs, a.remainingMs(now))
+		busyMs = max(busyMs, c.remainingMs(a, now))
 	}
 	if tasks = s.tasksIn(&free); tasks == fitNow {
 		busyMs = 0
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -152,6 +152,11 @@
 
 // CriticalPathMs returns the estimated duration of the longest chain of dependent stages.
 func (j *Job) CriticalPathMs() int64 {
+	return j.longestChainMs(func(i int) int64 { return j.Stages[i].EstimateMs })
+}
+
+// longestChainMs returns the duration of the longest chain of dependent stages, with given durations of the stages.
+func (j *Job) longestChainMs(durationMs func(stage int) int64) int64 {
 	ends := make([]int64, len(j.Stages))
 	var longest int64
 	for i := range j.Stages {
@@ -159,7 +164,7 @@
 		for _, after := range j.Stages[i].After {
 			begin = max(begin, ends[after])
 		}
-		ends[i] = begin + j.Stages[i].EstimateMs
+		ends[i] = begin + durationMs(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -11,6 +11,7 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
+	"coriandercross/core/ccruntimes"
 	"coriandercross/core/ccwork"
 	"coriandercross/core/ccworkersim"
 
@@ -66,6 +67,8 @@
 	longRunning int
 	// resizes is true when workers shrink and grow.
 	resizes bool
+	// runTimes is what all leaders learn with, nil for nothing.
+	runTimes *ccruntimes.Learner
 }
 
 const (
@@ -80,10 +83,10 @@
 var modelCapacity = ccwork.Size{MilliCores: 4000, MemoryMB: 4000}
 
 // newSimulation returns a simulation with one leader.
-func newSimulation(t *rapid.T) *simulation {
+func newSimulation(t *rapid.T, runTimes *ccruntimes.Learner) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
-		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{},
+		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, runTimes: runTimes,
 	}
 	sim.checker.MaxAttempts = modelMaxAttempts
 	sim.checker.LongRunning = func(id cccell.TaskID) bool { return sim.jobs[id.Job].Stages[id.Stage].LongRunning }
@@ -131,7 +134,7 @@
 	}
 	sim.token++
 	sim.revision++
-	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: modelAuthorityMs, PriorAuthorityMs: modelAuthorityMs, RemoteFactor: 2, Log: sim.log(sim.token)}, sim.now)
+	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: modelAuthorityMs, PriorAuthorityMs: modelAuthorityMs, RemoteFactor: 2, Log: sim.log(sim.token), RunTimes: sim.runTimes}, sim.now)
 	l := &leader{cell: c, token: sim.token}
 	sim.listWorkers(l)
 	for _, info := range sim.roster {
@@ -468,19 +471,28 @@
 // its capacity, no task fails more often than permitted, no job fails without a cause. After the faults end, every job ends,
 // except long-running ones, each task of which has exactly one attempt.
 func TestCellModel(t *testing.T) {
-	rapid.Check(t, modelRun(false))
+	rapid.Check(t, modelRun(false, false))
 }
 
 // TestCellModelResizes is TestCellModel with workers that shrink and grow. It is a test of its own, so that the recorded
 // seeds of TestCellModel keep their meaning.
 func TestCellModelResizes(t *testing.T) {
-	rapid.Check(t, modelRun(true))
+	rapid.Check(t, modelRun(true, false))
+}
+
+// TestCellModelLearns is TestCellModel with learned run times.
+func TestCellModelLearns(t *testing.T) {
+	rapid.Check(t, modelRun(false, true))
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
-func modelRun(resizes bool) func(t *rapid.T) {
+func modelRun(resizes, learns bool) func(t *rapid.T) {
 	return func(t *rapid.T) {
-		sim := newSimulation(t)
+		var runTimes *ccruntimes.Learner
+		if learns {
+			runTimes = ccruntimes.New()
+		}
+		sim := newSimulation(t, runTimes)
 		sim.resizes = resizes
 		for range 60 {
 			switch sim.draw(4, "action") {
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -9,6 +9,7 @@
 // Schedule runs one scheduling round: it places waiting tasks and orders the polls, stops and advice requests that are
 // due. It is called after each batch of events and at least once per tick.
 func (c *Cell) Schedule(now, nowUnix ms) {
+	c.roundAt = now
 	for j := range c.scheduled {
 		c.startDueRuns(j, now, nowUnix)
 	}
@@ -20,7 +21,7 @@
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
 		for _, w := range c.workers {
-			w.heldFor = nil
+			w.heldFor, w.heldMs = nil, 0
 			if w.usable(now) {
 				c.usable = append(c.usable, w)
 			}
@@ -129,13 +130,16 @@
 
 // chainMs returns the expected duration of the longest chain of dependent stages of a job.
 func (c *Cell) chainMs(j *job) int64 {
+	if c.cfg.RunTimes != nil {
+		return c.learnedChainMs(j)
+	}
 	return j.spec.CriticalPathMs()
 }
 
-// eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage, and is
-// large enough for one task when empty. Tickets are not checked.
+// eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage unless the
+// tasks end before it is needed, and is large enough for one task when empty. Tickets are not checked.
 func (c *Cell) eligible(s *stage, w *worker, now ms) bool {
-	return w.info.Service == c.queue(s.job).Service && w.usable(now) && (w.heldFor == nil || w.heldFor == s) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
+	return w.info.Service == c.queue(s.job).Service && w.usable(now) && (w.heldFor == nil || w.heldFor == s || c.endsInTime(s, w, now)) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
 		s.need.Fits(&w.info.Capacity)
 }
 
@@ -267,7 +271,7 @@
 		return
 	}
 	d.waitLogged = true
-	c.logDelay("stage waits", s, now, "Unplaced", s.unplaced, "Requested", s.tickets.requested)
+	c.logDelay("stage waits", s, now, append([]any{"Unplaced", s.unplaced, "Requested", s.tickets.requested}, c.expectation(s, now)...)...)
 }
 
 // logPlacementDelay logs once, when all tasks of a stage can be placed, how long and for which reasons they were
@@ -277,7 +281,7 @@
 		return
 	}
 	s.placementDelay.logged = true
-	c.logDelay("stage placed", s, now)
+	c.logDelay("stage placed", s, now, c.expectation(s, now)...)
 }
 
 // logDelay logs the placement delay of a stage by reason, after the fields kv.
@@ -351,12 +355,19 @@
 		task:   TaskID{Job: s.id.Job, Run: s.id.Run, Stage: s.id.Stage, Index: index},
 		number: number, stage: s, worker: w, need: s.need, sentAt: now, progressAt: now,
 	}
+	if c.learns(s) {
+		a.expectedMs = c.predict(s, now).MedianMs()
+	}
+	if w.heldFor != nil && w.heldFor != s {
+		c.stats.Backfilled++
+	}
 	w.addAttempt(a)
 	delete(s.trialWaitSince, index)
 	checkpoint := s.checkpoints[index]
 	if s.spec.Gang {
 		checkpoint = s.checkpoints[0]
 	}
+	a.resumed = checkpoint != ""
 	leaseUntil := w.nextLeaseEnd(now, c.cfg.LeaseMs)
 	w.leaseUntil = max(w.leaseUntil, leaseUntil)
 	ticket, _ := s.tickets.valid(w, now)
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -75,13 +75,13 @@
 		if s == nil || a.stopWanted {
 			continue
 		}
-		if s.spec.LongRunning || (s.spec.Checkpoints && a.remainingMs(now) > leftMs) {
+		if s.spec.LongRunning || (s.spec.Checkpoints && c.remainingMs(a, now) > leftMs) {
 			a.stopWanted = true
 		}
 	}
 }
 
-// remainingMs estimates the remaining duration of an attempt.
+// remainingMs estimates the remaining duration of an attempt from its progress, or from the estimate while there is none.
 func (a *attempt) remainingMs(now ms) int64 {
 	ran := int64(now - a.sentAt)
 	if a.percent > 0 && a.percent < 100 {
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -1,6 +1,9 @@
 package cccell
 
-import "coriandercross/core/ccwork"
+import (
+	"coriandercross/core/ccruntimes"
+	"coriandercross/core/ccwork"
+)
 
 // job is the in-memory state of a job.
 type job struct {
@@ -33,6 +36,9 @@
 	arrivedAt ms
 	// liveAttempts counts the attempts that hold capacity of a worker.
 	liveAttempts int
+	// chainMs is the result of Cell.learnedChainMs at chainAt.
+	chainMs int64
+	chainAt ms
 }
 
 // run is one run of a job.
@@ -81,6 +87,9 @@
 	unplaced int
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
+	// prediction is the result of Cell.predict at predictedAt, 0 for never.
+	prediction  ccruntimes.Prediction
+	predictedAt ms
 }
 
 // placementDelay adds up the time in which a stage had tasks that could not be started, by reason.
@@ -179,6 +188,10 @@
 	straggler bool
 	// adopted is true when a prior leader started the attempt, so that the time of its start is not known.
 	adopted bool
+	// resumed is true when the attempt continues from a checkpoint.
+	resumed bool
+	// expectedMs is the predicted duration, scaled to the fastest worker type in the rack of the data, 0 for none.
+	expectedMs float64
 }
 
 // attemptKey identifies an attempt on a worker.
--- a/core/cccell/stragglers.go
+++ b/core/cccell/stragglers.go
@@ -1,6 +1,6 @@
 package cccell
 
-import "sort"
+import "slices"
 
 // Stragglers. They matter when workers become several times slower, or tasks stall on them, while their health score is
 // good. The tasks of a stage are alike, so each is compared with its siblings. A task that takes far longer than its
@@ -84,6 +84,23 @@
 // data. Completed tasks count, and running ones from 10 percent on by their projection. It returns false when fewer
 // than minSiblings durations are known.
 func (c *Cell) usualMs(s *stage, now ms) (float64, bool) {
+	durations := c.knownDurations(s, now)
+	if len(durations) < minSiblings {
+		return 0, false
+	}
+	return medianOf(durations), true
+}
+
+// medianOf returns the median of a list that is not empty; of an even number, the larger of the two in the middle.
+func medianOf(durations []float64) float64 {
+	sorted := slices.Clone(durations)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
+
+// knownDurations returns the scaled durations of the tasks of a stage that are done, and the projected ones of those
+// that run, from 10 percent on.
+func (c *Cell) knownDurations(s *stage, now ms) []float64 {
 	durations := append([]float64(nil), s.durations...)
 	for _, attempts := range s.tasks {
 		for _, a := range attempts {
@@ -92,11 +109,7 @@
 			}
 		}
 	}
-	if len(durations) < minSiblings {
-		return 0, false
-	}
-	sort.Float64s(durations)
-	return durations[len(durations)/2], true
+	return durations
 }
 
 // expectedSlowness returns the ratio of a task's expected duration on a worker to that on the fastest worker type in
@@ -121,7 +134,9 @@
 		}
 		usualMs, known := 0.0, false
 		if !s.spec.LongRunning {
-			usualMs, known = c.usualMs(s, now)
+			if usualMs, known = c.usualMs(s, now); !known {
+				usualMs, known = c.usualWithoutSiblings(s)
+			}
 		}
 		for _, list := range s.tasks {
 			for _, a := range list {
@@ -149,7 +164,7 @@
 	}
 	totalMs := a.projectedTotalMs(now)
 	if stalled && float64(now-a.progressAt) > max(stallShare*totalMs, float64(stallMs)) {
-		if a.percent == 0 && float64(now-a.sentAt) < 0.1*float64(s.spec.EstimateMs) {
+		if a.percent == 0 && a.elapsedMs(now) < c.firstPercentMs(s, now) {
 			return // A long task may not have reached its first percent yet.
 		}
 		w.slowdown.add(slowdownCap, now)
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -106,6 +106,8 @@
 	slowdown         slowdown
 	// heldFor is the stage that the worker is held for in this round, or nil; see Cell.holdWorkers.
 	heldFor *stage
+	// heldMs is the time after which the worker is needed for heldFor, 0 when it is not known.
+	heldMs int64
 }
 
 // unackedEnd is an end that the worker may forget once the store has a version of a job. job is nil when the end
