--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -1,6 +1,10 @@
 package cccell
 
-import "sort"
+import (
+	"sort"
+
+	"coriandercross/core/ccruntimes"
+)
 
 // Summary is the state of a cell as shown in the state dump.
 type Summary struct {
@@ -12,6 +16,9 @@
 	PendingWrites int `json:"Unnoted"`
 	Stats         Stats
 	Workers       []WorkerSummary
+	// RunTimes has the errors of the predicted run times, by queue; RunTimeKeys is the number of keys that were learned.
+	RunTimes    []ccruntimes.QueueError `json:",omitempty"`
+	RunTimeKeys int                     `json:",omitempty"`
 }
 
 // WorkerSummary is the state of a worker as shown in the state dump.
@@ -43,6 +50,10 @@
 		ws.SilentMs = int64(w.silentMs(now))
 		s.Workers = append(s.Workers, ws)
 	}
+	if l := c.cfg.RunTimes; l != nil {
+		s.RunTimes, s.RunTimeKeys = l.Errors(), l.Keys()
+		sort.Slice(s.RunTimes, func(a, b int) bool { return s.RunTimes[a].Queue < s.RunTimes[b].Queue })
+	}
 	sort.Slice(s.Workers, func(a, b int) bool { return s.Workers[a].ID < s.Workers[b].ID })
 	return s
 }
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -33,6 +33,8 @@
 type entryCommand struct {
 	Settings string `long:"settings" description:"path of the platform's settings file; that in the environment variable CORIANDERCROSS_CONFIG if left out"`
 	Metrics  string `long:"metrics" description:"address for metrics and the state dump; port 9464 of the IP in the settings if left out"`
+
+	LearnRunTimes bool `long:"learn-run-times" description:"learn from finished runs how long tasks take, and use that in place of the callers' estimates; the same at all processes"`
 }
 
 const (
@@ -70,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	p := newEntryProcess(s, path, logger)
+	p := newEntryProcess(s, path, logger, c.LearnRunTimes)
 	p.logWriter = out
 	p.metrics = c.Metrics
 	if p.metrics == "" {
@@ -100,7 +102,7 @@
 }
 
 // newEntryProcess builds the process. It opens no socket.
-func newEntryProcess(s *ccplatform.Settings, path string, logger *log.Logger) *entryProcess {
+func newEntryProcess(s *ccplatform.Settings, path string, logger *log.Logger, learnRunTimes bool) *entryProcess {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	storeCalls := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -127,7 +129,7 @@
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
-		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond),
+		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: learnRunTimes,
 	})
 	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg}
 }
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -19,6 +19,9 @@
 	keyLeader        = prefixMembership + "leader"
 	// keyRoster holds the workers that may run tasks of the present leader. The next leader reads it.
 	keyRoster = "cc/roster"
+	// keyRunTimes holds a snapshot of the run times that the leader has learned (ccruntimes.Snapshot). The next leader
+	// reads it. Earlier releases ignore it.
+	keyRunTimes = "cc/runtimes"
 	// prefixSubmissions holds accepted jobs and requests to cancel. The leader watches it.
 	prefixSubmissions = "cc/in/"
 	prefixJobs        = prefixSubmissions + "j/"
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -9,6 +9,7 @@
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccquorum"
+	"coriandercross/core/ccruntimes"
 	"coriandercross/io/ccpeer"
 )
 
@@ -90,6 +91,11 @@
 	rosterAt ms
 	// writingRoster is true while a write of the roster is under way.
 	writingRoster bool
+	// runTimes is what the cell learns with, nil if it does not. runTimesAt is the start of the last write of its
+	// snapshot, or of the term; writingRunTimes is true while one is under way.
+	runTimes        *ccruntimes.Learner
+	runTimesAt      ms
+	writingRunTimes bool
 }
 
 // beginTerm starts a term as leader: it announces the term, loads the state from the store, and starts the event loop.
@@ -111,10 +117,14 @@
 		// There was no prior leader, or it was this process before its restart.
 		l.handover.PriorLeaderEnded(began)
 	}
+	if p.cfg.LearnRunTimes {
+		l.runTimes, l.runTimesAt = ccruntimes.New(), began
+		l.readRunTimes()
+	}
 	l.cell = cccell.New(cccell.Config{
 		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
 		PriorAuthorityMs: l.handover.EndsAt() - began,
-		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision,
+		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
 	l.dispatcher = newAdviceDispatcher(l)
 	l.announce(*prior)
@@ -247,6 +257,7 @@
 	l.sendOrders(l.cell.TakeOrders(), now)
 	l.flush(now)
 	l.writeRoster(now)
+	l.writeRunTimes(now)
 	l.recordVoters(now)
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -16,12 +16,17 @@
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
+	// runTimeErrors has the factors by which predicted run times and estimates were off.
+	runTimeErrors *prometheus.HistogramVec
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
 // milliseconds.
 var latencyBuckets = []float64{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 3000}
 
+// errorBuckets range from an error that changes no decision to estimates off by more than ten.
+var errorBuckets = []float64{1.1, 1.2, 1.35, 1.5, 1.75, 2, 3, 5, 10, 20}
+
 // outcomeNames holds the metric labels of outcomes.
 var outcomeNames = map[cccell.Outcome]string{cccell.Executed: "carried", cccell.Refused: "refused", cccell.Unsent: "unsent", cccell.ReplyLost: "lost"}
 
@@ -47,8 +52,11 @@
 		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
 		}, []string{"outcome"}),
+		runTimeErrors: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "coriandercross_run_time_error", Help: "Factors by which predicted run times and callers' estimates were off.", Buckets: errorBuckets,
+		}, []string{"queue", "by"}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.runTimeErrors)
 	return m
 }
 
@@ -56,3 +64,9 @@
 func (m *Metrics) observeCall(kind string, r cccell.Reply) {
 	m.workerCalls.WithLabelValues(kind, outcomeNames[r.Outcome]).Observe(float64(r.Received - r.Sent))
 }
+
+// observeRunTime records the factors by which the prediction and the estimate of a run time were off.
+func (m *Metrics) observeRunTime(queue string, predicted, estimated float64) {
+	m.runTimeErrors.WithLabelValues(queue, "prediction").Observe(predicted)
+	m.runTimeErrors.WithLabelValues(queue, "estimate").Observe(estimated)
+}
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -46,6 +46,9 @@
 	RemoteFactor float64
 	// FinalRetentionMs is how long the final state of a job stays in memory. The store retains it for longer.
 	FinalRetentionMs ms
+	// LearnRunTimes is true if the process, as leader, learns run times from finished runs and uses them in place of the
+	// callers' estimates.
+	LearnRunTimes bool
 }
 
 // Process runs on an entry VM, a VM that accepts the requests of callers. Its methods may be called from any goroutine.
