Stragglers without siblings: only in small stages, and after more runs; errors of all queues together

All tasks of stages that are several times as long as usual were moved. Ruled out: a higher quantile (of 64 to 128 stages the 99th percentile is one stage); the sibling count as it was (running ones below 10 percent don't count yet). Change: what was learned judges a task only in stages with fewer than three tasks, from 60 stages on.

--- a/core/cccell/runtimes.go
+++ b/core/cccell/runtimes.go
@@ -142,15 +142,19 @@
 // three tasks in a hundred take seven times as long as the others, wherever they run.
 const stragglerQuantile = 0.99
 
-// usualWithoutSiblings returns the duration by which a task is judged whose siblings don't tell, by what was learned. It
-// returns false if too little was learned.
+// stragglerWeight is the weight from which a prediction has that quantile.
+const stragglerWeight = 60
+
+// usualWithoutSiblings returns the duration by which a task is judged that has too few siblings, by what was learned. It
+// returns false if too little was learned. Where there are enough siblings they will tell soon: when all of them take
+// long, it is due to the stage and not to their workers.
 func (c *Cell) usualWithoutSiblings(s *stage) (float64, bool) {
-	if !c.learns(s) {
+	if !c.learns(s) || s.spec.Count >= minSiblings {
 		return 0, false
 	}
 	w := workOf(s.job.spec, s.id.Stage)
 	p := c.cfg.RunTimes.Predict(&w)
-	if !p.Enough() {
+	if p.Weight < stragglerWeight {
 		return 0, false
 	}
 	usualMs := p.AtMs(stragglerQuantile) / stragglerFactor
--- a/core/ccruntimes/errors.go
+++ b/core/ccruntimes/errors.go
@@ -30,8 +30,16 @@
 	return math.Exp2(math.Abs(math.Log2(max(predictedMs, 1) / max(tookMs, 1))))
 }
 
+// AllQueues stands for all queues together in QueueError.
+const AllQueues = "*"
+
 // RecordError records the run time that was predicted for a task, the caller's estimate, and what it took.
 func (l *Learner) RecordError(queue string, predictedMs, estimateMs, tookMs float64) {
+	l.recordError(AllQueues, predictedMs, estimateMs, tookMs)
+	l.recordError(queue, predictedMs, estimateMs, tookMs)
+}
+
+func (l *Learner) recordError(queue string, predictedMs, estimateMs, tookMs float64) {
 	e := l.errors[queue]
 	if e == nil {
 		if len(l.errors) >= maxErrorQueues {
