--- a/core/cccell/runtimes_test.go
+++ b/core/cccell/runtimes_test.go
@@ -301,3 +301,32 @@
 		})
 	}
 }
+
+// The line of a placed stage says what was expected of its tasks and why, so that explain shows it. Without learning it
+// does not.
+func TestExpectationIsLogged(t *testing.T) {
+	for _, learns := range []bool{false, true} {
+		j := estimatedJob("a", "q", 1, 200)
+		l := ccruntimes.New()
+		learnJob(l, j, 2000)
+		c := learningCell(t, learns, l, testWorker("w1"))
+		logged := map[any]any{}
+		c.cfg.Log = func(event string, kv ...any) {
+			for i := 0; event == "stage placed" && i+1 < len(kv); i += 2 {
+				logged[kv[i]] = kv[i+1]
+			}
+		}
+		c.AddJob(j, 1100, 1100)
+		assert.Equal(t, len(runStarts(c, 1100)), 1)
+		if !learns {
+			assert.Equal(t, logged["ExpectMs"], nil)
+			continue
+		}
+		expected, ok := logged["ExpectMs"].(int64)
+		assert.Assert(t, ok && expected > 1700 && expected < 2300, "%v", logged)
+		assert.Equal(t, logged["ExpectBy"], ccruntimes.SourceWork)
+		assert.Equal(t, logged["EstimateMs"], int64(200))
+		s := c.Summary(1100)
+		assert.Assert(t, s.RunTimeKeys > 0)
+	}
+}
--- a/core/ccruntimes/learner.go
+++ b/core/ccruntimes/learner.go
@@ -106,7 +106,7 @@
 	// owned counts the keys of each owner.
 	owned map[owner]int
 	uses  uint64
-	// added is the weight since the last snapshot, total the weight before it, at most window for each key.
+	// added is the weight since the last saved snapshot, total the weight in it.
 	added, total float64
 	errors       map[string]*queueErrors
 }
@@ -210,9 +210,9 @@
 	return float64(view) / (viewCount - 1)
 }
 
-// logEstimate returns the logarithm of the estimate, 0 without one.
+// logEstimate returns the logarithm of the estimate, 0 without one. It is at most that of the largest run time.
 func (w *Work) logEstimate() float64 {
-	return math.Log2(float64(max(w.EstimateMs, 1)))
+	return min(math.Log2(float64(max(w.EstimateMs, 1))), maxOctave)
 }
 
 func (e *entry) weight() float64 {
--- a/core/ccruntimes/snapshot.go
+++ b/core/ccruntimes/snapshot.go
@@ -52,17 +52,23 @@
 	Teams map[string]float32 `cbor:"10,keyasint,omitempty"`
 }
 
-// Changed reports whether enough was learned since the last snapshot for a new one.
+// Changed reports whether enough was learned since the last saved snapshot for a new one.
 func (l *Learner) Changed() bool {
 	return l.added > 0 && l.added >= changedShare*l.total
 }
 
+// MarkSaved records that a snapshot is in the store.
+func (l *Learner) MarkSaved() {
+	l.added, l.total = 0, 0
+	for _, e := range l.entries {
+		l.total += e.weight()
+	}
+}
+
 // Snapshot returns what the learner knows about the keys with the most weight.
 func (l *Learner) Snapshot(nowUnixMs int64) *Snapshot {
 	s := &Snapshot{Version: snapshotVersion, TakenMs: nowUnixMs}
-	l.added, l.total = 0, 0
 	for k, e := range l.entries {
-		l.total += e.weight()
 		if e.weight() < minSnapshotWeight || len(k.team) > maxNameBytes || len(k.queue) > maxNameBytes || len(k.image) > maxNameBytes {
 			continue
 		}
--- a/core/ccruntimes/snapshot_test.go
+++ b/core/ccruntimes/snapshot_test.go
@@ -14,6 +14,8 @@
 	assert.Assert(t, learner.Changed())
 	s := learner.Snapshot(1000)
 	assert.NilError(t, s.Check())
+	assert.Assert(t, learner.Changed())
+	learner.MarkSaved()
 	assert.Assert(t, !learner.Changed())
 	restored := New()
 	restored.Restore(s)
--- a/io/cccontrol/runtimes.go
+++ b/io/cccontrol/runtimes.go
@@ -59,8 +59,7 @@
 	log.Info("run times restored", "Keys", len(s.Entries), "AgeMs", int64(unixNow())-s.TakenMs, "Bytes", len(item.Value))
 }
 
-// writeRunTimes writes a snapshot of the run times if enough was learned since the last one. One that is lost is made up
-// for by the next.
+// writeRunTimes writes a snapshot of the run times if enough was learned since the last one that was written.
 func (l *leadership) writeRunTimes(now ms) {
 	if l.runTimes == nil || l.writingRunTimes || now-l.runTimesAt < runTimesIntervalMs || now >= l.cell.Authority() || l.p.cfg.Store.Lost() || !l.runTimes.Changed() {
 		return
@@ -78,7 +77,9 @@
 			l.writingRunTimes = false
 			if err != nil {
 				l.p.cfg.Log.Info("run times not written", "Error", err)
+				return
 			}
+			l.runTimes.MarkSaved()
 		})
 	}()
 }
