--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -68,6 +68,7 @@
 	{"OnThePlatform", []propertyTest{
 		{cellPkg, "TestCellModel", 9, true},
 		{cellPkg, "TestCellModelResizes", 10, true},
+		{cellPkg, "TestCellModelLearns", 9, true},
 		{quorumPkg, "TestOneLeaderActs", 6, true},
 		{soakPkg, "TestSoak", 10, false},
 	}},
--- a/core/ccruntimes/learner_test.go
+++ b/core/ccruntimes/learner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -254,3 +255,15 @@
 		learner.Finished(&s.work, s.tookMs[i%stageTasks], 1.0/stageTasks)
 	}
 }
+
+// BenchmarkTaskOfNewKind measures the same for a team that sends ever new kinds of work.
+func BenchmarkTaskOfNewKind(b *testing.B) {
+	learner := newLoad(1).learned(400)
+	w := Work{Team: "flood", Queue: "queue0", EstimateMs: 500}
+	for i := 0; b.Loop(); i++ {
+		w.Image = strconv.Itoa(i)
+		p := learner.Predict(&w)
+		_ = p.MedianMs()
+		learner.Finished(&w, 400, 0.1)
+	}
+}
--- a/core/ccruntimes/snapshot.go
+++ b/core/ccruntimes/snapshot.go
@@ -16,6 +16,8 @@
 	snapshotVersion = 1
 	// maxSnapshotKeys bounds the keys of a snapshot, of about 200 bytes each: those with the most weight.
 	maxSnapshotKeys = 128
+	// maxSnapshotBytes bounds the bytes of their names and distributions, for teams with long names.
+	maxSnapshotBytes = 64 << 10
 	// maxNameBytes bounds the names in a snapshot. Keys with longer ones are left out.
 	maxNameBytes = 128
 	// restoredShare is the share of their weights that restored keys get, since they may be old.
@@ -81,11 +83,14 @@
 			cmp.Compare(a.Image, b.Image), cmp.Compare(a.Stage, b.Stage), cmp.Compare(a.Size, b.Size))
 	})
 	s.Entries = s.Entries[:min(len(s.Entries), maxSnapshotKeys)]
+	bytes := 0
 	for i := range s.Entries {
 		r := &s.Entries[i]
 		e := l.entries[r.key()]
+		bytes += len(r.Team) + len(r.Queue) + len(r.Image)
 		for v := range e.views {
 			r.Views = append(r.Views, e.views[v].pack())
+			bytes += len(r.Views[v])
 		}
 		for team, weight := range e.teams {
 			if len(team) <= maxNameBytes {
@@ -93,8 +98,13 @@
 					r.Teams = map[string]float32{}
 				}
 				r.Teams[team] = float32(weight)
+				bytes += len(team)
 			}
 		}
+		if bytes > maxSnapshotBytes {
+			s.Entries = s.Entries[:i]
+			break
+		}
 	}
 	return s
 }
--- a/core/ccruntimes/snapshot_test.go
+++ b/core/ccruntimes/snapshot_test.go
@@ -1,6 +1,7 @@
 package ccruntimes
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,28 @@
 	assert.Equal(t, level(s.Entries[0].Level), levelQueue)
 }
 
+// With names as long as they may be, a snapshot holds fewer keys.
+func TestSnapshotOfLongNamesIsBounded(t *testing.T) {
+	l := New()
+	for i := range 10_000 {
+		name := func(kind string, n int) string { return fmt.Sprintf("%-*s", maxNameBytes, fmt.Sprint(kind, n)) }
+		l.Finished(&Work{Team: name("team", i%90), Queue: name("queue", i%70), Image: name("image", i%3), EstimateMs: 700}, 500, 1)
+	}
+	s := l.Snapshot(1000)
+	assert.NilError(t, s.Check())
+	bytes := 0
+	for _, e := range s.Entries {
+		bytes += len(e.Team) + len(e.Queue) + len(e.Image)
+		for _, v := range e.Views {
+			bytes += len(v)
+		}
+		for team := range e.Teams {
+			bytes += len(team)
+		}
+	}
+	assert.Assert(t, len(s.Entries) > 0 && bytes <= maxSnapshotBytes, "%d keys, %d bytes", len(s.Entries), bytes)
+}
+
 // Malformed snapshots are found before anything is restored.
 func TestBadSnapshots(t *testing.T) {
 	tests := map[string]func(s *Snapshot){
--- a/io/cccontrol/runtimes.go
+++ b/io/cccontrol/runtimes.go
@@ -19,8 +19,8 @@
 	runTimesIntervalMs ms = 10_000
 	// runTimesReadTimeoutMs bounds the read of the snapshot at the start of a term.
 	runTimesReadTimeoutMs ms = 2000
-	// maxRunTimesBytes bounds the snapshot: twice what ccruntimes writes with the longest names.
-	maxRunTimesBytes = 256 << 10
+	// maxRunTimesBytes bounds the snapshot. What ccruntimes writes is smaller, also with the longest names.
+	maxRunTimesBytes = 128 << 10
 )
 
 // readRunTimes reads the snapshot of the prior leader, beside the loading of the state, and restores it. Without a
