Merge learned run times, off by default

Conflicts: imports, metrics and pages, where both sides are kept; the options of the cell's model are a struct now. No test or bound changed.

--- a/core/cccell/modelcaps_test.go
+++ b/core/cccell/modelcaps_test.go
@@ -183,7 +183,7 @@
 // that at different times. No start may bring what a team has running above the highest cap that may be in force, as
 // counted by the simulated workers.
 func TestCellModelCaps(t *testing.T) {
-	rapid.Check(t, modelRun(false, true))
+	rapid.Check(t, modelRun(modelOptions{teams: true}))
 }
 
 // The cap of the checker counts what runs on all workers.
