A new configuration reaches processes that the store turns away, also the leader, by every path there is

Cause: a process whose reads of the configuration failed asked the first peer that replied, once between two attempts; with a silent store that is one question each 1.9 s, and the peer may be turned away as well. The leader learned from no follower, so that all processes which depended on it waited until it was replaced. Ruled out: pushing a version to all peers (each process would send it to each other one); asking all peers at once (43 x 43 calls each round). Change: a loop of its own asks all peers in turn, 8 and later 4 each 250 ms, while reads fail or the last one is 1.4 s old; it waits for no reply. Any process fetches a newer version from the peer that calls Sync with one, one at a time.

--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -30,7 +30,8 @@
 	keys *cckey.Table
 }
 
-// watchConfig puts each new configuration in force. It reads the store, or peers while the store can't be reached.
+// watchConfig puts each new configuration in force that the store has. See spread.go for the time in which the store
+// can't be read.
 func (p *Process) watchConfig(ctx context.Context) {
 	var after int64
 	for ctx.Err() == nil {
@@ -38,22 +39,24 @@
 		var rev int64
 		var err error
 		if after == 0 {
-			if raw, rev, err = p.cfg.ConfigSource.Read(ctx); errors.Is(err, ErrNoKey) {
-				sleep(ctx, configRetryDelayMs)
-				continue
-			}
+			raw, rev, err = p.cfg.ConfigSource.Read(ctx)
 		} else {
 			raw, rev, err = p.cfg.ConfigSource.Watch(ctx, after, configWatchTimeoutMs)
 		}
-		if errors.Is(err, ErrCompacted) {
+		switch {
+		case errors.Is(err, ErrNoKey):
+			p.configReads.succeeded(p.now())
+			sleep(ctx, configRetryDelayMs)
+			continue
+		case errors.Is(err, ErrCompacted):
 			after = 0
 			continue
-		}
-		if err != nil {
-			p.fetchConfigFromPeers(ctx)
+		case err != nil:
+			p.configReads.failed()
 			sleep(ctx, jitter(configRetryDelayMs))
 			continue
 		}
+		p.configReads.succeeded(p.now())
 		after = max(after, rev)
 		if raw != nil {
 			p.activate(raw, rev, "store")
@@ -61,30 +64,16 @@
 	}
 }
 
-// fetchConfigFromPeers fetches the configuration from the first of two peers that replies.
-func (p *Process) fetchConfigFromPeers(ctx context.Context) {
-	for i, address := range p.peerAddresses() {
-		if i == 2 || p.fetchConfig(ctx, address) {
-			return
-		}
-	}
-}
-
-// fetchConfig fetches the configuration of a peer and puts it in force if it is newer. It returns false if the call
-// failed.
-func (p *Process) fetchConfig(ctx context.Context, address string) bool {
-	in := &ccpeer.CellConfigRequest{}
-	if c := p.config.Load(); c != nil {
-		in.KnownVersion = c.config.Version
-	}
-	out, err := p.cfg.Peers.CellConfig(ctx, address, in)
+// fetchConfig fetches the configuration of a peer and puts it in force if it is newer.
+func (p *Process) fetchConfig(ctx context.Context, address string) {
+	out, err := p.cfg.Peers.CellConfig(ctx, address, &ccpeer.CellConfigRequest{KnownVersion: p.configVersion()})
 	if err != nil {
-		return false
+		p.cfg.Log.Debug("configuration not fetched from a peer", "Peer", address, "Error", err)
+		return
 	}
 	if len(out.Raw) > 0 {
 		p.activate(out.Raw, out.Revision, "fellow") // "fellow" is the name of a peer in the log.
 	}
-	return true
 }
 
 // activate puts a configuration in force, unless it is malformed or not newer than the present one. source names where
@@ -119,12 +108,8 @@
 	if last := p.refusedConfig.Swap(&digest); last != nil && *last == digest {
 		return
 	}
-	var version int64
-	if c := p.config.Load(); c != nil {
-		version = c.config.Version
-	}
 	p.cfg.Metrics.refusedConfigs.Inc()
-	p.cfg.Log.Error("configuration refused", "Revision", revision, "Source", source, "InForce", version, "Error", err)
+	p.cfg.Log.Error("configuration refused", "Revision", revision, "Source", source, "InForce", p.configVersion(), "Error", err)
 }
 
 // CellConfig implements ccpeer.CellHandler: it returns the configuration in force, if it is newer than that of the
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -77,6 +77,10 @@
 
 	// config is the configuration in force, nil for none.
 	config atomic.Pointer[activeConfig]
+	// configReads tells whether the store answers reads of the configuration. fetchingConfig is true while a version that
+	// a peer has is fetched because the peer called this process.
+	configReads    configReads
+	fetchingConfig atomic.Bool
 	// refusedConfig is the digest of the last configuration that was refused, nil for none.
 	refusedConfig atomic.Pointer[[sha256.Size]byte]
 	// storeCheckedAt is when probeStore last read from the store.
@@ -98,7 +102,7 @@
 
 // Serve runs the background loops of the process and blocks until ctx ends.
 func (p *Process) Serve(ctx context.Context) {
-	for _, loop := range []func(context.Context){p.watchConfig, p.maintainMembership, p.follow, p.notifier.run} {
+	for _, loop := range []func(context.Context){p.watchConfig, p.spreadConfig, p.maintainMembership, p.follow, p.notifier.run} {
 		p.done.Add(1)
 		go func() {
 			defer p.done.Done()
--- /dev/null
+++ b/io/cccontrol/spread.go
@@ -0,0 +1,107 @@
+package cccontrol
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// A configuration has to be in force everywhere within a few seconds (four on the platform), also at processes that the
+// store turns away, by errors or by silence, while it serves others. A process whose reads of the configuration fail asks
+// its peers, all of them in turn, whoever leads; besides, the leader and its followers tell each other their versions
+// with each Sync call.
+
+const (
+	// configAskIntervalMs is the interval between rounds of questions to peers. configAskPeers is the number of peers asked
+	// in a round, configAskPeersFirst that until all were asked once: a version may have been written since the last read.
+	// If only one of 45 processes knows the new version, all others have asked it after 1.8 s the first time, and each
+	// 3.3 s from then on, and each process that learns of it is another to learn from.
+	configAskIntervalMs = ms(250)
+	configAskPeers      = 4
+	configAskPeersFirst = 8
+	// configAskTimeoutMs is the timeout of a question. A round does not wait for the one before it.
+	configAskTimeoutMs = ms(600)
+	// configStaleMs is the time since the last read of the configuration from which a process asks its peers: the longest
+	// watch, and the time that a slow store needs for its reply, twice. A store that is silent shows by nothing else.
+	configStaleMs = configWatchTimeoutMs + 400
+)
+
+// configReads tells whether the store answers reads of the configuration. Methods may be called from any goroutine.
+type configReads struct {
+	// lastAt is the time of the last read that succeeded, 0 for none. failing is true after one that failed.
+	lastAt  atomic.Int64
+	failing atomic.Bool
+}
+
+func (r *configReads) succeeded(now ms) {
+	r.lastAt.Store(int64(now))
+	r.failing.Store(false)
+}
+
+func (r *configReads) failed() {
+	r.failing.Store(true)
+}
+
+// stale reports whether the store may have a newer configuration than the process has read from it.
+func (r *configReads) stale(now ms) bool {
+	return r.failing.Load() || now-ms(r.lastAt.Load()) > configStaleMs
+}
+
+// spreadConfig asks peers for a newer configuration while the store does not answer reads of it.
+func (p *Process) spreadConfig(ctx context.Context) {
+	var left []string // Peers that were not asked yet, in random order.
+	asking, perRound := false, 0
+	for sleep(ctx, jitter(configAskIntervalMs)) {
+		stale := p.configReads.stale(p.now())
+		if stale != asking {
+			asking, perRound = stale, configAskPeersFirst
+			p.cfg.Log.Info("peers are asked for the configuration", "Asked", asking, "Version", p.configVersion())
+		}
+		if !stale {
+			left = nil
+			continue
+		}
+		if len(left) == 0 {
+			left = p.peerAddresses()
+		}
+		n := min(perRound, len(left))
+		for _, address := range left[:n] {
+			go p.askForConfig(ctx, address)
+		}
+		if left = left[n:]; len(left) == 0 {
+			perRound = configAskPeers
+		}
+	}
+}
+
+// askForConfig fetches the configuration of a peer, within configAskTimeoutMs.
+func (p *Process) askForConfig(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, configAskTimeoutMs.Duration())
+	defer cancel()
+	p.fetchConfig(ctx, address)
+}
+
+// hearVersion fetches the configuration of a peer that has called this process, if the peer has a newer version. One
+// version is fetched at a time; after a failure, the peer's next call repeats it.
+func (p *Process) hearVersion(vm string, version int64) {
+	if version <= p.configVersion() {
+		return
+	}
+	p.mu.Lock()
+	address := p.members[vm].Address
+	p.mu.Unlock()
+	if address == "" || !p.fetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.fetchingConfig.Store(false)
+		p.askForConfig(context.Background(), address)
+	}()
+}
+
+// configVersion returns the version of the configuration in force, 0 for none.
+func (p *Process) configVersion() int64 {
+	if c := p.config.Load(); c != nil {
+		return c.config.Version
+	}
+	return 0
+}
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -12,6 +12,7 @@
 // requests assigned to the peer. Without either, it blocks for the heartbeat interval. Unless there are advice
 // requests, it also blocks until replyIntervalMs after the last reply to the peer.
 func (p *Process) Sync(ctx context.Context, in *ccpeer.SyncRequest) (*ccpeer.SyncReply, error) {
+	p.hearVersion(in.VM, in.Version)
 	l := p.leading()
 	for began := p.now(); l == nil && p.loadingToken.Load() != 0; l = p.leading() {
 		// This process has won the election and is loading its state. A peer that got another reply, or none, would
