--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -46,6 +46,8 @@
 const (
 	// storeRetryAfterMs is the mean of Refusal.RetryAfterMs while the store can't be reached. Outages last for seconds.
 	storeRetryAfterMs = 1500
+	// overCapRetryAfterMs is Refusal.RetryAfterMs for a job above the cap of its team: only an edit by an operator helps.
+	overCapRetryAfterMs = 3600_000
 	// inDoubtFraction is the fraction of a caller's time budget after which a write with an unknown outcome is no
 	// longer retried: further retries seldom help, and the caller can use the rest of its time otherwise.
 	inDoubtFraction = 0.3
@@ -70,7 +72,10 @@
 func (p *Process) Submit(ctx context.Context, caller Caller, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
 	j.Team, j.Key = caller.Team, caller.Key
-	err := p.submit(ctx, &caller, j, began+ms(float64(budgetMs)*inDoubtFraction))
+	err := p.checkCap(j)
+	if err == nil {
+		err = p.submit(ctx, &caller, j, began+ms(float64(budgetMs)*inDoubtFraction))
+	}
 	outcome := "accepted"
 	var refusal *Refusal
 	switch {
@@ -90,6 +95,22 @@
 	return err
 }
 
+// checkCap returns a refusal for a job that the cap of its team will never admit. A job that was accepted before the cap
+// was lowered is not refused.
+func (p *Process) checkCap(j *cccell.Job) error {
+	c := p.Configuration()
+	if c == nil {
+		return nil
+	}
+	if _, _, known := p.stateCache.job(j.ID); known {
+		return nil
+	}
+	if err := c.CheckCap(j); err != nil {
+		return &Refusal{Reason: err, RetryAfterMs: overCapRetryAfterMs}
+	}
+	return nil
+}
+
 // submit writes a job to the store, through the leader if this process can't reach the store, and notifies the leader.
 // A write with an unknown outcome is retried until the deadline.
 func (p *Process) submit(ctx context.Context, caller *Caller, j *cccell.Job, deadline ms) error {
