Order between teams: budgets of weight jobs a second, weighted shares, late work behind work that can be in time

Change: core/ccfair holds a budget of jobs (weight a second, two seconds' burst) and a share of the room for each team. Jobs beyond the budget come 60 s later in the order; work of a team that holds and waits for more than its share up to 24 s later; jobs that can't be in time come after those that can, until three targets. The latest start counts, not the target itself, so that a long chain is not found late too late. Excess is decided once, when the leader learns of the job, and told to the other processes, so that the next leader has it; that one takes up the budgets from the jobs it adopts. Excess holds no workers, requests for tickets are ranked anew in each round. All of it only if the configuration has teams: without, rank and holds are as before. The tests play polls in the order of the workers' IDs, so that a play repeats.

--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -15,13 +15,11 @@
 	if c.jobs[s.Job.ID] != nil {
 		return
 	}
-	j := c.insert(s.Job, now)
+	j := c.insert(s.Job, now, nowUnix)
 	j.adopted = true
 	// Waiting jobs are ordered by age. A new leader knows the age of a job only by the time of day at which it was
 	// accepted.
-	if age := nowUnix - ms(s.Job.AcceptedMs); s.Job.AcceptedMs > 0 && age > 0 {
-		j.arrivedAt -= min(age, maxAdoptedAgeMs)
-	}
+	j.arrivedAt = j.acceptedAt
 	j.revision = s.Revision
 	if s.Progress != nil {
 		c.restore(j, s.Progress, now)
@@ -36,6 +34,14 @@
 	}
 }
 
+// age returns the time since the job was accepted, 0 if that is not known.
+func (j *Job) age(nowUnix ms) ms {
+	if j.AcceptedMs == 0 {
+		return 0
+	}
+	return min(max(0, nowUnix-ms(j.AcceptedMs)), maxAdoptedAgeMs)
+}
+
 // maxAdoptedAgeMs bounds the age of an adopted job, since the clocks of two processes may differ. No job of a queue
 // with a priority is delayed that long.
 const maxAdoptedAgeMs ms = 600_000
--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -91,7 +91,7 @@
 	c.stats.AdviceRequests++
 	t.requested, t.requestID, t.deadline = true, c.cfg.Token<<attemptBits+c.stats.AdviceRequests, adviceDeadline(callMs, now)
 	c.orders.AdviceRequests = append(c.orders.AdviceRequests, AdviceRequest{
-		ID: t.requestID, Stage: s.id, Workers: names, CallMs: callMs, rank: c.rank(s), chosenAt: now,
+		ID: t.requestID, Stage: s.id, Workers: names, CallMs: callMs, rank: c.rank(s, now), chosenAt: now,
 	})
 	return true
 }
@@ -101,7 +101,8 @@
 	return now + adviceTimeoutMs + ms(adviceTimeoutFactor*float64(callMs))
 }
 
-// keepAdvice reports whether a request that is queued or assigned is still needed, and extends its deadline if so.
+// keepAdvice reports whether a request that is queued or assigned is still needed, and extends its deadline and renews
+// its rank if so.
 func (c *Cell) keepAdvice(r *AdviceRequest, now ms) bool {
 	s := c.stageByID(r.Stage)
 	if s == nil || !s.tickets.requested || s.tickets.requestID != r.ID {
@@ -112,6 +113,7 @@
 		return false
 	}
 	s.tickets.deadline = adviceDeadline(r.CallMs, now)
+	r.rank = c.rank(s, now)
 	return true
 }
 
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "coriandercross/core/ccfair"
+
 // Config configures a Cell.
 type Config struct {
 	// Token is the fencing token of this leader, higher than that of each leader before it. Workers refuse calls with a
@@ -26,6 +28,13 @@
 	workers map[string]*worker
 	queues  map[string]*Queue
 	teams   map[string]*Team
+	shares  *ccfair.Shares
+	// arrivals holds the jobs that settleArrivals has not charged yet, knownExcess those of them that an earlier leader
+	// has found to be excess.
+	arrivals    []*job
+	knownExcess map[string]bool
+	// excessLoggedAt is when logExcess last logged each team.
+	excessLoggedAt map[string]ms
 	// open holds the unfinished stages whose predecessors are finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that are not due yet.
@@ -96,7 +105,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
-		workerTypes: newWorkerTypeTable(), handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
+		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
 }
 
@@ -150,9 +159,12 @@
 // SetTeams activates the limits of teams.
 func (c *Cell) SetTeams(teams []Team) {
 	c.teams = map[string]*Team{}
+	weights := map[string]int64{}
 	for i := range teams {
 		c.teams[teams[i].Name] = &teams[i]
+		weights[teams[i].Name] = teams[i].Limits.Weight
 	}
+	c.shares.SetWeights(weights)
 }
 
 // SetQueues activates a configuration. A job whose queue it does not contain keeps the last configuration of that
@@ -177,7 +189,7 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	j := c.insert(spec, now)
+	j := c.insert(spec, now, nowUnix)
 	j.adopted = now < c.handoverAt
 	c.cfg.Log("job accepted", "Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning())
 	c.publishState(j)
@@ -190,9 +202,12 @@
 }
 
 // insert adds a job to memory, without runs.
-func (c *Cell) insert(spec *Job, now ms) *job {
-	j := &job{spec: spec, queue: &spec.Queue, runs: map[int]*run{}, arrivedAt: now}
+func (c *Cell) insert(spec *Job, now, nowUnix ms) *job {
+	j := &job{spec: spec, queue: &spec.Queue, runs: map[int]*run{}, arrivedAt: now, acceptedAt: now - spec.age(nowUnix), team: c.shares.Team(spec.Team)}
 	c.jobs[spec.ID] = j
+	if j.team != nil {
+		c.arrivals = append(c.arrivals, j)
+	}
 	return j
 }
 
--- a/core/cccell/crashload_test.go
+++ b/core/cccell/crashload_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"coriandercross/core/cccell"
@@ -42,6 +43,8 @@
 	jobs   map[string]*cccell.Job
 	stored map[string]cccell.StoredJob
 	states map[string]cccell.State
+	// excess holds the jobs beyond their teams' budgets, nil if the test has no teams.
+	excess map[string]bool
 	// crashes counts the workers that a task has crashed, and startsAfter its starts after the third of them.
 	crashes, startsAfter map[cccell.TaskID]int
 	seq                  int
@@ -206,6 +209,7 @@
 		}
 		l.cell.OnStopReply(o, reply, l.now)
 	}
+	slices.SortStableFunc(out.Polls, func(a, b cccell.PollOrder) int { return strings.Compare(a.WorkerID, b.WorkerID) }) // A play repeats.
 	for i := range out.Polls {
 		o := &out.Polls[i]
 		reply, lists := lost, &cccell.TaskLists{}
@@ -216,6 +220,9 @@
 	}
 	for _, c := range out.Changes {
 		l.states[c.Job] = c.State
+		if c.Excess {
+			l.excess[c.Job] = true
+		}
 	}
 }
 
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -10,9 +10,11 @@
 const (
 	// maxTasksOfLarge is the number of tasks that fit on an empty worker up to which the tasks are large.
 	maxTasksOfLarge = 2
-	// holdAfterMs is the time that a stage waits before workers are held for it. Before that, workers that are empty now
-	// are better used by the stages that can start at once.
-	holdAfterMs ms = 8000
+	// holdAfterMs is the time that a stage waits before workers are held for it. Before that, workers that are empty
+	// now are better used by the stages that can start at once. holdAfterPart is the part of the time that a job can
+	// spare, as a divisor, after which they are held in a cell with teams.
+	holdAfterMs   ms = 8000
+	holdAfterPart ms = 4
 	// maxHeldShare is the largest share of the workers of a service that are held: held workers run fewer tasks.
 	maxHeldShare = 0.3
 )
@@ -31,7 +33,7 @@
 // holdWorkers holds workers for the tasks of a stage that were not placed in this round.
 func (c *Cell) holdWorkers(s *stage, now ms) {
 	missing := s.countUnplaced()
-	if missing == 0 || s.spec.LongRunning || now-s.readyAt < holdAfterMs {
+	if missing == 0 || s.spec.LongRunning || now-s.readyAt < c.holdAfter(s) || c.deferred(s, now) {
 		s.held = nil
 		return
 	}
@@ -124,3 +126,14 @@
 	}
 	return tasks, busyMs
 }
+
+// holdAfter returns the time that a stage waits before workers are held for it. If the configuration has teams, it is
+// shorter for a job with little time to spare: beside 2.5 times the usual batch work, small tasks take all room that
+// becomes free, and a large task whose job has to start within 10 s would never find any.
+func (c *Cell) holdAfter(s *stage) ms {
+	if len(c.teams) == 0 {
+		return holdAfterMs
+	}
+	w := c.work(s)
+	return max(0, min(holdAfterMs, ms(w.TargetMs-w.LeftMs)/holdAfterPart))
+}
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -79,6 +79,8 @@
 	// Running then. Written tells them that they need not remember it any longer.
 	Early   bool `cbor:"3,keyasint,omitempty"`
 	Written bool `cbor:"4,keyasint,omitempty"`
+	// Excess tells the processes to remember, for the next leader, that the job is beyond the budget of its team.
+	Excess bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Orders holds the calls to be made and the states to be published.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -12,6 +12,7 @@
 	for j := range c.scheduled {
 		c.startDueRuns(j, now, nowUnix)
 	}
+	c.settleArrivals(now)
 	c.expireLeases(now)
 	c.moveStragglers(now)
 	handedOver := c.handoverComplete(now)
@@ -58,9 +59,13 @@
 			list = append(list, s)
 		}
 	}
+	c.shares.BeginRound(now)
+	for _, s := range list {
+		s.job.team.Wait()
+	}
 	rank := make(map[*stage]float64, len(list))
 	for _, s := range list {
-		rank[s] = c.rank(s)
+		rank[s] = c.rank(s, now)
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a], list[b]
@@ -117,13 +122,18 @@
 
 // rank returns the position of a stage in the order of placement; the lowest is placed first. Typical load: bursts of
 // short jobs on top of long-running load. Jobs are ordered by the time at which they would miss their latency target,
-// with a head start for higher priorities, so that no job waits forever.
-func (c *Cell) rank(s *stage) float64 {
+// with a head start for higher priorities, so that no job waits forever. If the configuration has teams, work beyond what
+// its team is owed comes later, and so do jobs that can't be in time any more; see ccfair.
+func (c *Cell) rank(s *stage, now ms) float64 {
 	if s.spec.LongRunning {
 		return longRunningRank + float64(s.readyAt)
 	}
 	q := c.queue(s.job)
 	due := float64(s.job.arrivedAt) + q.SlackFactor*float64(c.chainMs(s.job)) + float64(q.TargetMs)
+	if len(c.teams) > 0 {
+		w := c.work(s)
+		due = w.Due(now)
+	}
 	return due + float64(q.Priority)*priorityRankMs
 }
 
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -1,6 +1,9 @@
 package cccell
 
-import "coriandercross/core/ccwork"
+import (
+	"coriandercross/core/ccfair"
+	"coriandercross/core/ccwork"
+)
 
 // job is the in-memory state of a job.
 type job struct {
@@ -31,8 +34,15 @@
 	// arrivedAt is when this process learned of the job. For an adopted job it is earlier by the job's age, up to
 	// maxAdoptedAgeMs.
 	arrivedAt ms
-	// liveAttempts counts the attempts that hold capacity of a worker.
+	// liveAttempts counts the attempts that hold capacity of a worker, running is what they hold but for long-running
+	// ones.
 	liveAttempts int
+	running      ccwork.Size
+	// team is the account of the job's team, nil for a job without one. acceptedAt is when the job was accepted, as far as
+	// the clocks of the processes agree; excess is true for a job beyond the budget of its team.
+	team       *ccfair.Team
+	acceptedAt ms
+	excess     bool
 }
 
 // run is one run of a job.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -144,6 +144,7 @@
 	s.tasks[a.task.Index] = append(s.tasks[a.task.Index], a)
 	s.perWorker[w]++
 	s.job.liveAttempts++
+	s.use(a.need)
 }
 
 // removeAttempt removes an attempt and frees its capacity. It does nothing when the attempt was removed already.
@@ -171,6 +172,7 @@
 		delete(s.perWorker, w)
 	}
 	s.job.liveAttempts--
+	s.release(a.need)
 }
 
 // clockNow returns a lower bound of the worker's clock; ok is false before the first reply.
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -131,6 +131,7 @@
 		}
 	}
 	l.cell.AdoptCompletions(p.stateCache.completions(l.cell.States()), p.now())
+	l.cell.AdoptExcess(p.stateCache.excessJobs())
 	p.stateCache.beginTerm(r.Token, l.cell.States(), p.now()) // Before peers can sync: Sync replies from this cache.
 	p.mu.Lock()
 	replaced := p.leader.Token != r.Token
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -57,6 +57,7 @@
 	}
 	if c := p.config.Load(); c != nil {
 		l.cell.SetQueues(c.config.Queues())
+		l.cell.SetTeams(c.config.Teams)
 		l.configVersion = c.config.Version
 	}
 	l.adoptJobs(submissions, progress, now)
--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -26,6 +26,8 @@
 	// early holds the jobs that have completed but may not be written yet, with the time at which this became known. The
 	// next leader needs them.
 	early map[string]ms
+	// excess holds the jobs that have not ended and are beyond the budgets of their teams. The next leader needs them.
+	excess map[string]bool
 	// recent holds the changes with the numbers seq-len(recent)+1 to seq.
 	recent []cccell.StateChange
 	// queued is the number of jobs that have not started, by queue.
@@ -41,7 +43,7 @@
 const maxRecentChanges = 4096
 
 func newStateCache() *stateCache {
-	return &stateCache{states: map[string]cccell.State{}, finalAt: map[string]ms{}, early: map[string]ms{}, changed: make(chan struct{})}
+	return &stateCache{states: map[string]cccell.State{}, finalAt: map[string]ms{}, early: map[string]ms{}, excess: map[string]bool{}, changed: make(chan struct{})}
 }
 
 // beginTerm starts the numbering of changes for a term of this process as leader.
@@ -101,12 +103,20 @@
 		return true
 	}
 	old := sc.states[c.Job]
-	if old == c.State || old.Final() {
+	if old.Final() {
 		return false
 	}
+	changed := c.Excess && !sc.excess[c.Job]
+	if changed {
+		sc.excess[c.Job] = true
+	}
+	if old == c.State {
+		return changed
+	}
 	sc.states[c.Job] = c.State
 	if c.State.Final() {
 		sc.finalAt[c.Job] = now
+		delete(sc.excess, c.Job)
 	}
 	return true
 }
@@ -162,7 +172,7 @@
 		return sc.seq, false, append([]cccell.StateChange(nil), sc.recent[seq-first:]...), sc.changed
 	}
 	for job, s := range sc.states {
-		changes = append(changes, cccell.StateChange{Job: job, State: s})
+		changes = append(changes, cccell.StateChange{Job: job, State: s, Excess: sc.excess[job]})
 	}
 	for job := range sc.early {
 		changes = append(changes, cccell.StateChange{Job: job, State: cccell.Running, Early: true})
@@ -195,6 +205,13 @@
 	return out
 }
 
+// excessJobs returns the jobs that a leader has found to be beyond the budgets of their teams, and that have not ended.
+func (sc *stateCache) excessJobs() []string {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return slices.Collect(maps.Keys(sc.excess))
+}
+
 // expire removes final states that are older than retention. They can still be read from the store. It also removes the
 // early completions of that age unless the store is lost.
 func (sc *stateCache) expire(retention, now ms, storeLost bool) {
