--- a/core/cccell/hold_test.go
+++ b/core/cccell/hold_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"coriandercross/core/ccfair"
+	"coriandercross/core/ccquota"
 	"coriandercross/core/ccwork"
 
 	"gotest.tools/v3/assert"
@@ -80,3 +82,34 @@
 		})
 	}
 }
+
+// No worker is held for a gang beyond its team's budget, until it has waited for the time by which excess comes later.
+func TestExcessHoldsNoWorkers(t *testing.T) {
+	for _, excess := range []bool{false, true} {
+		c := readyCell(t, testWorker("w1"), testWorker("w2"), testWorker("w3"), testWorker("w4"))
+		c.SetTeams([]Team{{Name: "a", Limits: ccquota.Limits{Weight: 1}}})
+		small := testJob("small", 4)
+		small.Stages[0].MaxPerWorker, small.Stages[0].EstimateMs = 1, 300_000
+		c.AddJob(small, 1000, 1000)
+		assert.Equal(t, len(runStarts(c, 1000)), 4)
+		if excess {
+			for i := range 5 {
+				j := testJob(fmt.Sprint("earlier", i), 1)
+				j.Team = "a"
+				c.AddJob(j, 1050, 1050)
+				c.Cancel(j.ID, 1050)
+			}
+		}
+		j := testJob("gang", 1)
+		j.Team, j.Stages[0].Size.MilliCores = "a", 16_000
+		c.AddJob(j, 1100, 1100)
+		held := func(now ms) bool {
+			runRound(c, now)
+			return len(c.jobs["gang"].runs[0].stages[0].held) > 0
+		}
+		held(1100)
+		assert.Equal(t, c.jobs["gang"].excess, excess)
+		assert.Equal(t, held(1100+holdAfterMs), !excess)
+		assert.Equal(t, held(1100+ccfair.ExcessDelayMs), true)
+	}
+}
--- a/core/ccfair/shares.go
+++ b/core/ccfair/shares.go
@@ -63,7 +63,6 @@
 	budgetAt ms
 	used     ccwork.Size
 	recent   usage
-	competes bool
 	waiting  int64
 	// jobs and excess count the jobs that have arrived, and those beyond the budget.
 	jobs, excess int64
--- a/io/cccontrol/statecache_test.go
+++ b/io/cccontrol/statecache_test.go
@@ -47,3 +47,38 @@
 		})
 	}
 }
+
+// TestExcessIsReplicated checks that a peer knows which jobs are beyond the budgets of their teams until they have ended,
+// also if it has the job already, or needs all states.
+func TestExcessIsReplicated(t *testing.T) {
+	tests := map[string]struct {
+		full bool
+		end  cccell.State
+		want []string
+	}{
+		"Change": {false, "", []string{"j"}},
+		"Full":   {true, "", []string{"j"}},
+		"Ended":  {false, cccell.Completed, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leader, peer := newStateCache(), newStateCache()
+			leader.beginTerm(3, nil, 1000)
+			_, seq := leader.position()
+			leader.merge("j", cccell.Queued, 1000) // Both have accepted the job themselves.
+			peer.merge("j", cccell.Queued, 1000)
+			changes := []cccell.StateChange{{Job: "j", State: cccell.Queued}, {Job: "j", State: cccell.Queued, Excess: true}}
+			if test.end != "" {
+				changes = append(changes, cccell.StateChange{Job: "j", State: test.end})
+			}
+			leader.apply(changes, 1100)
+			if test.full {
+				seq = -1
+			}
+			last, _, replicated, _ := leader.changesSince(3, seq)
+			peer.applyReplicated(3, last, replicated, 1200)
+			assert.DeepEqual(t, peer.excessJobs(), test.want)
+			assert.DeepEqual(t, leader.excessJobs(), test.want)
+		})
+	}
+}
