--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -48,16 +48,18 @@
 func (c *Cell) SetTeams(teams []Team) {
 	c.teams = map[string]*Team{}
 	limits := make(map[string]ccquota.Limits, len(teams))
+	weights := make(map[string]int64, len(teams))
 	for i := range teams {
 		t := &teams[i]
 		c.teams[t.Name] = t
-		limits[t.Name] = t.Limits
+		limits[t.Name], weights[t.Name] = t.Limits, t.Limits.Weight
 		if a := c.book.Account(t.Name); a.Limits().Cap != t.Limits.Cap {
 			running, tasks := a.Running()
 			c.cfg.Log("cap of the team changed", "Team", t.Name, "Before", a.Limits().Cap, "Cap", t.Limits.Cap, "Running", running, "Tasks", tasks)
 		}
 	}
 	c.book.SetLimits(limits)
+	c.shares.SetWeights(weights)
 }
 
 // teamField returns the log field with the team of a job, none without a team.
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -230,11 +230,12 @@
 // held for it.
 func TestCapCountsTrials(t *testing.T) {
 	c := cappedCell(t, 2, testWorker("w1"))
-	c.AddJob(teamJob("a", "t", 1), 1100, 1100)
+	trial := teamJob("a", "t", 1)
+	trial.Queue.Priority = 1 // The job b is placed first.
+	c.AddJob(trial, 1100, 1100)
 	s := c.stageByID(StageID{Job: "a"})
 	s.crashes[0] = []Crash{{Attempt: 1, Address: "x"}, {Attempt: 2, Address: "x"}}
-	c.AddJob(teamJob("b", "t", 2), 1050, 1050)
-	c.jobs["b"].arrivedAt = 0
+	c.AddJob(teamJob("b", "t", 2), 1100, 1100)
 	assert.Equal(t, len(runStarts(c, 1100)), 2)
 	assert.Assert(t, c.workers["w1"].heldFor == nil)
 	assert.Equal(t, len(s.trialWaitSince), 0)
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"coriandercross/core/ccfair"
 	"coriandercross/core/ccquota"
 	"coriandercross/core/ccruntimes"
 )
@@ -41,6 +42,13 @@
 	capWaits map[*ccquota.Account]*capWait
 	// runningIsKnown is the result of runningKnown in the current round.
 	runningIsKnown bool
+	shares         *ccfair.Shares
+	// arrivals holds the jobs that settleArrivals has not charged yet, knownExcess those of them that an earlier leader
+	// has found to be excess.
+	arrivals    []*job
+	knownExcess map[string]bool
+	// excessLoggedAt is when logExcess last logged each team.
+	excessLoggedAt map[string]ms
 	// open holds the unfinished stages whose predecessors are finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that are not due yet.
@@ -116,7 +124,7 @@
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
-		workerTypes: newWorkerTypeTable(), handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
+		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
 }
 
@@ -189,7 +197,7 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	j := c.insert(spec, now)
+	j := c.insert(spec, now, nowUnix)
 	j.adopted = now < c.handoverAt
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
@@ -202,9 +210,15 @@
 }
 
 // insert adds a job to memory, without runs.
-func (c *Cell) insert(spec *Job, now ms) *job {
-	j := &job{spec: spec, queue: &spec.Queue, account: c.book.Account(spec.Team), runs: map[int]*run{}, arrivedAt: now}
+func (c *Cell) insert(spec *Job, now, nowUnix ms) *job {
+	j := &job{
+		spec: spec, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
+		arrivedAt: now, acceptedAt: now - spec.age(nowUnix),
+	}
 	c.jobs[spec.ID] = j
+	if j.team != nil {
+		c.arrivals = append(c.arrivals, j)
+	}
 	return j
 }
 
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -82,6 +82,8 @@
 	// Team is the name of the team that submitted the job. Between processes, only the first change of a job in a term
 	// carries it.
 	Team string `cbor:"5,keyasint,omitempty"`
+	// Excess tells the processes to remember, for the next leader, that the job is beyond the budget of its team.
+	Excess bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Orders holds the calls to be made and the states to be published.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -147,6 +147,7 @@
 	s.perWorker[w]++
 	s.job.liveAttempts++
 	s.job.account.Charge(s.spec.Size)
+	s.use(a.need)
 }
 
 // removeAttempt removes an attempt and frees its capacity. It does nothing when the attempt was removed already.
@@ -175,6 +176,7 @@
 	}
 	s.job.liveAttempts--
 	s.job.account.Release(s.spec.Size)
+	s.release(a.need)
 }
 
 // clockNow returns a lower bound of the worker's clock; ok is false before the first reply.
