check-entry: a configuration is checked before it is sent

The processes log the first problem of a document and keep the version before.

A schema of the platform's names: the document has fields that the product does not read, so an unknown name is no sign of a mistake.

Change: core/cclint finds errors, warnings and changes as plain structs; check-entry prints them as text or JSON, exit code 3 for errors as check does. Decode returns no configuration beside an error (it returned one that no caller used). FuzzDecodeConfiguration checks all problems, not the first only.

Before: no such command. After: tests of io/cccmds, core/cclint, core/cccell and platform/ccplatform pass (without -race).

--- a/core/cccell/config.go
+++ b/core/cccell/config.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"fmt"
 	"strings"
 
 	"coriandercross/core/cckey"
@@ -41,39 +42,68 @@
 	Teams []Team
 }
 
-// Check returns ErrBadConfig for a configuration without a version, with a route that lacks its prefix, name or
-// service, with two teams that share a name or a key, or with a team whose limits are malformed.
+// Problem is a reason for which a configuration can't be put in force.
+type Problem struct {
+	// Place is the path of the value from the root of the configuration, as in Teams[2].Keys.
+	Place string
+	// Name is the name of the team or queue, or empty.
+	Name string
+	// Err is an ErrBadConfig. It contains no key.
+	Err error
+}
+
+// Check returns the first of Problems, an ErrBadConfig, or nil.
 func (c *Configuration) Check() error {
+	if problems := c.Problems(); len(problems) > 0 {
+		return problems[0].Err
+	}
+	return nil
+}
+
+// Problems returns a problem for a version that is not positive, and for each route that lacks its prefix, name or
+// service, each team whose limits are malformed, and each team that has the name or a key of a team before it.
+func (c *Configuration) Problems() []Problem {
+	var out []Problem
 	if c.Version <= 0 {
-		return errors.Wrapf(ErrBadConfig, "version %d is not positive", c.Version)
+		out = append(out, Problem{Place: "Version", Err: errors.Wrapf(ErrBadConfig, "version %d is not positive", c.Version)})
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if r.Prefix == "" || r.Queue.Name == "" || r.Queue.Service == "" {
-			return errors.Wrapf(ErrBadConfig, "route %q lacks a name, a prefix or a service", r.Queue.Name)
+			out = append(out, Problem{fmt.Sprintf("Routes[%d]", i), r.Queue.Name, errors.Wrapf(ErrBadConfig, "route %q lacks a name, a prefix or a service", r.Queue.Name)})
 		}
 	}
 	for i := range c.Teams {
 		if err := c.Teams[i].Limits.Check(); err != nil {
-			return errors.Mark(errors.Wrapf(err, "team %q", c.Teams[i].Name), ErrBadConfig)
+			out = append(out, Problem{fmt.Sprintf("Teams[%d].Limits", i), c.Teams[i].Name, errors.Mark(errors.Wrapf(err, "team %q", c.Teams[i].Name), ErrBadConfig)})
 		}
 	}
-	_, err := c.KeyTable()
-	return err
+	_, keyProblems := c.keyTable()
+	return append(out, keyProblems...)
 }
 
 // KeyTable returns the table of the teams' keys, nil if the configuration has no teams. It fails with ErrBadConfig.
 func (c *Configuration) KeyTable() (*cckey.Table, error) {
+	t, problems := c.keyTable()
+	if len(problems) > 0 {
+		return nil, problems[0].Err
+	}
+	return t, nil
+}
+
+// keyTable is KeyTable with a problem for each team that can't be added to the table.
+func (c *Configuration) keyTable() (*cckey.Table, []Problem) {
 	if len(c.Teams) == 0 {
 		return nil, nil
 	}
 	t := cckey.NewTable()
+	var problems []Problem
 	for i := range c.Teams {
 		if err := t.Add(c.Teams[i].Name, c.Teams[i].Keys); err != nil {
-			return nil, errors.Mark(err, ErrBadConfig)
+			problems = append(problems, Problem{fmt.Sprintf("Teams[%d]", i), c.Teams[i].Name, errors.Mark(err, ErrBadConfig)})
 		}
 	}
-	return t, nil
+	return t, problems
 }
 
 // Find returns the route with the longest prefix that matches a host and path, or nil.
--- /dev/null
+++ b/io/cccmds/checkentry_test.go
@@ -0,0 +1,106 @@
+package cccmds
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+
+	"coriandercross/core/cclint"
+	"coriandercross/io/cccontrol"
+	"coriandercross/io/ccstandin"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// entryFile returns the path of a file for check-entry.
+func entryFile(name string) string {
+	return "testdata/entry/" + name
+}
+
+// TestCheckEntry compares the output and the exit code with those wanted. No output contains an API key.
+func TestCheckEntry(t *testing.T) {
+	inForce := []string{"--in-force", entryFile("in-force.json")}
+	all := append([]string{"--workers", entryFile("workers.json"), "--dump", entryFile("dump.json")}, inForce...)
+	tests := map[string]struct {
+		file, golden string
+		args         []string
+		code         int
+	}{
+		"Alone":       {"in-force.json", "alone.golden", nil, ExitOK},
+		"Good":        {"good.json", "good.golden", inForce, ExitOK},
+		"Doubtful":    {"doubtful.json", "doubtful.golden", all, ExitOK},
+		"Refused":     {"refused.json", "refused.golden", inForce, ExitInvalid},
+		"RefusedJSON": {"refused.json", "refused-json.golden", append([]string{"--json"}, inForce...), ExitInvalid},
+		"Undecodable": {"undecodable.json", "undecodable.golden", inForce, ExitInvalid},
+		"AloneJSON":   {"in-force.json", "alone-json.golden", []string{"--json"}, ExitOK},
+		"GoodJSON":    {"good.json", "good-json.golden", append([]string{"--json"}, inForce...), ExitOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			code, out, errs := run(append([]string{"check-entry", entryFile(test.file)}, test.args...)...)
+			assert.Equal(t, code, test.code, errs)
+			assert.Assert(t, !strings.Contains(out+errs, "secret"))
+			golden.Assert(t, out+errs, "entry/"+test.golden)
+		})
+	}
+}
+
+// TestCheckEntryUnreadable checks that a file that can't be used is a failure and not a finding.
+func TestCheckEntryUnreadable(t *testing.T) {
+	tests := map[string]struct {
+		args []string
+		code int
+	}{
+		"NoArgument":      {nil, ExitUsage},
+		"MissingFile":     {[]string{"no-such-file.json"}, ExitFailed},
+		"MissingInForce":  {[]string{entryFile("good.json"), "--in-force", "no-such-file.json"}, ExitFailed},
+		"InForceRefused":  {[]string{entryFile("good.json"), "--in-force", entryFile("refused.json")}, ExitFailed},
+		"MissingWorkers":  {[]string{entryFile("good.json"), "--workers", "no-such-file.json"}, ExitFailed},
+		"NotWorkers":      {[]string{entryFile("good.json"), "--workers", entryFile("good.json")}, ExitFailed},
+		"MissingDump":     {[]string{entryFile("good.json"), "--dump", "no-such-file.json"}, ExitFailed},
+		"DumpOfFollower":  {[]string{entryFile("good.json"), "--dump", entryFile("follower-dump.json")}, ExitFailed},
+		"StoreNotReached": {[]string{entryFile("good.json"), "--store", "127.0.0.1:1"}, ExitFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			code, out, errs := run(append([]string{"check-entry"}, test.args...)...)
+			assert.Equal(t, code, test.code, errs)
+			assert.Equal(t, out, "")
+		})
+	}
+}
+
+// TestReadStore checks that the version in force and the workers are read from the store, unless files give them.
+func TestReadStore(t *testing.T) {
+	raw, err := os.ReadFile(entryFile("in-force.json"))
+	assert.NilError(t, err)
+	store := ccstandin.NewCellStore()
+	var errs strings.Builder
+	in := &cclint.Input{}
+	assert.NilError(t, readStore(context.Background(), store, in, &output{err: &errs}))
+	assert.Assert(t, in.InForce == nil)
+	assert.Equal(t, errs.String(), "coriandercross: the store has no configuration yet\n")
+
+	for key, value := range map[string]string{
+		"op/config":  string(raw),
+		"servers/w1": `{"service":"render","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":64000}}`,
+		"servers/w2": `{"service":"render"}`,
+	} {
+		_, err := store.Commit(&cccontrol.Txn{Puts: []cccontrol.Put{{Key: key, Value: []byte(value)}}})
+		assert.NilError(t, err)
+	}
+	errs.Reset()
+	assert.NilError(t, readStore(context.Background(), store, in, &output{err: &errs}))
+	assert.Equal(t, in.InForce.Version, int64(7))
+	assert.Equal(t, len(in.Workers), 1)
+	assert.Equal(t, in.Workers[0].ID, "w1")
+	assert.Assert(t, strings.HasPrefix(errs.String(), "coriandercross: worker w2 left out: "), errs.String())
+
+	store.SetFault(func(string) ccstandin.Fault { return ccstandin.Refuse })
+	given := &cclint.Input{InForce: in.InForce, Workers: in.Workers}
+	assert.NilError(t, readStore(context.Background(), store, given, &output{err: &errs}), "nothing is read where files are given")
+	assert.ErrorContains(t, readStore(context.Background(), store, &cclint.Input{}, &output{err: &errs}), "reading the version in force")
+	assert.ErrorContains(t, readStore(context.Background(), store, &cclint.Input{InForce: in.InForce}, &output{err: &errs}), "reading the workers")
+}
--- a/io/cccmds/command.go
+++ b/io/cccmds/command.go
@@ -35,7 +35,7 @@
 	"success",
 	"failure",
 	"invalid command line",
-	"a file is invalid; each problem is printed with its line",
+	"a file is invalid; each problem is printed with its line or its place",
 	"the configuration was edited in the meantime; the difference is printed",
 	"the command may or may not have taken effect; check before you repeat it",
 }
@@ -68,6 +68,7 @@
 	{"entry", "Run the process of an entry VM on the users' platform.", "Reads the platform's settings and serves until SIGTERM or SIGINT, which begin a planned stop. SIGHUP reloads the settings.", func() runner { return &entryCommand{} }},
 	{"explain", "Merge the log lines about a job.", "Reads the logs of several processes and prints, in order of time, the lines that name the job and the lines between them that concern all jobs.", func() runner { return &explainCommand{} }},
 	{"check", "Check files of settings or configuration.", "Prints all problems at once, each with its file, its line and what is accepted.", func() runner { return &checkCommand{} }},
+	{"check-entry", "Check a configuration for the command entry before it is sent.", "Prints what the processes would refuse, what is very likely a mistake, and the changes from the version in force, each with its place. Only the first makes the command fail, with exit code 3. API keys are shown as the first 4 bytes of their digests.", func() runner { return &checkEntryCommand{} }},
 	{"apply", "Apply a configuration.", "Sends the configuration as an edit of the revision given by --base, or of the revision in force if --base is left out. With --wait it returns once all live processes have the new revision in force, or fails and lists those that do not.", func() runner { return &applyCommand{} }},
 	{"get", "Print the configuration in force.", "Prints YAML that apply accepts.", func() runner { return &getCommand{} }},
 	{"diff", "Compare a file with the configuration in force.", "Prints the lines that applying the file would change.", func() runner { return &diffCommand{} }},
