--- a/io/cccmds/checkentry_test.go
+++ b/io/cccmds/checkentry_test.go
@@ -9,6 +9,7 @@
 	"coriandercross/core/cclint"
 	"coriandercross/io/cccontrol"
 	"coriandercross/io/ccstandin"
+	"coriandercross/platform/ccemulator"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -104,3 +105,19 @@
 	assert.ErrorContains(t, readStore(context.Background(), store, &cclint.Input{}, &output{err: &errs}), "reading the version in force")
 	assert.ErrorContains(t, readStore(context.Background(), store, &cclint.Input{InForce: in.InForce}, &output{err: &errs}), "reading the workers")
 }
+
+// TestCheckEntryAgainstStore runs the command against a store on the loopback interface.
+func TestCheckEntryAgainstStore(t *testing.T) {
+	e, err := ccemulator.New(ccemulator.Config{})
+	assert.NilError(t, err)
+	defer e.Close()
+	assert.NilError(t, e.Configure(9, "/q0/", "/q1/"))
+	const worker = `{"service":"svc","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":64000}}`
+	_, err = e.Store.Commit(&cccontrol.Txn{Puts: []cccontrol.Put{{Key: "servers/w1", Value: []byte(worker)}}})
+	assert.NilError(t, err)
+	code, out, errs := run("check-entry", "--store", e.StoreAddress, entryFile("good.json"))
+	assert.Equal(t, code, ExitInvalid)
+	assert.Equal(t, strings.Count(out, `: service "render" has no worker`), 3, out)
+	assert.Equal(t, strings.Count(out, ": removed: host"), 2, out)
+	assert.Assert(t, strings.Contains(errs, "version 9 is not above version 9, which is in force"), errs)
+}
