check-entry: a 0 in a cap is a warning only beside caps of other teams

Cause: the document's own words for a 0 are 'no limit'; on a fleet with accelerators where no team caps them the warning came for every team.

Ruled out: leaving it out: one team of several without a cap on a resource is most likely forgotten.

Change: the warning needs another team with a cap on the resource, and another cap of the same team; it replaces those on cores and memory and on accelerators.

Conclusion: done.

--- a/core/cclint/teams.go
+++ b/core/cclint/teams.go
@@ -36,8 +36,10 @@
 		running[in.Teams[i].Team] = &in.Teams[i]
 	}
 	weighted := false
+	var largest ccwork.Size // The largest cap of each resource, 0 if no team has one.
 	for i := range teams {
 		weighted = weighted || teams[i].Limits.Weight > 0
+		largest = largest.Max(teams[i].Limits.Cap)
 	}
 	known := map[string]bool{}
 	for i := range teams {
@@ -49,7 +51,7 @@
 		if t.Limits.Weight == 0 && weighted {
 			f.add(Warning, place+".Limits.Weight", t.Name, "0 beside teams with a weight: the team asks for no share when all is full")
 		}
-		f.checkCap(place+".Limits.Cap", t, capacity, running[t.Name])
+		f.checkCap(place+".Limits.Cap", t, largest, capacity, running[t.Name])
 	}
 	for i := range in.Teams {
 		if t := &in.Teams[i]; t.Tasks > 0 && !known[t.Team] {
@@ -76,17 +78,18 @@
 }
 
 // checkCap adds warnings about the cap of a team: values that are most likely mistaken, that never bind, or that are
-// below what the team has running. now is nil if the latter is not known.
-func (f *findings) checkCap(place string, t *cccell.Team, capacity ccwork.Size, now *cccell.TeamSummary) {
+// below what the team has running. largest has the largest cap that a team has on each resource. now is nil if it is not
+// known what runs.
+func (f *findings) checkCap(place string, t *cccell.Team, largest, capacity ccwork.Size, now *cccell.TeamSummary) {
 	limit := t.Limits.Cap
-	if (limit.MilliCores == 0) != (limit.MemoryMB == 0) {
-		f.add(Warning, place, t.Name, "of cores and memory only one has a cap; 0 means no limit")
-	}
 	if limit.MilliCores > 0 && limit.MilliCores < milliCoresPerCore {
 		f.add(Warning, place+".MilliCores", t.Name, "%d is less than one core; the unit is a thousandth of a core", limit.MilliCores)
 	}
 	for _, r := range resources {
 		v, total := r.of(&limit), r.of(&capacity)
+		if v == 0 && limit != (ccwork.Size{}) && r.of(&largest) > 0 {
+			f.add(Warning, place+"."+r.name, t.Name, "0 means no limit, not none: the team has caps on other resources, and other teams have one on this")
+		}
 		if v > total && total > 0 {
 			f.add(Warning, place+"."+r.name, t.Name, "%d never binds: all workers together have %d", v, total)
 		}
@@ -94,9 +97,6 @@
 			f.add(Warning, place+"."+r.name, t.Name, "%d is below the %d that the team has running; nothing of the team starts until enough has ended", v, r.of(&now.Running))
 		}
 	}
-	if limit.Accelerators == 0 && limit.MilliCores > 0 && capacity.Accelerators > 0 {
-		f.add(Warning, place+".Accelerators", t.Name, "0 means no limit, not none: the workers have %d", capacity.Accelerators)
-	}
 }
 
 // checkIdle adds a warning for each resource of which the caps of all teams together admit so little that idlePercent
