check-entry: tests of what three mutants showed unchecked

Cause: of 26 mutants of core/cclint (scratch overlay), three passed the tests: a team without a cap counted as no cap at all in what stays idle, workers of other services counted, the last of two equal routes in force compared.

Ruled out: faults in the code; it does what its comments say.

Change: cases IdleButUncapped, OtherWorkers and HostCase, and a duplicate in the version in force.

Conclusion: done.

--- a/core/cclint/finding_test.go
+++ b/core/cclint/finding_test.go
@@ -107,7 +107,11 @@
 		"RemovedRuns":      {func(in *Input) { in.Teams[0].Team = "green" }, []string{"warning Teams green"}},
 		"HalfIdle":         {func(in *Input) { setMemoryCaps(in, 25_000) }, []string{"warning Teams"}},
 		"LessThanHalfIdle": {func(in *Input) { setMemoryCaps(in, 25_001) }, nil},
-		"IdleButPublic":    {func(in *Input) { setMemoryCaps(in, 25_000); in.Config.Routes[0].Public = true }, nil},
+		"IdleButUncapped":  {func(in *Input) { setMemoryCaps(in, 25_000); in.Config.Teams[1].Limits.Cap.MemoryMB = 0 }, []string{"warning Teams[1].Limits.Cap.MemoryMB blue"}},
+		"OtherWorkers": {func(in *Input) {
+			in.Workers = append(in.Workers, cccell.WorkerInfo{Service: "other", Capacity: ccwork.Size{MilliCores: 1 << 30, MemoryMB: 1 << 30, Accelerators: 99}})
+		}, nil},
+		"IdleButPublic": {func(in *Input) { setMemoryCaps(in, 25_000); in.Config.Routes[0].Public = true }, nil},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -136,6 +140,7 @@
 		"Order":     {func(c *cccell.Configuration) { c.Teams[0], c.Teams[1] = c.Teams[1], c.Teams[0] }, nil},
 		"BodyLimit": {func(c *cccell.Configuration) { c.MaxBodyBytes = 1 }, []Finding{{Change, "MaxBodyBytes", "", "262144 → 1"}}},
 		"Service":   {func(c *cccell.Configuration) { c.Routes[1].Queue.Service = "other" }, []Finding{{Change, "Routes[1].Queue.Service", "qb", `"render" → "other"`}}},
+		"HostCase":  {func(c *cccell.Configuration) { c.Routes[0].Host = "A.example" }, []Finding{{Change, "Routes[0].Host", "qa", `"a.example" → "A.example"`}}},
 		"Public":    {func(c *cccell.Configuration) { c.Routes[0].Public = true }, []Finding{{Change, "Routes[0].Public", "qa", "false → true"}}},
 		"Slack":     {func(c *cccell.Configuration) { c.Routes[0].Queue.SlackFactor = 2.5 }, []Finding{{Change, "Routes[0].Queue.SlackFactor", "qa", "1.5 → 2.5"}}},
 		"Advice":    {func(c *cccell.Configuration) { c.Routes[0].Queue.Advice.ValidMs = 900 }, []Finding{{Change, "Routes[0].Queue.Advice.ValidMs", "qa", "2500 → 900"}}},
@@ -173,6 +178,8 @@
 	hidden := in.Config.Routes[0]
 	hidden.Queue.Service = "other"
 	in.Config.Routes = append(in.Config.Routes, hidden)
+	hidden.Queue.Service = "third"
+	in.InForce.Routes = append(in.InForce.Routes, hidden)
 	var changes []string
 	for _, f := range Check(in) {
 		if f.Severity == Change {
