Tests of caps beside trials, held workers and the log line of a team

Cause: four mechanisms of caps could be taken out without a failing test: the check before each trial, the room left after trials, workers held for the next wave, and the time until a team has left its cap. Each has a test now.

--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -514,3 +514,70 @@
 		assert.Equal(t, len(pollAll(t, c, 1050, map[string]*TaskLists{"w1": running}).AdviceRequests), int(limit)-1)
 	}
 }
+
+// Trials and the other tasks of their stage share the room under the cap, and no worker is held for what does not fit.
+func TestTrialsStayWithinTheCap(t *testing.T) {
+	crashed := []Crash{{Attempt: 1, Address: "x"}, {Attempt: 2, Address: "x"}}
+	start := func(t *testing.T, limit int64, tasks int, onTrial ...int) (*Cell, []StartOrder) {
+		c := cappedCell(t, limit, testWorker("w1"), testWorker("w2"), testWorker("w3"))
+		c.AddJob(teamJob("a", "t", tasks), 1100, 1100)
+		for _, i := range onTrial {
+			c.stageByID(StageID{Job: "a"}).crashes[i] = crashed
+		}
+		return c, runStarts(c, 1100)
+	}
+	t.Run("SeveralTrials", func(t *testing.T) {
+		_, got := start(t, 2, 3, 0, 1, 2)
+		assert.Equal(t, len(got), 2)
+	})
+	t.Run("TrialAndOthers", func(t *testing.T) {
+		_, got := start(t, 3, 8, 0)
+		assert.Equal(t, len(got), 3)
+	})
+	t.Run("TrialThatWaitsForAnEmptyWorker", func(t *testing.T) {
+		c := cappedCell(t, 1, testWorker("w1"))
+		c.AddJob(testJob("busy", 2), 1100, 1100)
+		assert.Equal(t, len(runStarts(c, 1100)), 2)
+		c.AddJob(teamJob("a", "t", 2), 1110, 1110)
+		c.stageByID(StageID{Job: "a"}).crashes[1] = crashed
+		assert.Equal(t, len(runStarts(c, 1110)), 1)
+		assert.Assert(t, c.workers["w1"].heldFor == nil)
+	})
+}
+
+// No worker is held for the tasks of a wide stage that wait for the cap while others of it run.
+func TestNoWorkerIsHeldForTheNextWave(t *testing.T) {
+	c := cappedCell(t, 16, testWorker("w1"), testWorker("w2"), testWorker("w3"), testWorker("w4"))
+	j := teamJob("a", "t", 3)
+	j.Stages[0].Size.MilliCores = 16_000
+	c.AddJob(j, 1100, 1100)
+	now := 1100 + holdAfterMs
+	assert.Equal(t, len(runStarts(c, now)), 1)
+	for id, w := range c.workers {
+		assert.Assert(t, w.heldFor == nil, "%s is held", id)
+	}
+}
+
+// A team whose jobs fill its cap again and again, with moments between in which nothing waits, is logged once.
+func TestCapIsNotLoggedInEachWave(t *testing.T) {
+	c := cappedCell(t, 2, testWorker("w1"))
+	var lines []string
+	c.cfg.Log = func(event string, _ ...any) {
+		if strings.HasPrefix(event, "team") {
+			lines = append(lines, event)
+		}
+	}
+	now := ms(1100)
+	var ended []StartOrder
+	for i := range 20 {
+		c.AddJob(teamJob(fmt.Sprint("j", i), "t", 3), now, now)
+		for range 2 {
+			ended = append(ended, runStarts(c, now)...)
+			c.OnPollReply(&PollOrder{worker: c.workers["w1"]}, executedReply(now+50), endedLists(ended, EndDone), now+50)
+			now += 100
+		}
+		assert.Equal(t, len(ended), 3*(i+1))
+	}
+	runRound(c, now+capLeftMs)
+	assert.DeepEqual(t, lines, []string{"team at its cap", "team below its cap"})
+}
