A new leader has the caps from its first round on: test

A check that could never decide (before the handover no worker has answered a poll that counts) is gone.

--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -77,9 +77,6 @@
 // run tasks of any team until the leases of the prior leaders have ended. The team and the size of an orphan are not
 // known.
 func (c *Cell) runningKnown(now ms) bool {
-	if now < c.handoverAt {
-		return false
-	}
 	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
 	lapsed := now >= c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)
 	for _, w := range c.workers {
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -454,7 +454,7 @@
 	w := c.workers["w1"]
 	var ended []StartOrder
 	now := ms(1100)
-	for ; c.jobs["a"].final == ""; now += 400 {
+	for ; c.jobs["a"].final == "" && now < 20_000; now += 400 {
 		ended = append(ended, runStarts(c, now)...)
 		if now == 1100 {
 			assert.DeepEqual(t, c.Summary(now+10).Teams, []TeamSummary{{
--- /dev/null
+++ b/io/cccontrol/load_test.go
@@ -0,0 +1,74 @@
+package cccontrol
+
+import (
+	"context"
+	"testing"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccquota"
+	"coriandercross/core/ccwork"
+
+	"gotest.tools/v3/assert"
+)
+
+// emptyStore has no keys.
+type emptyStore struct {
+	Store
+}
+
+func (emptyStore) Range(context.Context, string, bool) ([]Item, int64, error) { return nil, 1, nil }
+
+func (emptyStore) Get(context.Context, string) (Item, error) { return Item{}, ErrNoKey }
+
+// fixedDirectory lists the same workers always.
+type fixedDirectory struct {
+	Directory
+	workers []cccell.WorkerInfo
+}
+
+func (d fixedDirectory) List(context.Context) ([]cccell.WorkerInfo, int64, error) {
+	return d.workers, 1, nil
+}
+
+// A new leader keeps the caps of the configuration that the process has from its first round on.
+func TestNewLeaderKnowsTheCaps(t *testing.T) {
+	size := ccwork.Size{MilliCores: 1000}
+	tests := map[string]struct {
+		config *cccell.Configuration
+		want   int
+	}{
+		"Capped":          {&cccell.Configuration{Version: 1, Teams: []cccell.Team{{Name: "red", Limits: ccquota.Limits{Cap: size.Times(2)}}}}, 2},
+		"NoTeams":         {&cccell.Configuration{Version: 1}, 4},
+		"NoConfiguration": {nil, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newFollower(t, emptyStore{})
+			p.cfg.Directory = fixedDirectory{workers: []cccell.WorkerInfo{{ID: "w", Address: "w:1", Service: "s", IncarnationMs: 1, Capacity: size.Times(4)}}}
+			if test.config != nil {
+				p.config.Store(&activeConfig{config: test.config})
+			}
+			const began ms = 1000
+			l := &leadership{p: p, cell: cccell.New(cccell.Config{Token: 1, LeaseMs: 3000, AuthorityMs: 1000}, began)}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l.ctx = ctx
+			_, _, err := l.load()
+			assert.NilError(t, err)
+			now := p.now() + began
+			l.cell.ExtendAuthority(now + 1000)
+			l.cell.AddJob(&cccell.Job{ID: "j", Team: "red", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 4, Size: size}}}, now, now)
+			starts := 0
+			for range 3 {
+				now += 100
+				l.cell.Schedule(now, now)
+				out := l.cell.TakeOrders()
+				starts += len(out.Starts)
+				for i := range out.Polls {
+					l.cell.OnPollReply(&out.Polls[i], cccell.Reply{Outcome: cccell.Executed, ClockMs: int64(now), IncarnationMs: 1, Sent: now, Received: now}, &cccell.TaskLists{}, now)
+				}
+			}
+			assert.Equal(t, starts, test.want)
+		})
+	}
+}
