--- a/core/cccell/modelcaps_test.go
+++ b/core/cccell/modelcaps_test.go
@@ -23,6 +23,8 @@
 	modelTeams = 2
 	// modelConfigMs is the time within which each leader knows a new version.
 	modelConfigMs = 4000
+	// modelLateStartMs is how late a start may be executed: a lease on a clock that is 2 % slow, and a margin.
+	modelLateStartMs = modelLeaseMs + 100
 	// modelShortAuthorityMs leaves a long time between the end of the prior leader's authority and that of its leases, in
 	// which tasks run on silent workers.
 	modelShortAuthorityMs = 500
@@ -67,8 +69,7 @@
 }
 
 // highestCap returns the highest cap of a team among the versions that may be in force: the newest, and those that were
-// replaced within modelConfigMs and the length of a lease, since a start that was ordered before may be executed that
-// late.
+// replaced within modelConfigMs and modelLateStartMs.
 func (sim *simulation) highestCap(team string, now ms) ccwork.Size {
 	var out ccwork.Size
 	var unlimited bool
@@ -79,7 +80,7 @@
 		if limit.MemoryMB == 0 {
 			out.MemoryMB = 1 << 40
 		}
-		if now-sim.caps[i].at >= modelConfigMs+modelMaxLeaseMs {
+		if now-sim.caps[i].at >= modelConfigMs+modelLateStartMs {
 			break
 		}
 	}
@@ -194,5 +195,5 @@
 	}
 	sim := &simulation{caps: []modelCaps{version(0, 4000), version(1000, 8000), version(2000, 1000)}}
 	assert.Equal(t, sim.highestCap("t0", 2000), size(8000))
-	assert.Equal(t, sim.highestCap("t0", 2000+modelConfigMs+modelMaxLeaseMs), size(1000))
+	assert.Equal(t, sim.highestCap("t0", 2000+modelConfigMs+modelLateStartMs), size(1000))
 }
