--- a/io/cccontrol/teammetrics.go
+++ b/io/cccontrol/teammetrics.go
@@ -1,6 +1,7 @@
 package cccontrol
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"coriandercross/core/cccell"
@@ -85,3 +86,22 @@
 		resources(m.limits, t.Team, t.Cap, false)
 	}
 }
+
+// teamCounter counts events by team and outcome. The number of its series is bounded.
+type teamCounter struct {
+	vec   *prometheus.CounterVec
+	mu    sync.Mutex
+	teams map[string]bool
+}
+
+// inc counts an event of a team.
+func (c *teamCounter) inc(team, outcome string) {
+	c.mu.Lock()
+	if !c.teams[team] && len(c.teams) >= maxTeamMetrics {
+		team = otherTeams
+	} else {
+		c.teams[team] = true
+	}
+	c.mu.Unlock()
+	c.vec.WithLabelValues(team, outcome).Inc()
+}
