A new leader counts what silent workers may run in place of waiting for them

Cause: after a change of the leader, tasks of capped teams waited until each worker had answered or its leases had ended. Ruled out: the unfinished tasks of adopted jobs as the bound; attempts of ended jobs are in no record. Change: for each such worker its capacity counts for every team, and its cores once more for best-effort tasks, which are now placed on a worker only while they could at most use all of its cores (jobs with a team only).

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -79,7 +79,9 @@
 caps="-run=TestCellModelCaps -rapid.checks=4000 -rapid.shrinktime=1s -rapid.nofailfile"
 book=core/ccquota/book.go
 mutant cap-order-in-doubt-not-counted $cells/replies.go 'a.state, a.inDoubtSince = inDoubt, now' 'a.state, a.inDoubtSince = inDoubt, now; a.stage.job.account.Release(a.stage.spec.Size)' ./$cells "$caps"
-mutant cap-silent-worker-not-counted $cells/caps.go '(!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt)' '(lapsed && false)' ./$cells "$caps"
+mutant cap-silent-worker-not-counted $cells/caps.go '(!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt)' '(lapsed && false)' ./$cells "${caps/4000/20000}"
+mutant cap-silent-worker-not-known-in-full $cells/caps.go 'out := w.largest.Minus(w.used).Max(ccwork.Size{})' 'var out ccwork.Size' ./$cells "-run=TestBoundOfUnknown"
+mutant cap-idle-cores-of-silent-worker-not-counted $cells/caps.go 'out.MilliCores += max(w.largest.MilliCores-w.bestEffort, 0)' '' ./$cells "-run=TestBoundOfUnknown"
 mutant cap-orphan-not-counted $cells/caps.go 'w.orphans > 0 ||' 'false ||' ./$cells "-run=TestNewLeaderCounts"
 mutant cap-stop-counted-too-early $cells/replies.go 'a.stopConfirmed = true' 'a.stopConfirmed = true; if a.stage != nil { a.stage.job.account.Release(a.stage.spec.Size) }' ./$cells "$caps"
 mutant cap-older-limits-used $book 'b.Account(team).limits = l' 'if a := b.Account(team); a.limits == (Limits{}) { a.limits = l }' ./$cells "$caps"
--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -73,35 +73,53 @@
 	since, lastAt ms
 }
 
-// runningKnown reports whether all that prior leaders may have running is known. A worker that has not answered yet may
-// run tasks of any team until the leases of the prior leaders have ended. The team and the size of an orphan are not
-// known.
-func (c *Cell) runningKnown(now ms) bool {
+// boundUnknownRunning returns an upper bound of what any one team may have running beside the attempts in memory. A worker
+// that has not answered yet may run tasks of prior leaders until their leases have ended. The jobs of these tasks may have
+// ended, so that no record names them: the team and the size of an orphan are not known. So all capacity that may be in
+// use there counts, for each team.
+func (c *Cell) boundUnknownRunning(now ms) ccwork.Size {
+	var out ccwork.Size
 	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
 	lapsed := now >= c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)
 	for _, w := range c.workers {
 		if w.orphans > 0 || (!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt) {
-			return false
+			out = out.Plus(w.mayRunMore())
 		}
 	}
-	return true
+	return out
+}
+
+// mayRunMore bounds what runs on the worker beside the attempts in memory. A prior leader has placed as much as the worker
+// has capacity for, and best-effort tasks that could use all of its cores once more.
+func (w *worker) mayRunMore() ccwork.Size {
+	out := w.largest.Minus(w.used).Max(ccwork.Size{})
+	out.MilliCores += max(w.largest.MilliCores-w.bestEffort, 0)
+	return out
+}
+
+// bestEffortCores returns the cores in thousandths that a task uses if they are idle, 0 unless it is a best-effort task.
+func (s *Stage) bestEffortCores() int64 {
+	return s.Size.MilliCores - s.Reserved().MilliCores
+}
+
+// bestEffortRoom returns how many of n best-effort tasks fit on the worker. More than could use all of its cores would make
+// no progress, and the cap could not be kept by a new leader that does not reach the worker. One that is larger than the
+// worker may run alone.
+func (w *worker) bestEffortRoom(milliCores int64, n int) int {
+	if w.bestEffort == 0 && milliCores > w.info.Capacity.MilliCores {
+		return min(n, 1)
+	}
+	return int(fit(w.info.Capacity.MilliCores-w.bestEffort, milliCores, int64(n)))
 }
 
 // capRoom returns how many of n tasks of a stage the cap of its team admits now; of a gang all or none.
 func (c *Cell) capRoom(s *stage, n int) int {
-	a := s.job.account
-	if !a.Capped() {
-		return n
-	}
-	if !c.runningIsKnown {
-		return 0
-	}
-	return s.capRoomBesideKnown(n)
+	return s.capRoomBeside(c.unknownRunning, n)
 }
 
-// capRoomBesideKnown is capRoom while more may run than is known.
-func (s *stage) capRoomBesideKnown(n int) int {
-	room := s.job.account.Fitting(s.spec.Size, n)
+// capRoomBeside is capRoom while more may run than the attempts in memory.
+func (s *stage) capRoomBeside(unknown ccwork.Size, n int) int {
+	room := s.job.account.Fitting(s.spec.Size, n, unknown)
 	if s.spec.Gang && room < n {
 		return 0
 	}
@@ -112,23 +130,23 @@
 // returns false if there are none: the stage then requests no tickets and holds no workers.
 func (c *Cell) limitToCap(s *stage, now ms) bool {
 	room := c.capRoom(s, s.unplaced)
-	s.overCap = room < s.unplaced
-	if !s.overCap {
+	s.overCap = ""
+	if room == s.unplaced {
 		return true
 	}
-	s.unplaced = room
-	reason := delayHandover
-	if c.runningIsKnown {
-		reason = delayCap
+	s.overCap = delayHandover
+	if c.unknownRunning == (ccwork.Size{}) || s.capRoomBeside(ccwork.Size{}, s.unplaced) == room {
+		s.overCap = delayCap
 		if c.book.Known() {
 			c.noteCapWait(s, now)
 		}
 	}
+	s.unplaced = room
 	if room > 0 {
 		return true
 	}
 	s.held = nil
-	s.placementDelay.add(now, reason)
+	s.placementDelay.add(now, s.overCap)
 	c.logWaiting(s, now)
 	return false
 }
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -303,11 +303,14 @@
 	assert.Equal(t, len(runStarts(c, 1110)), 1)
 }
 
-// A new leader places jobs that arrive after the end of the prior leader's authority at once, but for those of a team
-// with a cap: a worker that has not answered may run tasks of the team until its leases have ended.
+// A new leader places jobs that arrive after the end of the prior leader's authority at once, as far as the caps admit them
+// beside all that a worker which has not answered may run until its leases have ended: 16 cores, and 16 of best-effort
+// tasks.
 func TestNewLeaderCountsSilentWorkers(t *testing.T) {
 	tests := map[string]struct {
 		team string
+		// limit is the cap in cores.
+		limit int64
 		// answers is when the worker answers, 0 for never; running is true if it then runs a task of the team.
 		answers ms
 		running bool
@@ -316,9 +319,13 @@
 		// from and until bound the start of the new job.
 		from, until ms
 	}{
-		"NoTeam":              {team: "", from: 4000, until: 4100},
-		"NoCap":               {team: "free", from: 4000, until: 4100},
-		"Silent":              {team: "t", from: 4000 + 4000, until: 4000 + 4500},
+		"NoTeam":              {team: "", limit: 1, from: 4000, until: 4100},
+		"NoCap":               {team: "free", limit: 1, from: 4000, until: 4100},
+		"Silent":              {team: "t", limit: 1, from: 4000 + 4000, until: 4000 + 4500},
+		"SilentAndNoRoom":     {team: "t", limit: 32, from: 4000 + 4000, until: 4000 + 4500},
+		"SilentAndRoom":       {team: "t", limit: 33, from: 4000, until: 4100},
+		"OrphanAndNoRoom":     {team: "t", limit: 32, answers: 5000, orphan: true, from: 8500, until: 9000},
+		"OrphanAndRoom":       {team: "t", limit: 33, answers: 3000, orphan: true, from: 4000, until: 4100},
 		"AnswersAtOnce":       {team: "t", answers: 4000, from: 4000, until: 4000 + silentPollIntervalMs + 100},
 		"AnswersBeforeTheEnd": {team: "t", answers: 3000, from: 4000, until: 4200},
 		"Answers":             {team: "t", answers: 5000, from: 5000, until: 5500},
@@ -329,7 +336,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := testCell(2, 1000)
 			c.ExtendAuthority(1 << 40)
-			c.SetTeams([]Team{capOf("t", 1)})
+			c.SetTeams([]Team{capOf("t", max(test.limit, 1))})
 			c.SetWorker(testWorker("w1"), 1000)
 			c.SetWorker(testWorker("w2"), 1000)
 			c.Adopt(StoredJob{Job: teamJob("old", "t", 1)}, 1000, 1000)
@@ -581,3 +588,70 @@
 	runRound(c, now+capLeftMs)
 	assert.DeepEqual(t, lines, []string{"team at its cap", "team below its cap"})
 }
+
+// What a worker may run that has not answered: all that it has capacity for, by the largest registration that was seen,
+// and as much again of best-effort tasks; less what is known to run.
+func TestBoundOfUnknownRunning(t *testing.T) {
+	cores := func(n int64) ccwork.Size { return ccwork.Size{MilliCores: 1000 * n, MemoryMB: 16_000} }
+	tests := map[string]struct {
+		prepare func(c *Cell)
+		want    ccwork.Size
+	}{
+		"Silent":        {func(*Cell) {}, cores(32)},
+		"Shrunk":        {func(c *Cell) { c.SetWorker(resized(testWorker("w1"), cores(4)), 1010) }, cores(32)},
+		"Grown":         {func(c *Cell) { c.SetWorker(resized(testWorker("w1"), cores(20)), 1010) }, cores(40)},
+		"RosterLarger":  {func(c *Cell) { c.AddUnlistedWorker(resized(testWorker("w1"), cores(18)), 1010) }, cores(36)},
+		"NotListed":     {func(c *Cell) { c.MarkUnlisted("w1") }, cores(32)},
+		"TwoWorkers":    {func(c *Cell) { c.AddUnlistedWorker(testWorker("w2"), 1010) }, cores(32).Times(2)},
+		"LeasesEnded":   {func(c *Cell) { c.workers["w1"].priorLeasesEndAt = 1020 }, ccwork.Size{}},
+		"LeasesLapsed":  {func(c *Cell) { c.handoverAt = 1020 - maxLeaseDuration(4000) }, ccwork.Size{}},
+		"KnownTasks":    {func(c *Cell) { c.adoptAttempt(c.workers["w1"], &RunningTask{Task: TaskID{Job: "a"}, Attempt: 1}, 1010) }, ccwork.Size{MilliCores: 31_000, MemoryMB: 15_900}},
+		"KnownIdleTask": {func(c *Cell) { c.adoptAttempt(c.workers["w1"], &RunningTask{Task: TaskID{Job: "b"}, Attempt: 1}, 1010) }, ccwork.Size{MilliCores: 31_000, MemoryMB: 15_900}},
+		"Answered":      {func(c *Cell) { w := c.workers["w1"]; w.admitted, w.answeredPollSentAt = true, c.handoverAt }, ccwork.Size{}},
+		"Orphan": {func(c *Cell) {
+			w := c.workers["w1"]
+			w.admitted, w.answeredPollSentAt = true, c.handoverAt
+			c.adoptAttempt(w, &RunningTask{Task: TaskID{Job: "gone"}, Attempt: 1}, 1010)
+		}, cores(32)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetWorker(testWorker("w1"), 1000)
+			c.Adopt(StoredJob{Job: teamJob("a", "t", 1)}, 1000, 1000)
+			idle := teamJob("b", "t", 1)
+			idle.Stages[0].BestEffortCPU = true
+			c.Adopt(StoredJob{Job: idle}, 1000, 1000)
+			test.prepare(c)
+			assert.Equal(t, c.boundUnknownRunning(1020), test.want)
+		})
+	}
+}
+
+// Best-effort tasks of teams could at most use all cores of their worker, so that a new leader knows how many may run there.
+func TestBestEffortTasksAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		team  string
+		cores int64
+		want  int
+	}{
+		"Small":            {"t", 1000, 16},
+		"NotAMultiple":     {"t", 5000, 3},
+		"LargerThanWorker": {"t", 17_000, 1},
+		"NoTeam":           {"", 1000, 40},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := cappedCell(t, 1000, testWorker("w1"))
+			for i := range 2 {
+				j := teamJob(fmt.Sprint("j", i), test.team, 20)
+				j.Stages[0].BestEffortCPU, j.Stages[0].Size.MilliCores = true, test.cores
+				c.AddJob(j, 1100, 1100)
+			}
+			got := runStarts(c, 1100)
+			assert.Equal(t, len(got), test.want)
+			c.OnPollReply(&PollOrder{worker: c.workers["w1"]}, executedReply(1200), endedLists(got, EndStopped), 1200)
+			assert.Equal(t, c.workers["w1"].bestEffort, int64(0))
+		})
+	}
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -1,6 +1,9 @@
 package cccell
 
-import "coriandercross/core/ccquota"
+import (
+	"coriandercross/core/ccquota"
+	"coriandercross/core/ccwork"
+)
 
 // Config configures a Cell.
 type Config struct {
@@ -31,8 +34,8 @@
 	// book holds what each team has running; see caps.go. capWaits holds the teams with stages that wait for a cap.
 	book     *ccquota.Book
 	capWaits map[*ccquota.Account]*capWait
-	// runningIsKnown is the result of runningKnown in the current round.
-	runningIsKnown bool
+	// unknownRunning bounds what each team may have running in the current round beside the attempts in memory.
+	unknownRunning ccwork.Size
 	// open holds the unfinished stages whose predecessors are finished.
 	open map[*stage]struct{}
 	// scheduled holds the jobs with scheduled runs that are not due yet.
--- a/core/cccell/modelcaps_test.go
+++ b/core/cccell/modelcaps_test.go
@@ -59,9 +59,12 @@
 	sim.checker.Cap = sim.highestCap
 }
 
-// drawCap draws a cap, often smaller than a task, and sometimes none.
+// drawCap draws a cap: often smaller than a task, sometimes none, or larger than a worker that does not answer may run.
 func (sim *simulation) drawCap() ccwork.Size {
 	out := ccwork.Size{MilliCores: 500 * int64(sim.draw(8, "capCores"))}
+	if sim.draw(5, "largeCap") == 0 {
+		out.MilliCores += 2 * modelCapacity.MilliCores
+	}
 	if sim.draw(3, "capMemory") == 0 {
 		out.MemoryMB = 500 * int64(1+sim.draw(6, "capMB"))
 	}
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -19,7 +19,7 @@
 	if now < c.authorityUntil {
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
-		c.runningIsKnown = c.runningKnown(now)
+		c.unknownRunning = c.boundUnknownRunning(now)
 		for _, w := range c.workers {
 			w.heldFor = nil
 			if w.usable(now) {
@@ -93,7 +93,7 @@
 	if c.queue(s.job).Advice == nil || now < s.notBefore {
 		return
 	}
-	if s.unplaced = s.capRoomBesideKnown(s.unplaced); s.unplaced == 0 {
+	if s.unplaced = s.capRoomBeside(ccwork.Size{}, s.unplaced); s.unplaced == 0 {
 		return
 	}
 	if _, fitting := c.candidates(s, true, now); fitting < s.unplaced {
@@ -154,6 +154,9 @@
 	if s.spec.MaxPerWorker > 0 {
 		n = min(n, s.spec.MaxPerWorker-s.perWorker[w])
 	}
+	if s.spec.BestEffortCPU && s.job.spec.Team != "" {
+		n = min(n, w.bestEffortRoom(s.spec.Size.MilliCores, n))
+	}
 	return max(n, 0)
 }
 
@@ -204,8 +207,8 @@
 		if s.spec.Gang || len(list) == 0 {
 			return
 		}
-	} else if s.overCap {
-		s.placementDelay.add(now, delayCap)
+	} else if s.overCap != "" {
+		s.placementDelay.add(now, s.overCap)
 		c.logWaiting(s, now)
 	} else {
 		s.placementDelay.add(now, "")
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -24,6 +24,7 @@
 		w.admitted = false // The worker has restarted: its task lists have to be read before it gets tasks.
 	}
 	w.info, w.rack, w.workerType, w.listed = info, info.Rack(), info.Kind(), true
+	w.largest = w.largest.Max(info.Capacity)
 	c.confirmCrashes(info.Address, info.IncarnationMs, now)
 }
 
@@ -59,7 +60,8 @@
 // AddUnlistedWorker adds a worker of the prior leader's roster that is not registered in the store: tasks may run there
 // until their leases end.
 func (c *Cell) AddUnlistedWorker(info WorkerInfo, now ms) {
-	if c.workers[info.ID] != nil {
+	if w := c.workers[info.ID]; w != nil {
+		w.largest = w.largest.Max(info.Capacity)
 		return
 	}
 	c.SetWorker(info, now)
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -84,8 +84,9 @@
 	notBefore ms
 	// unplaced is the number of tasks to be started in this round.
 	unplaced int
-	// overCap is true when more tasks are to be started in this round than the cap of the team admits.
-	overCap bool
+	// overCap is the reason for the delay of the tasks that the cap of the team does not admit in this round, or empty if
+	// it admits all.
+	overCap string
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
 }
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -64,7 +64,12 @@
 	// incarnation is the incarnation that the worker reported in its last reply, 0 before the first.
 	incarnation int64
 	used        ccwork.Size
-	attempts    map[attemptKey]*attempt
+	// bestEffort is the number of cores in thousandths that best-effort tasks would use if they were idle. They are not
+	// part of used.
+	bestEffort int64
+	// largest is the largest capacity that this leader has seen registered.
+	largest  ccwork.Size
+	attempts map[attemptKey]*attempt
 	// orphans counts attempts whose job is not in memory. Their size is not known, so no task is placed while there are
 	// any.
 	orphans int
@@ -145,6 +150,7 @@
 	s.perWorker[w]++
 	s.job.liveAttempts++
 	s.job.account.Charge(s.spec.Size)
+	w.bestEffort += s.spec.bestEffortCores()
 }
 
 // removeAttempt removes an attempt and frees its capacity. It does nothing when the attempt was removed already.
@@ -173,6 +179,7 @@
 	}
 	s.job.liveAttempts--
 	s.job.account.Release(s.spec.Size)
+	w.bestEffort -= s.spec.bestEffortCores()
 }
 
 // clockNow returns a lower bound of the worker's clock; ok is false before the first reply.
--- a/core/ccquota/book.go
+++ b/core/ccquota/book.go
@@ -97,18 +97,19 @@
 	return !a.book.known || a.limits.Cap != ccwork.Size{}
 }
 
-// Fitting returns how many of n tasks of a size the cap admits now. A task that is larger than the cap itself is admitted
-// while the team has nothing else running. Before the first limits are known, no task of a team is admitted.
-func (a *Account) Fitting(size ccwork.Size, n int) int {
+// Fitting returns how many of n tasks of a size the cap admits now, beside what is charged and what else may run. A task
+// that is larger than the cap itself is admitted while the team has nothing else running. Before the first limits are
+// known, no task of a team is admitted.
+func (a *Account) Fitting(size ccwork.Size, n int, unknown ccwork.Size) int {
 	switch {
 	case !a.Capped():
 		return n
 	case !a.book.known:
 		return 0
-	case a.tasks == 0 && !a.limits.Admits(size, 1):
+	case a.tasks == 0 && unknown == ccwork.Size{} && !a.limits.Admits(size, 1):
 		return min(n, 1)
 	}
-	return fitting(a.limits.Cap, a.running, size, n)
+	return fitting(a.limits.Cap, a.running.Plus(unknown), size, n)
 }
 
 // Admits reports whether the cap admits n tasks of a size at a time while the team has nothing else running.
--- a/core/ccquota/book_test.go
+++ b/core/ccquota/book_test.go
@@ -14,7 +14,7 @@
 		return ccwork.Size{MilliCores: cores, MemoryMB: memory, Accelerators: accelerators}
 	}
 	tests := map[string]struct {
-		limit, task ccwork.Size
+		limit, task, unknown ccwork.Size
 		// running are the tasks that run already.
 		running []ccwork.Size
 		n, want int
@@ -30,6 +30,8 @@
 		"LargerThanCap":          {limit: size(500, 0, 0), task: size(1000, 0, 0), n: 7, want: 1},
 		"LargerThanCapNotAlone":  {limit: size(500, 0, 0), task: size(1000, 0, 0), running: []ccwork.Size{size(1, 0, 0)}, n: 7, want: 0},
 		"BesideLargerThanCap":    {limit: size(500, 0, 0), task: size(1, 0, 0), running: []ccwork.Size{size(1000, 0, 0)}, n: 7, want: 0},
+		"UnknownCounts":          {limit: size(5000, 0, 0), task: size(1000, 0, 0), running: []ccwork.Size{size(1000, 0, 0)}, unknown: size(2000, 0, 0), n: 7, want: 2},
+		"UnknownIsNotAlone":      {limit: size(500, 0, 0), task: size(1000, 0, 0), unknown: size(0, 1, 0), n: 7, want: 0},
 		"NoneToStart":            {limit: size(500, 0, 0), task: size(1000, 0, 0), n: 0, want: 0},
 		"LoweredBelowWhatRuns":   {limit: size(1000, 0, 0), task: size(1, 0, 0), running: []ccwork.Size{size(1000, 0, 0), size(1, 0, 0)}, n: 7, want: 0},
 		"LoweredForOtherTasks":   {limit: size(0, 0, 1), task: size(1, 0, 0), running: []ccwork.Size{size(0, 0, 2)}, n: 7, want: 0},
@@ -45,9 +47,9 @@
 			for _, s := range test.running {
 				a.Charge(s)
 			}
-			assert.Equal(t, a.Fitting(test.task, test.n), test.want)
+			assert.Equal(t, a.Fitting(test.task, test.n, test.unknown), test.want)
 			b.Account("other").Charge(size(1<<20, 1<<20, 1<<20))
-			assert.Equal(t, a.Fitting(test.task, test.n), test.want, "what another team runs does not count")
+			assert.Equal(t, a.Fitting(test.task, test.n, test.unknown), test.want, "what another team runs does not count")
 		})
 	}
 }
@@ -56,15 +58,15 @@
 func TestNothingFitsBeforeLimitsAreKnown(t *testing.T) {
 	b := NewBook()
 	one := ccwork.Size{MilliCores: 1000}
-	assert.Equal(t, b.Account("t").Fitting(one, 3), 0)
-	assert.Equal(t, b.Account("").Fitting(one, 3), 3)
+	assert.Equal(t, b.Account("t").Fitting(one, 3, ccwork.Size{}), 0)
+	assert.Equal(t, b.Account("").Fitting(one, 3, ccwork.Size{}), 3)
 	b.SetLimits(nil)
-	assert.Equal(t, b.Account("t").Fitting(one, 3), 3)
+	assert.Equal(t, b.Account("t").Fitting(one, 3, ccwork.Size{}), 3)
 	b.SetLimits(map[string]Limits{"t": {Cap: one}})
 	b.SetLimits(nil)
-	assert.Equal(t, b.Account("t").Fitting(one, 3), 1, "a team that was removed keeps its last limits")
+	assert.Equal(t, b.Account("t").Fitting(one, 3, ccwork.Size{}), 1, "a team that was removed keeps its last limits")
 	b.SetLimits(map[string]Limits{"t": {}})
-	assert.Equal(t, b.Account("t").Fitting(one, 3), 3)
+	assert.Equal(t, b.Account("t").Fitting(one, 3, ccwork.Size{}), 3)
 }
 
 // Any order of charges and releases leaves the account with the sum of what is charged, and a charge that fits never
@@ -82,7 +84,7 @@
 				charged = charged[1:]
 			} else {
 				s := ccwork.Size{MilliCores: int64(rapid.IntRange(0, 24).Draw(t, "size"))}
-				n := a.Fitting(s, 3)
+				n := a.Fitting(s, 3, ccwork.Size{})
 				for range n {
 					a.Charge(s)
 					charged = append(charged, s)
@@ -108,7 +110,7 @@
 	a := book.Account("t")
 	b.ReportAllocs()
 	for range b.N {
-		if a.Fitting(size, 10) > 0 {
+		if a.Fitting(size, 10, ccwork.Size{}) > 0 {
 			a.Charge(size)
 			a.Release(size)
 		}
