--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -52,7 +52,7 @@
 		t := &teams[i]
 		c.teams[t.Name] = t
 		limits[t.Name] = t.Limits
-		if a := c.book.Account(t.Name); a.Limits().Cap != t.Limits.Cap {
+		if a := c.book.Account(t.Name); c.book.Known() && a.Limits().Cap != t.Limits.Cap {
 			running, tasks := a.Running()
 			c.cfg.Log("cap of the team changed", "Team", t.Name, "Before", a.Limits().Cap, "Cap", t.Limits.Cap, "Running", running, "Tasks", tasks)
 		}
--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -655,3 +655,15 @@
 		})
 	}
 }
+
+// A change of a cap is logged with what runs; the caps that a new leader starts with are not.
+func TestCapChangesAreLogged(t *testing.T) {
+	c := testCell(1, 1000)
+	var lines []string
+	c.cfg.Log = func(event string, kv ...any) { lines = append(lines, fmt.Sprint(event, kv)) }
+	c.SetTeams([]Team{capOf("t", 4), capOf("u", 4)})
+	assert.Equal(t, len(lines), 0)
+	c.SetTeams([]Team{capOf("t", 4), capOf("u", 2)})
+	assert.Equal(t, len(lines), 1)
+	assert.Assert(t, strings.HasPrefix(lines[0], "cap of the team changed[Team u Before {4000"), lines[0])
+}
