--- a/core/cccell/caps_test.go
+++ b/core/cccell/caps_test.go
@@ -304,11 +304,14 @@
 	assert.Equal(t, len(runStarts(c, 1110)), 1)
 }
 
-// A new leader places jobs that arrive after the end of the prior leader's authority at once, but for those of a team
-// with a cap: a worker that has not answered may run tasks of the team until its leases have ended.
+// A new leader places jobs that arrive after the end of the prior leader's authority at once, as far as the caps admit them
+// beside all that a worker which has not answered may run until its leases have ended: 16 cores, and 16 of best-effort
+// tasks.
 func TestNewLeaderCountsSilentWorkers(t *testing.T) {
 	tests := map[string]struct {
 		team string
+		// limit is the cap in cores.
+		limit int64
 		// answers is when the worker answers, 0 for never; running is true if it then runs a task of the team.
 		answers ms
 		running bool
@@ -317,9 +320,13 @@
 		// from and until bound the start of the new job.
 		from, until ms
 	}{
-		"NoTeam":              {team: "", from: 4000, until: 4100},
-		"NoCap":               {team: "free", from: 4000, until: 4100},
-		"Silent":              {team: "t", from: 4000 + 4000, until: 4000 + 4500},
+		"NoTeam":              {team: "", limit: 1, from: 4000, until: 4100},
+		"NoCap":               {team: "free", limit: 1, from: 4000, until: 4100},
+		"Silent":              {team: "t", limit: 1, from: 4000 + 4000, until: 4000 + 4500},
+		"SilentAndNoRoom":     {team: "t", limit: 32, from: 4000 + 4000, until: 4000 + 4500},
+		"SilentAndRoom":       {team: "t", limit: 33, from: 4000, until: 4100},
+		"OrphanAndNoRoom":     {team: "t", limit: 32, answers: 5000, orphan: true, from: 8500, until: 9000},
+		"OrphanAndRoom":       {team: "t", limit: 33, answers: 3000, orphan: true, from: 4000, until: 4100},
 		"AnswersAtOnce":       {team: "t", answers: 4000, from: 4000, until: 4000 + silentPollIntervalMs + 100},
 		"AnswersBeforeTheEnd": {team: "t", answers: 3000, from: 4000, until: 4200},
 		"Answers":             {team: "t", answers: 5000, from: 5000, until: 5500},
@@ -330,7 +337,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := testCell(2, 1000)
 			c.ExtendAuthority(1 << 40)
-			c.SetTeams([]Team{capOf("t", 1)})
+			c.SetTeams([]Team{capOf("t", max(test.limit, 1))})
 			c.SetWorker(testWorker("w1"), 1000)
 			c.SetWorker(testWorker("w2"), 1000)
 			c.Adopt(StoredJob{Job: teamJob("old", "t", 1)}, 1000, 1000)
@@ -455,7 +462,7 @@
 	w := c.workers["w1"]
 	var ended []StartOrder
 	now := ms(1100)
-	for ; c.jobs["a"].final == ""; now += 400 {
+	for ; c.jobs["a"].final == "" && now < 20_000; now += 400 {
 		ended = append(ended, runStarts(c, now)...)
 		if now == 1100 {
 			assert.DeepEqual(t, c.Summary(now+10).Teams, []TeamSummary{{
@@ -515,3 +522,149 @@
 		assert.Equal(t, len(pollAll(t, c, 1050, map[string]*TaskLists{"w1": running}).AdviceRequests), int(limit)-1)
 	}
 }
+
+// Trials and the other tasks of their stage share the room under the cap, and no worker is held for what does not fit.
+func TestTrialsStayWithinTheCap(t *testing.T) {
+	crashed := []Crash{{Attempt: 1, Address: "x"}, {Attempt: 2, Address: "x"}}
+	start := func(t *testing.T, limit int64, tasks int, onTrial ...int) (*Cell, []StartOrder) {
+		c := cappedCell(t, limit, testWorker("w1"), testWorker("w2"), testWorker("w3"))
+		c.AddJob(teamJob("a", "t", tasks), 1100, 1100)
+		for _, i := range onTrial {
+			c.stageByID(StageID{Job: "a"}).crashes[i] = crashed
+		}
+		return c, runStarts(c, 1100)
+	}
+	t.Run("SeveralTrials", func(t *testing.T) {
+		_, got := start(t, 2, 3, 0, 1, 2)
+		assert.Equal(t, len(got), 2)
+	})
+	t.Run("TrialAndOthers", func(t *testing.T) {
+		_, got := start(t, 3, 8, 0)
+		assert.Equal(t, len(got), 3)
+	})
+	t.Run("TrialThatWaitsForAnEmptyWorker", func(t *testing.T) {
+		c := cappedCell(t, 1, testWorker("w1"))
+		c.AddJob(testJob("busy", 2), 1100, 1100)
+		assert.Equal(t, len(runStarts(c, 1100)), 2)
+		c.AddJob(teamJob("a", "t", 2), 1110, 1110)
+		c.stageByID(StageID{Job: "a"}).crashes[1] = crashed
+		assert.Equal(t, len(runStarts(c, 1110)), 1)
+		assert.Assert(t, c.workers["w1"].heldFor == nil)
+	})
+}
+
+// No worker is held for the tasks of a wide stage that wait for the cap while others of it run.
+func TestNoWorkerIsHeldForTheNextWave(t *testing.T) {
+	c := cappedCell(t, 16, testWorker("w1"), testWorker("w2"), testWorker("w3"), testWorker("w4"))
+	j := teamJob("a", "t", 3)
+	j.Stages[0].Size.MilliCores = 16_000
+	c.AddJob(j, 1100, 1100)
+	now := 1100 + holdAfterMs
+	assert.Equal(t, len(runStarts(c, now)), 1)
+	for id, w := range c.workers {
+		assert.Assert(t, w.heldFor == nil, "%s is held", id)
+	}
+}
+
+// A team whose jobs fill its cap again and again, with moments between in which nothing waits, is logged once.
+func TestCapIsNotLoggedInEachWave(t *testing.T) {
+	c := cappedCell(t, 2, testWorker("w1"))
+	var lines []string
+	c.cfg.Log = func(event string, _ ...any) {
+		if strings.HasPrefix(event, "team") && event != "team exceeds its weight" {
+			lines = append(lines, event)
+		}
+	}
+	now := ms(1100)
+	var ended []StartOrder
+	for i := range 20 {
+		c.AddJob(teamJob(fmt.Sprint("j", i), "t", 3), now, now)
+		for range 2 {
+			ended = append(ended, runStarts(c, now)...)
+			c.OnPollReply(&PollOrder{worker: c.workers["w1"]}, executedReply(now+50), endedLists(ended, EndDone), now+50)
+			now += 100
+		}
+		assert.Equal(t, len(ended), 3*(i+1))
+	}
+	runRound(c, now+capLeftMs)
+	assert.DeepEqual(t, lines, []string{"team at its cap", "team below its cap"})
+}
+
+// What a worker may run that has not answered: all that it has capacity for, by the largest registration that was seen,
+// and as much again of best-effort tasks; less what is known to run.
+func TestBoundOfUnknownRunning(t *testing.T) {
+	cores := func(n int64) ccwork.Size { return ccwork.Size{MilliCores: 1000 * n, MemoryMB: 16_000} }
+	tests := map[string]struct {
+		prepare func(c *Cell)
+		want    ccwork.Size
+	}{
+		"Silent":        {func(*Cell) {}, cores(32)},
+		"Shrunk":        {func(c *Cell) { c.SetWorker(resized(testWorker("w1"), cores(4)), 1010) }, cores(32)},
+		"Grown":         {func(c *Cell) { c.SetWorker(resized(testWorker("w1"), cores(20)), 1010) }, cores(40)},
+		"RosterLarger":  {func(c *Cell) { c.AddUnlistedWorker(resized(testWorker("w1"), cores(18)), 1010) }, cores(36)},
+		"NotListed":     {func(c *Cell) { c.MarkUnlisted("w1") }, cores(32)},
+		"TwoWorkers":    {func(c *Cell) { c.AddUnlistedWorker(testWorker("w2"), 1010) }, cores(32).Times(2)},
+		"LeasesEnded":   {func(c *Cell) { c.workers["w1"].priorLeasesEndAt = 1020 }, ccwork.Size{}},
+		"LeasesLapsed":  {func(c *Cell) { c.handoverAt = 1020 - maxLeaseDuration(4000) }, ccwork.Size{}},
+		"KnownTasks":    {func(c *Cell) { c.adoptAttempt(c.workers["w1"], &RunningTask{Task: TaskID{Job: "a"}, Attempt: 1}, 1010) }, ccwork.Size{MilliCores: 31_000, MemoryMB: 15_900}},
+		"KnownIdleTask": {func(c *Cell) { c.adoptAttempt(c.workers["w1"], &RunningTask{Task: TaskID{Job: "b"}, Attempt: 1}, 1010) }, ccwork.Size{MilliCores: 31_000, MemoryMB: 15_900}},
+		"Answered":      {func(c *Cell) { w := c.workers["w1"]; w.admitted, w.answeredPollSentAt = true, c.handoverAt }, ccwork.Size{}},
+		"Orphan": {func(c *Cell) {
+			w := c.workers["w1"]
+			w.admitted, w.answeredPollSentAt = true, c.handoverAt
+			c.adoptAttempt(w, &RunningTask{Task: TaskID{Job: "gone"}, Attempt: 1}, 1010)
+		}, cores(32)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetWorker(testWorker("w1"), 1000)
+			c.Adopt(StoredJob{Job: teamJob("a", "t", 1)}, 1000, 1000)
+			idle := teamJob("b", "t", 1)
+			idle.Stages[0].BestEffortCPU = true
+			c.Adopt(StoredJob{Job: idle}, 1000, 1000)
+			test.prepare(c)
+			assert.Equal(t, c.boundUnknownRunning(1020), test.want)
+		})
+	}
+}
+
+// Best-effort tasks of teams could at most use all cores of their worker, so that a new leader knows how many may run there.
+func TestBestEffortTasksAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		team  string
+		cores int64
+		want  int
+	}{
+		"Small":            {"t", 1000, 16},
+		"NotAMultiple":     {"t", 5000, 3},
+		"LargerThanWorker": {"t", 17_000, 1},
+		"NoTeam":           {"", 1000, 40},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := cappedCell(t, 1000, testWorker("w1"))
+			for i := range 2 {
+				j := teamJob(fmt.Sprint("j", i), test.team, 20)
+				j.Stages[0].BestEffortCPU, j.Stages[0].Size.MilliCores = true, test.cores
+				c.AddJob(j, 1100, 1100)
+			}
+			got := runStarts(c, 1100)
+			assert.Equal(t, len(got), test.want)
+			c.OnPollReply(&PollOrder{worker: c.workers["w1"]}, executedReply(1200), endedLists(got, EndStopped), 1200)
+			assert.Equal(t, c.workers["w1"].bestEffort, int64(0))
+		})
+	}
+}
+
+// A change of a cap is logged with what runs; the caps that a new leader starts with are not.
+func TestCapChangesAreLogged(t *testing.T) {
+	c := testCell(1, 1000)
+	var lines []string
+	c.cfg.Log = func(event string, kv ...any) { lines = append(lines, fmt.Sprint(event, kv)) }
+	c.SetTeams([]Team{capOf("t", 4), capOf("u", 4)})
+	assert.Equal(t, len(lines), 0)
+	c.SetTeams([]Team{capOf("t", 4), capOf("u", 2)})
+	assert.Equal(t, len(lines), 1)
+	assert.Assert(t, strings.HasPrefix(lines[0], "cap of the team changed[Team u Before {4000"), lines[0])
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -4,6 +4,7 @@
 	"coriandercross/core/ccfair"
 	"coriandercross/core/ccquota"
 	"coriandercross/core/ccruntimes"
+	"coriandercross/core/ccwork"
 )
 
 // Config configures a Cell.
@@ -40,8 +41,8 @@
 	// book holds what each team has running; see caps.go. capWaits holds the teams with stages that wait for a cap.
 	book     *ccquota.Book
 	capWaits map[*ccquota.Account]*capWait
-	// runningIsKnown is the result of runningKnown in the current round.
-	runningIsKnown bool
+	// unknownRunning bounds what each team may have running in the current round beside the attempts in memory.
+	unknownRunning ccwork.Size
 	shares         *ccfair.Shares
 	// arrivals holds the jobs that settleArrivals has not charged yet, knownExcess those of them that an earlier leader
 	// has found to be excess.
