The emulator, the checker and the soak know teams: keys and caps that change while leaders are killed

Cause: nothing played keys and caps against the real program. Change: the emulator writes teams; the checker can check the platform's own bound of a cap (a tenth more and the starting task), and brings other workers up to the present before it finds a violation; TestSoakTeams plays three teams whose keys are replaced and whose caps are lowered, raised and removed, two in three lowerings with a kill of the leader, and probes with keys that no version had, revoked ones and those of other teams. Before: no test.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -89,6 +89,18 @@
 mutant cap-count-lost-at-takeover $cells/worker.go 's.job.account.Charge(s.spec.Size)' 'if !a.adopted { s.job.account.Charge(s.spec.Size) }' ./$cells "$caps"
 mutant cap-best-effort-not-counted $cells/worker.go 's.job.account.Charge(s.spec.Size)' 's.job.account.Charge(s.need)' ./$cells "$caps"
 mutant cap-copy-not-counted $cells/worker.go 's.job.account.Charge(s.spec.Size)' 'if len(s.tasks[a.task.Index]) == 1 { s.job.account.Charge(s.spec.Size) }' ./$cells "-run=TestCapCountsCopies"
+control=io/cccontrol
+keys="-run=TestTeamsAreSeparate|TestAdmit|TestKeys|TestRefusedConfiguration|TestSameID|TestIDTaken|TestTeamIsReplicated|TestOnePeerKnows|TestLeaderHears"
+mutant keys-team-not-checked $control/keys.go 'return c.keys == nil || team == "" || team == c.Team' 'return true' ./$control "$keys"
+mutant keys-every-route-is-public $control/keys.go 'if r.Public {' 'if true {' ./$control "$keys"
+mutant keys-public-route-shows-all $control/keys.go 'return o.Queue == c.Queue //' 'return true //' ./$control "$keys"
+mutant keys-renamed-team-is-another $control/keys.go '!c.keys.Has(o.Team) && o.Key != 0 && c.keys.TeamByID(o.Key) == c.Team' 'false' ./$control "$keys"
+mutant keys-owner-is-guessed $control/keys.go 'if errors.Is(err, ErrNoJob) {' 'if err != nil {' ./$control "-run=TestOwnerIsNotGuessed"
+mutant keys-same-id-in-one-transaction $control/submission.go 'i == limit || seen[sub.job.ID]' 'i == limit' ./$control "$keys"
+mutant keys-in-doubt-means-own $control/submission.go 'if sub.inDoubt && owner.Team == sub.job.Team' 'if sub.inDoubt' ./$control "$keys"
+mutant keys-team-is-not-replicated $control/statecache.go 't.sentIn == sc.token' 'true' ./$control "$keys"
+mutant versions-one-peer-is-asked $control/spread.go 'configAskPeersFirst = 8' 'configAskPeersFirst = 1' ./$control "$keys"
+mutant versions-peers-are-not-heard $control/sync.go 'p.hearVersion(in.VM, in.Version)' '' ./$control "$keys"
 quorum="-run=TestOneLeaderActs -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 quorums=core/ccquorum
 mutant handover-awaits-no-voters $quorums/quorum.go 'endsAt: wonAt + MaxWithoutStoreMs + priorAuthorityMs}' 'endsAt: wonAt + priorAuthorityMs}' ./$quorums "$quorum"
--- a/core/ccworkersim/checker.go
+++ b/core/ccworkersim/checker.go
@@ -21,6 +21,9 @@
 	// team that may be in force; a value of 0 means no limit. Both are nil if there are no teams.
 	Team func(t cccell.TaskID) (team string, size ccwork.Size)
 	Cap  func(team string, now ms) ccwork.Size
+	// CapOverrun is the part of its cap by which a team may exceed it, in percent; the starting task is allowed besides. 0
+	// allows neither.
+	CapOverrun int64
 	// Violations has one line for each violation of an invariant.
 	Violations []string
 	// Starts is the number of attempts started.
--- a/io/cccontrol/keys_test.go
+++ b/io/cccontrol/keys_test.go
@@ -30,7 +30,7 @@
 }
 
 // newKeyed returns a process whose background loops don't run. Processes with one store share their jobs.
-func newKeyed(t *testing.T, store *ccstandin.CellStore) *keyed {
+func newKeyed(t testing.TB, store *ccstandin.CellStore) *keyed {
 	t.Helper()
 	clock := ccclock.NewSystem()
 	k := &keyed{store: store, log: &bytes.Buffer{}, reg: prometheus.NewRegistry()}
