--- a/io/cccontrol/advice.go
+++ b/io/cccontrol/advice.go
@@ -7,6 +7,7 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
+	"coriandercross/core/ccsuccession"
 )
 
 // adviceDispatcher sends advice requests (calls to the policy service) to the processes that the queue assigns them to.
@@ -17,6 +18,10 @@
 
 	mu    sync.Mutex
 	peers map[string]*peerState
+	// slow holds the slowness, in tenths, of the peers that are slow, by VM. A map is not changed once it is set;
+	// slowVersion rises when it is replaced.
+	slow        map[string]int64
+	slowVersion int64
 }
 
 // peerAliveMs is the time after the last reply to a peer for which the peer counts as alive, at the shortest heartbeat
@@ -38,6 +43,12 @@
 	voter       ccquorum.Voter
 	confirmedAt ms
 	seq         int64
+	// slowTenths is SyncRequest.SlowTenths of the peer's last call.
+	slowTenths int64
+	reports    ccsuccession.Reports
+	// slowSent is the version of adviceDispatcher.slow that was last sent to the peer, and slowSentAt the time.
+	slowSent   int64
+	slowSentAt ms
 }
 
 // newAdviceDispatcher returns a dispatcher that knows this process only. Peers are added as they call Sync.
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -192,7 +192,7 @@
 		return
 	}
 	r := l.record
-	r.Voters, r.VotersToken = voters, l.token
+	r.Voters, r.VotersToken, r.Demoted = voters, l.token, p.succession.demotions(now)
 	l.recordingVoters, l.votersAt = true, now
 	l.quorum.Propose(voters)
 	go func() {
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -25,6 +25,9 @@
 	minReplyIntervalMs ms = 30
 	// rankDelayMs is the additional delay of a takeover attempt for each process that ranks higher.
 	rankDelayMs ms = 120
+	// handoverRanks is the number of ranks that all but the chosen successor of a slow leader wait for: it makes a read and
+	// a write of the store, and its announcement has to arrive.
+	handoverRanks = 4
 	// turnTimeoutMs is the longest wait of a process for its turn to take over, before it calls the leader again. The
 	// turn of a process with a low rank may come many seconds after the first failed call.
 	turnTimeoutMs ms = 400
@@ -41,9 +44,6 @@
 	// with the leader prevents a takeover. It is longer than the heartbeat interval, and shorter than syncTimeoutMs, so
 	// that no process reports contact with a leader that is down.
 	peerContactMs = 300
-	// maxVetoedMisses is the number of misses (see leaderFailure) from which the contact of other processes with the
-	// leader no longer prevents a takeover.
-	maxVetoedMisses = 6
 	// retryDelayMs is the delay before a failed operation is retried.
 	retryDelayMs ms = 100
 )
@@ -110,6 +110,8 @@
 	whyEnded   = "no longer leads"
 	whyNoStore = "does not reach the store"
 	whyResigns = "resigns"
+	whySlow    = "hands over since it is slow" // The leader has ended its term and chosen this process as its successor.
+	whyHanded  = "has handed over to another"
 )
 
 // leaderFailure records since when and why a leader should be replaced.
@@ -124,9 +126,9 @@
 	misses int
 }
 
-// maybeAlive reports whether the leader may be alive and in contact with other processes.
-func (f *leaderFailure) maybeAlive() bool {
-	return f.why == whyReset || f.why == whySilent || f.why == whyRefused
+// handedOver reports whether the leader has said that it has ended its term.
+func (f *leaderFailure) handedOver() bool {
+	return f.why == whySlow || f.why == whyHanded
 }
 
 // syncOnce makes one Sync call to the leader and applies its reply. It returns the reason why the leader should be
@@ -143,11 +145,16 @@
 	if c := p.config.Load(); c != nil {
 		in.Version = c.config.Version
 	}
-	callCtx, cancel := context.WithTimeout(ctx, (syncTimeoutMs + p.extraHeartbeat()).Duration())
+	p.measurePace()
+	in.SlowTenths = p.succession.slowTenths()
+	timeout, sent := syncTimeoutMs+p.extraHeartbeat(), p.now()
+	callCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	out, err := p.cfg.Peers.Sync(callCtx, leader.Address, in)
 	now := p.now()
 	if err != nil {
+		p.measurePace()
+		p.succession.timedOut(now-sent-timeout, now)
 		switch {
 		case errors.Is(err, ccpeer.ErrUnreachable) && errors.Is(err, syscall.ECONNREFUSED):
 			return whyRefused
@@ -156,7 +163,10 @@
 		}
 		return whyReset
 	}
-	if !out.Leading || out.Token < leader.Token {
+	switch {
+	case out.HandedOver:
+		return whyHanded
+	case !out.Leading || out.Token < leader.Token:
 		return whyEnded
 	}
 	p.mu.Lock()
@@ -165,6 +175,7 @@
 		p.receivedMs = out.SentMs
 	}
 	p.mu.Unlock()
+	p.succession.learnSlow(out.Slow, now)
 	if out.Loading {
 		if p.aloneReachesStore(out) {
 			return whyNoStore
@@ -183,6 +194,11 @@
 		go p.fetchConfig(ctx, leader.Address)
 	}
 	switch {
+	case out.Successor && out.Token == leader.Token:
+		if !p.canTakeOver() {
+			return whyHanded // It has turned slow since its call. Another one takes over.
+		}
+		return whySlow
 	case out.Resigning && !p.draining.Load():
 		return whyResigns
 	case p.aloneReachesStore(out) && !p.draining.Load():
@@ -253,6 +269,12 @@
 	if prior.VM == p.cfg.VM && prior.StartMs != p.cfg.StartMs {
 		rank = 0 // The leader is known to have ended, and to none sooner than to this process: it was on this VM.
 	}
+	switch failure.why {
+	case whySlow:
+		rank = 0
+	case whyHanded:
+		rank += handoverRanks // The successor needs the time to take over.
+	}
 	p.decision("leader is missed", "Leader", prior.VM, "Token", prior.Token, "Why", failure.why, "Misses", failure.misses,
 		"ForMs", p.now()-failure.sinceMs, "Rank", rank, "Members", p.memberCount())
 	switch p.awaitTurn(ctx, failure, rank) {
@@ -274,11 +296,10 @@
 			return true
 		}
 	}
-	if failure.maybeAlive() && failure.misses < maxVetoedMisses && p.peersReachLeader(callCtx, prior) {
-		p.cfg.Log.Info("leader still replies to peers: no takeover", "Leader", prior.VM, "Token", prior.Token, "Why", failure.why, "Misses", failure.misses)
+	if p.keepsLeader(callCtx, failure) {
 		return false
 	}
-	r := p.successorRecord(prior, &stored)
+	r := p.successorRecord(failure, &stored)
 	sent := p.now()
 	rev, err := p.cfg.Store.Write(callCtx, &Txn{If: []Condition{{keyLeader, item.Revision}}, Puts: []Put{{Key: keyLeader, Value: encode(r)}}})
 	if errors.Is(err, ccstore.ErrInDoubt) {
@@ -304,7 +325,8 @@
 
 // successorRecord returns the leader record with which this process replaces a prior leader. Until the handover is
 // complete, the voters stay those of the prior leader, and the durations cover the leaders before it as well.
-func (p *Process) successorRecord(prior leaderRecord, stored *leaderRecord) leaderRecord {
+func (p *Process) successorRecord(failure *leaderFailure, stored *leaderRecord) leaderRecord {
+	prior := failure.leader
 	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: prior.Token + 1, LeaseMs: p.cfg.LeaseMs, AuthorityMs: termAuthorityMs(p.memberCount())}
 	r.Voters, r.VotersToken = stored.Voters, stored.VotersToken
 	if stored.Token == 0 {
@@ -313,6 +335,10 @@
 	if !stored.settled() {
 		r.LeaseMs, r.AuthorityMs = max(r.LeaseMs, stored.LeaseMs), max(r.AuthorityMs, stored.AuthorityMs)
 	}
+	if failure.handedOver() || failure.why == whySilent {
+		p.succession.demote(prior.VM, p.now())
+	}
+	r.Demoted = p.succession.demotions(p.now())
 	return r
 }
 
@@ -352,36 +378,16 @@
 
 // Announce implements ccpeer.CellHandler: a new leader announces its term.
 func (p *Process) Announce(_ context.Context, in *ccpeer.AnnounceRequest) (*ccpeer.AnnounceReply, error) {
-	p.observeLeader(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, revision: in.Revision}, "announcement")
+	p.observeLeader(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, Demoted: in.Demoted, revision: in.Revision}, "announcement")
 	leader, _ := p.currentLeader()
 	return &ccpeer.AnnounceReply{VM: p.cfg.VM, StartMs: p.cfg.StartMs, Token: leader.Token, Completed: p.stateCache.completions(nil)}, nil
 }
 
-// peersReachLeader asks up to two other processes, and reports whether one of them had a reply from the leader
-// recently.
-func (p *Process) peersReachLeader(ctx context.Context, leader leaderRecord) bool {
-	asked := 0
-	maxAge := peerContactMs + p.extraHeartbeat()
-	for _, address := range p.peerAddresses() {
-		if address == leader.Address || asked == 2 {
-			continue
-		}
-		asked++
-		callCtx, cancel := context.WithTimeout(ctx, peerContactMs*time.Millisecond/2)
-		out, err := p.cfg.Peers.LeaderContact(callCtx, address, &ccpeer.LeaderContactRequest{Token: leader.Token})
-		cancel()
-		if err == nil && out.AgoMs >= 0 && ms(out.AgoMs) < maxAge {
-			return true
-		}
-	}
-	return false
-}
-
 // LeaderContact implements ccpeer.CellHandler: it returns the age of the leader's last reply to this process.
 func (p *Process) LeaderContact(_ context.Context, in *ccpeer.LeaderContactRequest) (*ccpeer.LeaderContactReply, error) {
 	leader, at := p.currentLeader()
 	if leader.Token != in.Token || at == 0 {
-		return &ccpeer.LeaderContactReply{AgoMs: -1}, nil
+		return &ccpeer.LeaderContactReply{AgoMs: -1, Slow: p.succession.slow(p.now())}, nil
 	}
-	return &ccpeer.LeaderContactReply{AgoMs: int64(p.now() - at)}, nil
+	return &ccpeer.LeaderContactReply{AgoMs: int64(p.now() - at), Slow: p.succession.slow(p.now())}, nil
 }
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -5,6 +5,7 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
+	"coriandercross/core/ccsuccession"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -59,6 +60,9 @@
 	Voters      []ccquorum.Voter `cbor:"7,keyasint,omitempty"`
 	VotersToken int64            `cbor:"8,keyasint,omitempty"`
 
+	// Demoted are the VMs that rank behind the others; see ccsuccession.
+	Demoted []ccsuccession.Demotion `cbor:"9,keyasint,omitempty"`
+
 	// revision is that of the record in the store.
 	revision int64
 }
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -9,6 +9,7 @@
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccquorum"
+	"coriandercross/core/ccsuccession"
 	"coriandercross/io/ccpeer"
 )
 
@@ -81,6 +82,11 @@
 	confirming bool
 	// early holds the early completions that a majority of the voters may not have, oldest first.
 	early []earlyBatch
+	// lag is that of the event loop, and resignation decides whether this leader hands over because it is slow.
+	lag         ccsuccession.Lag
+	resignation ccsuccession.Resignation
+	// offer tells whom this leader hands over to, nil while it stays.
+	offer atomic.Pointer[ccsuccession.Offer]
 	// suspendedTime is the last observed value of ccclock.SuspendedTime.
 	suspendedTime ms
 	// roster is the roster that this term persisted last, empty before the first write: the incarnation of each worker,
@@ -101,14 +107,14 @@
 	p.loadingToken.Store(r.Token)
 	defer p.loadingToken.Store(0)
 	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventQueueSize), ended: make(chan struct{}), roster: map[string]int64{}, suspendedTime: ccclock.SuspendedTime()}
-	l.announcement = ccpeer.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision}
+	l.announcement = ccpeer.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision, Demoted: r.Demoted}
 	l.beganAt, l.hadAuthority = began, true
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.quorum = ccquorum.NewTerm(p.voter(), r.authority(), r.Voters, sent)
 	l.handover = ccquorum.NewHandover(r.Voters, prior.settled(), prior.authority(), began)
 	l.handover.Follows(p.voter(), began)
-	if prior.Token == 0 || (prior.VM == p.cfg.VM && prior.StartMs != p.cfg.StartMs) {
-		// There was no prior leader, or it was this process before its restart.
+	if prior.Token == 0 || (prior.VM == p.cfg.VM && prior.StartMs != p.cfg.StartMs) || (failure.handedOver() && failure.leader.Token == prior.Token) {
+		// There was no prior leader, or it was this process before its restart, or it has ended its term for this one.
 		l.handover.PriorLeaderEnded(began)
 	}
 	l.cell = cccell.New(cccell.Config{
@@ -174,9 +180,10 @@
 	}
 }
 
-// end ends the term. Calls after the first have no effect.
-func (l *leadership) end(why string) {
+// end ends the term. Calls after the first have no effect and return false.
+func (l *leadership) end(why string) (ended bool) {
 	l.endOnce.Do(func() {
+		ended = true
 		l.p.cfg.Log.Warn("lead ended", "Token", l.token, "Why", why)
 		l.p.mu.Lock()
 		l.p.leadership = nil
@@ -184,6 +191,7 @@
 		l.cancel()
 		close(l.ended)
 	})
+	return ended
 }
 
 // resign asks peers to take over. This process leads until one of them has: fencing tokens protect against orders of
@@ -210,21 +218,25 @@
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
 	for {
+		began := time.Now()
 		select {
 		case <-l.ended:
 			return
 		case e := <-l.events:
+			began = time.Now()
 			now := l.p.now()
 			e(now)
 			for n := len(l.events); n > 0; n-- {
 				(<-l.events)(now)
 			}
 		case <-tick.C:
+			began = time.Now()
 		}
-		began := time.Now()
+		round := time.Now()
 		l.step()
+		l.considerSuccession(time.Since(began))
 		// Each round visits all queued jobs, so events that arrive during the delay share the next round.
-		time.Sleep(min(roundDelayFactor*time.Since(began), maxRoundDelay))
+		time.Sleep(min(roundDelayFactor*time.Since(round), maxRoundDelay))
 	}
 }
 
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
+
+	"coriandercross/core/ccsuccession"
 
 	"github.com/cockroachdb/errors"
 )
@@ -132,29 +133,23 @@
 }
 
 // rank returns the position, from 0, of this process in the order in which processes try to take over from a failed
-// leader. Processes in the region of the failed leader come first, since the store and most workers are there. Within
-// that region and within the others, processes with more cores come first. The failed leader itself is not counted.
+// leader, by ccsuccession.Order with the region of the failed leader as home. The failed leader itself is not counted.
 func (p *Process) rank(failed leaderRecord) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []member
+	var list []ccsuccession.Candidate
+	now := p.now()
 	for _, m := range p.members {
 		if m.VM == failed.VM && m.StartMs == failed.StartMs {
 			continue
 		}
-		list = append(list, m)
-	}
-	home := failed.Region(p.members)
-	sort.Slice(list, func(a, b int) bool {
-		x, y := &list[a], &list[b]
-		if (x.Region == home) != (y.Region == home) {
-			return x.Region == home
-		}
-		if x.Cores != y.Cores {
-			return x.Cores > y.Cores
+		c := ccsuccession.Candidate{VM: m.VM, Region: m.Region, Cores: m.Cores, Slowness: p.succession.peerSlowness(m.VM, now), Demoted: p.succession.isDemoted(m.VM, now)}
+		if m.VM == p.cfg.VM {
+			c.Slowness = p.succession.slownessIfSlow()
 		}
-		return x.VM < y.VM
-	})
+		list = append(list, c)
+	}
+	ccsuccession.Order(list, failed.Region(p.members))
 	for i := range list {
 		if list[i].VM == p.cfg.VM {
 			return i
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -16,6 +16,8 @@
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
+	// slowness is how many times slower than normally this VM runs.
+	slowness prometheus.Gauge
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -47,8 +49,11 @@
 		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coriandercross_advice_calls_total", Help: "Results of calls to the policy service.",
 		}, []string{"outcome"}),
+		slowness: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coriandercross_vm_slowness", Help: "How many times longer a fixed work takes than normally on this VM.",
+		}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.slowness)
 	return m
 }
 
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -82,7 +82,11 @@
 	// for none.
 	loadingToken atomic.Int64
 	draining     atomic.Bool
-	done         sync.WaitGroup
+	// handedOver is the token of the last term of this process that ended because it was slow and chose a successor, 0 for
+	// none.
+	handedOver atomic.Int64
+	succession succession
+	done       sync.WaitGroup
 }
 
 // New returns a process. Its background loops run only during Serve.
@@ -192,6 +196,7 @@
 	if !newer {
 		return
 	}
+	p.succession.began(&r, p.now())
 	p.notifier.resendRecent()
 	p.cfg.Log.Info("leader changed", "Leader", r.VM, "Token", r.Token, "Before", old.Token, "Source", source)
 	if l != nil && l.token < r.Token {
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -24,9 +24,10 @@
 		}
 	}
 	if l == nil {
-		return &ccpeer.SyncReply{}, nil
+		return p.noLeaderReply(), nil
 	}
 	peer := l.dispatcher.peer(in.VM, in.Draining)
+	l.dispatcher.recordSlowness(peer, in.SlowTenths)
 	if in.Following == l.token {
 		seq := in.Seq
 		if in.Token != l.token {
@@ -44,7 +45,7 @@
 	for {
 		seq, full, changes, next := p.stateCache.changesSince(in.Token, in.Seq)
 		requests := peer.takeRequests()
-		done := full || len(changes) > 0 || len(requests) > 0 || p.draining.Load()
+		done := full || len(changes) > 0 || len(requests) > 0 || p.draining.Load() || l.accepts(peer)
 		if !done {
 			select {
 			case <-next:
@@ -53,7 +54,7 @@
 				continue
 			case <-heartbeatTimer.C:
 			case <-l.ended:
-				return &ccpeer.SyncReply{}, nil
+				return p.noLeaderReply(), nil
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
@@ -67,7 +68,14 @@
 		if c := p.config.Load(); c != nil {
 			out.Version = c.config.Version
 		}
+		if l.accepts(peer) {
+			if !l.handOver(in.VM) {
+				return p.noLeaderReply(), nil
+			}
+			out.Resigning, out.Successor = true, true
+		}
 		now := p.now()
+		out.Slow = l.dispatcher.slowPeers(peer, ms(in.ReceivedMs), now)
 		out.SentMs = int64(now)
 		peer.recordReply(now)
 		return out, nil
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/ccsuccession"
 	"coriandercross/core/ccwork"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,8 @@
 	// that it received from that leader, 0 for none.
 	Following  int64 `cbor:"7,keyasint,omitempty"`
 	ReceivedMs int64 `cbor:"8,keyasint,omitempty"`
+	// SlowTenths is how many times slower than normally the sender runs, in tenths, 0 while that is not worth reporting.
+	SlowTenths int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -69,7 +72,7 @@
 	StoreAgeMs int64 `cbor:"8,keyasint,omitempty"`
 	// Version is the version of the configuration in force at the leader.
 	Version int64 `cbor:"9,keyasint,omitempty"`
-	// Resigning asks the peer to take over, since the leader is about to stop.
+	// Resigning asks the peer to take over, since the leader is about to stop, or slow.
 	Resigning bool `cbor:"10,keyasint,omitempty"`
 	// Loading is true while the leader loads its state from the store. Only Leading, Token and StoreAgeMs are set then.
 	Loading bool `cbor:"12,keyasint,omitempty"`
@@ -78,6 +81,14 @@
 	// SentMs is the time of the reply on the leader's clock. The peer returns it in its next request, which shows the
 	// leader that the peer still followed it then.
 	SentMs int64 `cbor:"14,keyasint,omitempty"`
+	// Successor is true, with Resigning, if the leader has chosen this peer alone and has ended its term.
+	Successor bool `cbor:"15,keyasint,omitempty"`
+	// HandedOver is true, without Leading, if the term of the sender was the last one that it knows of, and it has chosen
+	// a successor.
+	HandedOver bool `cbor:"16,keyasint,omitempty"`
+	// Slow holds the slowness, in tenths, of the processes that have reported to be slow, by VM. It is left out unless it
+	// has changed, or was last sent some seconds ago.
+	Slow map[string]int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -140,6 +151,8 @@
 type LeaderContactReply struct {
 	// AgoMs is the time since the leader's last reply, -1 if there was none or the receiver follows another leader.
 	AgoMs int64 `cbor:"1,keyasint"`
+	// Slow is true while the sender runs so slowly that it may have missed replies of the leader.
+	Slow bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -154,6 +167,8 @@
 	StartMs  int64  `cbor:"3,keyasint"`
 	Token    int64  `cbor:"4,keyasint"`
 	Revision int64  `cbor:"5,keyasint"`
+	// Demoted are the processes that rank behind the others; see ccsuccession.
+	Demoted []ccsuccession.Demotion `cbor:"6,keyasint,omitempty"`
 }
 
 // Check implements Message.
