--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -164,7 +164,7 @@
 		return whyReset
 	}
 	switch {
-	case out.HandedOver:
+	case out.HandedOver && out.Token == leader.Token:
 		return whyHanded
 	case !out.Leading || out.Token < leader.Token:
 		return whyEnded
--- a/io/cccontrol/succession.go
+++ b/io/cccontrol/succession.go
@@ -293,7 +293,10 @@
 // noLeaderReply returns the reply of a process that does not lead.
 func (p *Process) noLeaderReply() *ccpeer.SyncReply {
 	leader, _ := p.currentLeader()
-	return &ccpeer.SyncReply{HandedOver: leader.Token > 0 && leader.Token == p.handedOver.Load()}
+	if leader.Token == 0 || leader.Token != p.handedOver.Load() {
+		return &ccpeer.SyncReply{}
+	}
+	return &ccpeer.SyncReply{Token: leader.Token, HandedOver: true}
 }
 
 // wakeAll lets the calls of Sync that wait for a change look for one again.
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -83,8 +83,8 @@
 	SentMs int64 `cbor:"14,keyasint,omitempty"`
 	// Successor is true, with Resigning, if the leader has chosen this peer alone and has ended its term.
 	Successor bool `cbor:"15,keyasint,omitempty"`
-	// HandedOver is true, without Leading, if the term of the sender was the last one that it knows of, and it has chosen
-	// a successor.
+	// HandedOver is true, without Leading, if Token is that of the last term that the sender knows of, which was its own
+	// and has ended since it has chosen a successor.
 	HandedOver bool `cbor:"16,keyasint,omitempty"`
 	// Slow holds the slowness, in tenths, of the processes that have reported to be slow, by VM. It is left out unless it
 	// has changed, or was last sent some seconds ago.
