--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -23,6 +23,8 @@
 	teamSubmitted  *teamCounter
 	// runTimeErrors has the factors by which predicted run times and estimates were off.
 	runTimeErrors *prometheus.HistogramVec
+	// slowness is how many times slower than normally this VM runs.
+	slowness prometheus.Gauge
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -70,8 +72,11 @@
 		runTimeErrors: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "coriandercross_run_time_error", Help: "Factors by which predicted run times and callers' estimates were off.", Buckets: errorBuckets,
 		}, []string{"queue", "by"}),
+		slowness: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coriandercross_vm_slowness", Help: "How many times longer a fixed work takes than normally on this VM.",
+		}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.runTimeErrors)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
 	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
 	return m
 }
