A gang above the cap that was accepted before is not refused at a process that does not know it

The store is asked before such a refusal; if it can't tell, the answer is 504. TestGangAboveTheCapIsRefused asks a second process; it failed before.

--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -72,7 +72,7 @@
 func (p *Process) Submit(ctx context.Context, caller Caller, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
 	j.Team, j.Key = caller.Team, caller.Key
-	err := p.checkCap(j)
+	err := p.checkCap(ctx, j)
 	if err == nil {
 		err = p.submit(ctx, &caller, j, began+ms(float64(budgetMs)*inDoubtFraction))
 	}
@@ -96,17 +96,24 @@
 }
 
 // checkCap returns a refusal for a job that the cap of its team will never admit. A job that was accepted before the cap
-// was lowered is not refused.
-func (p *Process) checkCap(j *cccell.Job) error {
+// was lowered is not refused; if the store can't tell, the error is ccstore.ErrInDoubt.
+func (p *Process) checkCap(ctx context.Context, j *cccell.Job) error {
 	c := p.Configuration()
 	if c == nil {
 		return nil
 	}
+	over := c.CheckCap(j)
+	if over == nil {
+		return nil
+	}
 	if _, _, known := p.stateCache.job(j.ID); known {
 		return nil
 	}
-	if err := c.CheckCap(j); err != nil {
-		return &Refusal{Reason: err, RetryAfterMs: overCapRetryAfterMs}
+	switch _, err := p.readState(ctx, j.ID, false); {
+	case errors.Is(err, ErrNoJob):
+		return &Refusal{Reason: over, RetryAfterMs: overCapRetryAfterMs}
+	case err != nil:
+		return errors.Mark(err, ccstore.ErrInDoubt)
 	}
 	return nil
 }
--- a/io/cccontrol/overcap_test.go
+++ b/io/cccontrol/overcap_test.go
@@ -27,6 +27,11 @@
 	assert.NilError(t, submit("early"))
 	k.configure(2, low)
 	assert.NilError(t, submit("early"))
+	other := newKeyed(t, k.store) // It has not heard of the job.
+	other.configure(2, low)
+	k, first := other, k
+	assert.NilError(t, submit("early"))
+	k = first
 	err := submit("late")
 	var refusal *cccontrol.Refusal
 	assert.Assert(t, errors.As(err, &refusal) && errors.Is(err, cccell.ErrOverCap), "%v", err)
