Peers are asked for the version first, and one of them for the document

Cause: each peer asked sent the whole document, so that a process which the store turned away could get up to eight copies of a new one; a document with many routes is large, and bytes between regions are slow and priced. Ruled out: asking fewer peers (the bound of 4 s needs them). Change: CellConfigRequest.VersionOnly; processes of earlier releases ignore it and send the document, which is taken. Before: the fake of an earlier release shows that each asked peer sends the document.

--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -100,6 +100,7 @@
 mutant keys-in-doubt-means-own $control/submission.go 'if sub.inDoubt && owner.Team == sub.job.Team' 'if sub.inDoubt' ./$control "$keys"
 mutant keys-team-is-not-replicated $control/statecache.go 't.sentIn == sc.token' 'true' ./$control "$keys"
 mutant versions-one-peer-is-asked $control/spread.go 'configAskPeersFirst = 8' 'configAskPeersFirst = 1' ./$control "$keys"
+mutant versions-all-peers-send-the-document $control/spread.go '!p.fetchingConfig.CompareAndSwap(false, true)' 'false' ./$control "-run=TestDocumentIsFetchedOnce|TestLeaderHears"
 mutant versions-peers-are-not-heard $control/sync.go 'p.hearVersion(in.VM, in.Version)' '' ./$control "$keys"
 quorum="-run=TestOneLeaderActs -rapid.checks=20000 -rapid.shrinktime=1s -rapid.nofailfile"
 quorums=core/ccquorum
--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -66,14 +66,21 @@
 
 // fetchConfig fetches the configuration of a peer and puts it in force if it is newer.
 func (p *Process) fetchConfig(ctx context.Context, address string) {
-	out, err := p.cfg.Peers.CellConfig(ctx, address, &ccpeer.CellConfigRequest{KnownVersion: p.configVersion()})
+	p.requestConfig(ctx, address, false)
+}
+
+// requestConfig asks a peer for a newer configuration, or only for its version, and puts the document in force if the
+// reply has one. It returns the version of the peer, 0 if it is not newer or not known.
+func (p *Process) requestConfig(ctx context.Context, address string, versionOnly bool) int64 {
+	out, err := p.cfg.Peers.CellConfig(ctx, address, &ccpeer.CellConfigRequest{KnownVersion: p.configVersion(), VersionOnly: versionOnly})
 	if err != nil {
 		p.cfg.Log.Debug("configuration not fetched from a peer", "Peer", address, "Error", err)
-		return
+		return 0
 	}
 	if len(out.Raw) > 0 {
 		p.activate(out.Raw, out.Revision, "fellow") // "fellow" is the name of a peer in the log.
 	}
+	return out.Version
 }
 
 // activate puts a configuration in force, unless it is malformed or not newer than the present one. source names where
@@ -119,5 +126,9 @@
 	if c == nil || c.config.Version <= in.KnownVersion {
 		return &ccpeer.CellConfigReply{}, nil
 	}
-	return &ccpeer.CellConfigReply{Raw: c.raw, Revision: c.revision}, nil
+	out := &ccpeer.CellConfigReply{Revision: c.revision, Version: c.config.Version}
+	if !in.VersionOnly {
+		out.Raw = c.raw
+	}
+	return out, nil
 }
--- a/io/cccontrol/hear_test.go
+++ b/io/cccontrol/hear_test.go
@@ -40,7 +40,10 @@
 	ccpeer.CellHandler
 	version byte
 	delay   ms
-	asked   atomic.Int64
+	// earlier is true for a peer of an earlier release, which knows no questions for the version only.
+	earlier bool
+	// asked counts all questions, sent the documents.
+	asked, sent atomic.Int64
 }
 
 func (v *versionPeer) CellConfig(ctx context.Context, in *ccpeer.CellConfigRequest) (*ccpeer.CellConfigReply, error) {
@@ -51,6 +54,10 @@
 	if int64(v.version) <= in.KnownVersion {
 		return &ccpeer.CellConfigReply{}, nil
 	}
+	if in.VersionOnly && !v.earlier {
+		return &ccpeer.CellConfigReply{Revision: 2, Version: int64(v.version)}, nil
+	}
+	v.sent.Add(1)
 	return &ccpeer.CellConfigReply{Raw: []byte{v.version}, Revision: 2}, nil
 }
 
@@ -78,13 +85,16 @@
 	tests := map[string]struct {
 		fail  func(context.Context, ms) error
 		other ccpeer.CellHandler // nil if the other peers refuse the connection.
+		// earlier is true if the peer that knows the version is of an earlier release.
+		earlier bool
 	}{
-		"StoreRefuses":       {refuse, stale},
-		"StoreSilent":        {silence, stale},
-		"PeersSilent":        {refuse, &versionPeer{delay: 60_000}},
-		"AllSilent":          {silence, &versionPeer{delay: 60_000}},
-		"PeersGone":          {refuse, nil},
-		"PeersGoneAndSilent": {silence, nil},
+		"StoreRefuses":       {refuse, stale, false},
+		"StoreSilent":        {silence, stale, false},
+		"PeersSilent":        {refuse, &versionPeer{delay: 60_000}, false},
+		"AllSilent":          {silence, &versionPeer{delay: 60_000}, false},
+		"PeersGone":          {refuse, nil, false},
+		"PeersGoneAndSilent": {silence, nil, false},
+		"EarlierRelease":     {refuse, stale, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -100,7 +110,7 @@
 			for i := range peers {
 				vm, address := fmt.Sprintf("vm-%d", i), other
 				if i == knows {
-					address = servePeer(t, &versionPeer{version: 2})
+					address = servePeer(t, &versionPeer{version: 2, earlier: test.earlier})
 				}
 				p.members[vm] = member{VM: vm, Address: address}
 			}
@@ -177,6 +187,26 @@
 	})
 }
 
+// TestDocumentIsFetchedOnce checks that a document, which may be large, is not sent by all peers that have it. Load: the
+// store turns a third of the processes away while many routes are added; the links between regions are slow and priced.
+func TestDocumentIsFetchedOnce(t *testing.T) {
+	p := newFollower(t, nil)
+	p.cfg.ConfigSource = &numberSource{fail: func(context.Context, ms) error { return ccstore.ErrUnavailable }}
+	peer := &versionPeer{version: 2, delay: 20}
+	address := servePeer(t, peer)
+	for i := range 44 {
+		vm := fmt.Sprintf("vm-%d", i)
+		p.members[vm] = member{VM: vm, Address: address}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	go p.watchConfig(ctx)
+	p.spreadConfig(ctx)
+	assert.Equal(t, p.configVersion(), int64(2))
+	assert.Assert(t, peer.asked.Load() > 4)
+	assert.Equal(t, peer.sent.Load(), int64(1))
+}
+
 // TestHealthyProcessAsksNobody checks that a process which reads the store does not ask its peers.
 func TestHealthyProcessAsksNobody(t *testing.T) {
 	p := newFollower(t, nil)
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -77,8 +77,8 @@
 
 	// config is the configuration in force, nil for none.
 	config atomic.Pointer[activeConfig]
-	// configReads tells whether the store answers reads of the configuration. fetchingConfig is true while a version that
-	// a peer has is fetched because the peer called this process.
+	// configReads tells whether the store answers reads of the configuration. fetchingConfig is true while a newer version
+	// is fetched from a peer that is known to have it.
 	configReads    configReads
 	fetchingConfig atomic.Bool
 	// refusedConfig is the digest of the last configuration that was refused, nil for none.
--- a/io/cccontrol/spread.go
+++ b/io/cccontrol/spread.go
@@ -73,28 +73,41 @@
 	}
 }
 
-// askForConfig fetches the configuration of a peer, within configAskTimeoutMs.
+// askForConfig asks a peer for its version, within configAskTimeoutMs, and fetches the document if it is newer. A document
+// may be large, and many peers may have it.
 func (p *Process) askForConfig(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, configAskTimeoutMs.Duration())
 	defer cancel()
-	p.fetchConfig(ctx, address)
+	p.fetchNewer(ctx, address, p.requestConfig(ctx, address, true))
 }
 
-// hearVersion fetches the configuration of a peer that has called this process, if the peer has a newer version. One
-// version is fetched at a time; after a failure, the peer's next call repeats it.
+// fetchNewer fetches the configuration of a peer that has a version, if it is newer and none is being fetched.
+func (p *Process) fetchNewer(ctx context.Context, address string, version int64) {
+	if version <= p.configVersion() || !p.fetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.fetchingConfig.Store(false)
+	if version > p.configVersion() { // Else it was fetched just now.
+		p.fetchConfig(ctx, address)
+	}
+}
+
+// hearVersion fetches the configuration of a peer that has called this process, if the peer has a newer version. After a
+// failure, the peer's next call repeats it.
 func (p *Process) hearVersion(vm string, version int64) {
-	if version <= p.configVersion() {
+	if version <= p.configVersion() || p.fetchingConfig.Load() {
 		return
 	}
 	p.mu.Lock()
 	address := p.members[vm].Address
 	p.mu.Unlock()
-	if address == "" || !p.fetchingConfig.CompareAndSwap(false, true) {
+	if address == "" {
 		return
 	}
 	go func() {
-		defer p.fetchingConfig.Store(false)
-		p.askForConfig(context.Background(), address)
+		ctx, cancel := context.WithTimeout(context.Background(), configAskTimeoutMs.Duration())
+		defer cancel()
+		p.fetchNewer(ctx, address, version)
 	}()
 }
 
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -221,6 +221,8 @@
 type CellConfigRequest struct {
 	// KnownVersion is the version that the sender has. The reply is empty unless there is a newer one.
 	KnownVersion int64 `cbor:"1,keyasint"`
+	// VersionOnly asks for the version without the document. Processes of earlier releases return the document.
+	VersionOnly bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -234,6 +236,8 @@
 	Raw []byte `cbor:"1,keyasint,omitempty"`
 	// Revision is the revision of the document in the store.
 	Revision int64 `cbor:"2,keyasint,omitempty"`
+	// Version is the version of the configuration, if it is newer than that of the sender of the request.
+	Version int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Check implements Message.
