--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -79,7 +79,7 @@
 	if t.requested && now < t.deadline {
 		return true
 	}
-	if now < t.noCandidatesUntil {
+	if now < t.noCandidatesUntil || c.scarce[c.queue(s.job).Service] && c.deferred(s, now) {
 		return false
 	}
 	names := c.adviceCandidates(s, now)
--- a/core/cccell/crashload_test.go
+++ b/core/cccell/crashload_test.go
@@ -45,6 +45,10 @@
 	states map[string]cccell.State
 	// excess holds the jobs beyond their teams' budgets, nil if the test has no teams.
 	excess map[string]bool
+	// stepMs is the time between two rounds, crashStepMs if it is 0.
+	stepMs ms
+	// advise gets the requests to the policy service, once in each round; nil if no queue has one.
+	advise func([]cccell.AdviceRequest)
 	// crashes counts the workers that a task has crashed, and startsAfter its starts after the third of them.
 	crashes, startsAfter map[cccell.TaskID]int
 	seq                  int
@@ -142,7 +146,7 @@
 
 // run plays a time, with a job that could be done each 100 ms; each is called before each round.
 func (l *crashLoad) run(forMs ms, each func()) {
-	for until := l.now + forMs; l.now < until; l.now += crashStepMs {
+	for until := l.now + forMs; l.now < until; l.now += max(l.stepMs, crashStepMs) {
 		if each != nil {
 			each()
 		}
@@ -218,6 +222,9 @@
 		}
 		l.cell.OnPollReply(o, reply, lists, l.now)
 	}
+	if l.advise != nil {
+		l.advise(out.AdviceRequests)
+	}
 	for _, c := range out.Changes {
 		l.states[c.Job] = c.State
 		if c.Excess {
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"math"
 	"sort"
 
 	"coriandercross/core/ccwork"
@@ -63,6 +64,7 @@
 	for _, s := range list {
 		s.job.team.Wait()
 	}
+	c.findScarce(list, now)
 	rank := make(map[*stage]float64, len(list))
 	for _, s := range list {
 		rank[s] = c.rank(s, now)
@@ -83,6 +85,9 @@
 		}
 		return x.id.Stage < y.id.Stage
 	})
+	for i, s := range list {
+		s.ahead = i
+	}
 	return list
 }
 
@@ -301,7 +306,11 @@
 		}
 	}
 	fields := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
-	c.cfg.Log(event, append(append(fields, kv...), byReason...)...)
+	fields = append(fields, kv...)
+	if s.job.team != nil {
+		fields = append(fields, "Team", s.job.spec.Team, "Ahead", s.ahead, "Excess", s.job.excess, "Held", math.Round(100*s.job.team.Held(s.job.running))/100)
+	}
+	c.cfg.Log(event, append(fields, byReason...)...)
 }
 
 // best returns the index of the worker for the next task. The lowest cost is best; among workers of the same cost it is
--- a/core/cccell/share_test.go
+++ b/core/cccell/share_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
@@ -17,24 +18,73 @@
 	largestTeam, smallTeam = 0, 10
 )
 
-// shareDay is a day of the load: batch work at 2.5 times its rate, and one team at seven times its usual.
+// shareDay is a day of the load: batch work at 2.5 times its rate, and the largest team at seven times its usual.
 type shareDay struct {
 	seed uint64
-	hot  int
-	fair bool
+	// fair is false if the cell has no teams, policy is true if the queues have a policy service.
+	fair, policy bool
+	// usual is true if no team is hot, and takenAway if a twelfth of the workers is taken away at two seconds' notice in
+	// the middle of the crest.
+	usual, takenAway bool
 }
 
 // sharePlays holds the days that were played, since several tests look at them.
 var sharePlays = map[shareDay]*shareLoad{}
 
-// play plays a day, once.
-func (d shareDay) play(t *testing.T) *shareLoad {
-	if sharePlays[d] == nil {
-		traffic, teams := shareTraffic(d.seed, 2.5, 7, d.hot)
-		sharePlays[d] = newShareLoad(t, traffic, teams, d.fair)
-		sharePlays[d].play(nil)
+// playsAtOnce is the number of days that are played at the same time.
+const playsAtOnce = 4
+
+// played returns the plays of days, which differ in what is drawn. Each day is played once.
+func played(t *testing.T, days int, d shareDay) []*shareLoad {
+	out := make([]*shareLoad, days)
+	var plays errgroup.Group
+	plays.SetLimit(playsAtOnce)
+	for i := range out {
+		d.seed = uint64(i + 1)
+		if out[i] = sharePlays[d]; out[i] != nil {
+			continue
+		}
+		out[i] = d.load(t)
+		sharePlays[d] = out[i]
+		plays.Go(func() error {
+			out[i].play()
+			return nil
+		})
+	}
+	assert.NilError(t, plays.Wait())
+	return out
+}
+
+// load returns the load of a day.
+func (d shareDay) load(t *testing.T) *shareLoad {
+	hotFactor := 7.0
+	if d.usual {
+		hotFactor = 1
 	}
-	return sharePlays[d]
+	traffic, teams := shareTraffic(d.seed, 2.5, hotFactor, largestTeam)
+	for _, j := range traffic {
+		if d.policy {
+			j.Queue.Advice = &kindOf(j.Job).advice
+		}
+	}
+	l := newShareLoad(t, traffic, teams, d.fair)
+	if d.takenAway {
+		l.each = func(at ms) {
+			if at == 9000 {
+				l.takeAway(slices.Clone(l.workers[:3]))
+			}
+		}
+	}
+	return l
+}
+
+// jobsOf returns the jobs of several plays.
+func jobsOf(plays []*shareLoad) []*sharedJob {
+	var out []*sharedJob
+	for _, l := range plays {
+		out = append(out, l.traffic...)
+	}
+	return out
 }
 
 func all(*sharedJob) bool { return true }
@@ -43,41 +93,47 @@
 
 // Over several days, each team gets its part of what it is owed. Jobs placed as they come don't pass.
 func TestTeamsGetWhatTheyAreOwed(t *testing.T) {
-	var fair, plain []*sharedJob
-	for seed := uint64(1); seed <= shareDays; seed++ {
-		fair = append(fair, shareDay{seed, largestTeam, true}.play(t).traffic...)
-		plain = append(plain, shareDay{seed, largestTeam, false}.play(t).traffic...)
+	tests := map[string]bool{"Room": false, "PolicyService": true}
+	for name, policy := range tests {
+		t.Run(name, func(t *testing.T) {
+			fair := jobsOf(played(t, shareDays, shareDay{fair: true, policy: policy}))
+			plain := jobsOf(played(t, shareDays, shareDay{policy: policy}))
+			t.Logf("worst to median %.3f, as they come %.3f; served %.3f, as they come %.3f", worstToMedian(fair), worstToMedian(plain), served(fair, all), served(plain, all))
+			t.Logf("by team %.2f, as they come %.2f", byTeam(fair), byTeam(plain))
+			assert.Assert(t, worstToMedian(fair) >= fairBound)
+			assert.Assert(t, worstToMedian(plain) < fairBound, "the load doesn't tell the orders apart")
+		})
 	}
-	t.Logf("worst to median %.3f, as they come %.3f; served %.3f, as they come %.3f", worstToMedian(fair), worstToMedian(plain), served(fair, all), served(plain, all))
-	t.Logf("by team %.2f, as they come %.2f", byTeam(fair), byTeam(plain))
-	assert.Assert(t, worstToMedian(fair) >= fairBound)
-	assert.Assert(t, worstToMedian(plain) < fairBound, "the load doesn't tell the orders apart")
 }
 
 // On each single day, the worst team gets nearly as much of what it is owed as the median team.
 func TestTeamsGetWhatTheyAreOwedEachDay(t *testing.T) {
-	for seed := uint64(1); seed <= shareDays; seed++ {
-		t.Run(fmt.Sprint("Day", seed), func(t *testing.T) {
-			got := worstToMedian(shareDay{seed, largestTeam, true}.play(t).traffic)
-			plain := worstToMedian(shareDay{seed, largestTeam, false}.play(t).traffic)
-			t.Logf("worst to median %.3f, as they come %.3f", got, plain)
+	testEachDay(t, false)
+}
+
+// The same where a policy service decides which workers may run a stage. A small team has about eight jobs on a day.
+func TestTeamsGetWhatTheyAreOwedEachDayWithPolicyService(t *testing.T) {
+	testEachDay(t, true)
+}
+
+func testEachDay(t *testing.T, policy bool) {
+	fair := played(t, shareDays, shareDay{fair: true, policy: policy})
+	plain := played(t, shareDays, shareDay{policy: policy})
+	for i := range fair {
+		t.Run(fmt.Sprint("Day", i+1), func(t *testing.T) {
+			got, asTheyCome := worstToMedian(fair[i].traffic), worstToMedian(plain[i].traffic)
+			t.Logf("worst to median %.3f, as they come %.3f", got, asTheyCome)
 			assert.Assert(t, got >= fairBound, "got %.3f", got)
-			assert.Assert(t, plain < fairBound)
+			assert.Assert(t, asTheyCome < fairBound)
 		})
 	}
 }
 
 // Small teams are served as on the same days without the hot team.
 func TestSmallTeamsDontNoticeTheHotTeam(t *testing.T) {
-	var hot, usual, plain []*sharedJob
-	for seed := uint64(1); seed <= shareDays; seed++ {
-		hot = append(hot, shareDay{seed, largestTeam, true}.play(t).traffic...)
-		plain = append(plain, shareDay{seed, largestTeam, false}.play(t).traffic...)
-		traffic, teams := shareTraffic(seed, 2.5, 1, largestTeam)
-		l := newShareLoad(t, traffic, teams, true)
-		l.play(nil)
-		usual = append(usual, l.traffic...)
-	}
+	hot := jobsOf(played(t, shareDays, shareDay{fair: true}))
+	plain := jobsOf(played(t, shareDays, shareDay{}))
+	usual := jobsOf(played(t, shareDays, shareDay{fair: true, usual: true}))
 	t.Logf("small teams %.3f, without the hot team %.3f, as they come %.3f", served(hot, ofSmallTeam), served(usual, ofSmallTeam), served(plain, ofSmallTeam))
 	assert.Assert(t, served(hot, ofSmallTeam) >= served(usual, ofSmallTeam))
 	assert.Assert(t, served(plain, ofSmallTeam) < served(usual, ofSmallTeam))
@@ -86,12 +142,11 @@
 // All accepted jobs complete, also those beyond their team's budget, and the largest tenth of a kind of job is served at
 // half the rate of its kind or more.
 func TestExcessAndLargeJobsComplete(t *testing.T) {
-	var list []*sharedJob
-	for seed := uint64(1); seed <= shareDays; seed++ {
-		l := shareDay{seed, largestTeam, true}.play(t)
+	plays := played(t, shareDays, shareDay{fair: true})
+	for _, l := range plays {
 		assert.Assert(t, l.complete())
-		list = append(list, l.traffic...)
 	}
+	list := jobsOf(plays)
 	for i := range shareKinds {
 		kind := shareKinds[i].name
 		ofKind := func(j *sharedJob) bool { return j.Queue.Name == kind }
@@ -113,18 +168,11 @@
 func TestSharesWhileWorkersAreTakenAway(t *testing.T) {
 	ratio := map[bool]float64{}
 	for _, fair := range []bool{true, false} {
-		var list []*sharedJob
-		for seed := uint64(1); seed <= 3; seed++ {
-			traffic, teams := shareTraffic(seed, 2.5, 7, largestTeam)
-			l := newShareLoad(t, traffic, teams, fair)
-			l.play(func(at ms) {
-				if at == 9000 {
-					l.takeAway(slices.Clone(l.workers[:3]))
-				}
-			})
+		plays := played(t, shareDays, shareDay{fair: fair, takenAway: true})
+		for _, l := range plays {
 			assert.Assert(t, l.complete())
-			list = append(list, l.traffic...)
 		}
+		list := jobsOf(plays)
 		ratio[fair] = worstToMedian(list)
 		t.Logf("fair %v: worst to median %.3f, served %.3f, small teams %.3f", fair, ratio[fair], served(list, all), served(list, ofSmallTeam))
 	}
@@ -135,25 +183,22 @@
 // A change of leader at the crest changes nothing: the jobs that were within their teams' budgets stay so, excess stays
 // excess, and the budgets go on where they were.
 func TestTakeoverChangesNoBudget(t *testing.T) {
-	traffic, teams := shareTraffic(1, 2.5, 7, largestTeam)
-	play := func(takeoverAt ms) (*shareLoad, map[string]bool) {
-		l := newShareLoad(t, traffic, teams, true)
-		var before map[string]bool
-		l.play(func(at ms) {
-			if at == takeoverAt {
-				before = map[string]bool{}
-				for _, j := range l.traffic {
-					if s := l.stored[j.ID]; s.Job != nil && (s.Progress == nil || !s.Progress.State.Final()) {
-						before[j.ID] = l.excess[j.ID]
-					}
-				}
-				l.replaceLeader()
+	l := shareDay{seed: 1, fair: true}.load(t)
+	var before map[string]bool
+	l.each = func(at ms) {
+		if at != 10_000 {
+			return
+		}
+		before = map[string]bool{}
+		for _, j := range l.traffic {
+			if s := l.stored[j.ID]; s.Job != nil && (s.Progress == nil || !s.Progress.State.Final()) {
+				before[j.ID] = l.excess[j.ID]
 			}
-		})
-		return l, before
+		}
+		l.replaceLeader()
 	}
-	l, before := play(10_000)
-	undisturbed := shareDay{1, largestTeam, true}.play(t)
+	l.play()
+	undisturbed := played(t, 1, shareDay{fair: true})[0]
 	changed, excess := 0, 0
 	for id, was := range before {
 		if l.excess[id] != was {
--- a/core/cccell/shareload_test.go
+++ b/core/cccell/shareload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -17,8 +18,12 @@
 const (
 	shareTeams   = 20
 	shareWorkers = 35
+	// shareCallers is the number of processes that call the policy service.
+	shareCallers = 32
 	// shareLoadMs is the length of the traffic, shareDrainMs the time after it in which all jobs have to complete.
 	shareLoadMs, shareDrainMs ms = 34_000, 90_000
+	// shareStepMs is the time between two rounds.
+	shareStepMs ms = 40
 	// Batch work comes at burstFactor times its rate from burstAt to burstEnd; the hot team sends hotFactor times its
 	// usual from hotAt to hotEnd.
 	shareBurstAt, shareBurstEnd ms = 4000, 10_000
@@ -37,12 +42,20 @@
 	cores    int64
 	memory   int64
 	worth    float64
+	// advice is the policy service, if the test has one, and allowed the part of the workers that it allows.
+	advice  cccell.AdviceConfig
+	allowed float64
 }
 
 // shareKinds are the kinds of the deployment sceau, with a tenth of its workers and of the width of its jobs.
 var shareKinds = []shareKind{
-	{"quick", 20.9, cccell.Queue{Name: "quick", Service: "s", MaxAttempts: 3, TargetMs: 500, SlackFactor: 1.5}, 1.6, 1, 6, 1000, 8900, 9200, 0.654},
-	{"batch", 5.34, cccell.Queue{Name: "batch", Service: "s", MaxAttempts: 4, TargetMs: 1200, SlackFactor: 2.2, Priority: 2}, 2, 1.7, 8, 4800, 18_000, 26_000, 2.52},
+	{"quick", 20.9, cccell.Queue{Name: "quick", Service: "s", MaxAttempts: 3, TargetMs: 500, SlackFactor: 1.5}, 1.6, 1, 6, 1000, 8900, 9200, 0.654, cccell.AdviceConfig{DecideMs: 29, PerWorkerMs: 0.41, ValidMs: 2500}, 0.7},
+	{"batch", 5.34, cccell.Queue{Name: "batch", Service: "s", MaxAttempts: 4, TargetMs: 1200, SlackFactor: 2.2, Priority: 2}, 2, 1.7, 8, 4800, 18_000, 26_000, 2.52, cccell.AdviceConfig{DecideMs: 390, PerWorkerMs: 5.6, ValidMs: 2500}, 0.35},
+}
+
+// kindOf returns the kind of a job.
+func kindOf(j *cccell.Job) *shareKind {
+	return &shareKinds[slices.IndexFunc(shareKinds, func(k shareKind) bool { return k.name == j.Queue.Name })]
 }
 
 // sharedJob is a job of the load.
@@ -66,6 +79,9 @@
 	teams   []cccell.Team
 	traffic []*sharedJob
 	byID    map[string]*sharedJob
+	// each is called before each round with the time since the begin of the traffic; it may be nil.
+	each  func(at ms)
+	calls *policyCalls
 }
 
 // shareTraffic returns the jobs of a day. hot is the number of the team that sends hotFactor times its usual.
@@ -84,8 +100,8 @@
 		for k := range shareKinds {
 			kind := &shareKinds[k]
 			rate += part * kind.rate
-			for at := ms(0); at < shareLoadMs; at += crashStepMs {
-				perStep := part * kind.rate * float64(crashStepMs) / 1000
+			for at := ms(0); at < shareLoadMs; at += 20 {
+				perStep := part * kind.rate * 0.02
 				if kind.name == "batch" && at >= shareBurstAt && at < shareBurstEnd {
 					perStep *= burstFactor
 				}
@@ -152,7 +168,7 @@
 func newShareLoad(t *testing.T, traffic []*sharedJob, teams []cccell.Team, fair bool) *shareLoad {
 	l := &shareLoad{
 		crashLoad: &crashLoad{
-			t: t, now: 10_000, reached: map[string]bool{}, crashAt: map[string]ms{}, backAt: map[string]ms{}, unlistAt: map[string]ms{}, backAfterMs: 1 << 40,
+			t: t, now: 10_000, stepMs: shareStepMs, reached: map[string]bool{}, crashAt: map[string]ms{}, backAt: map[string]ms{}, unlistAt: map[string]ms{}, backAfterMs: 1 << 40,
 			deadly: func(cccell.TaskID) (ms, bool) { return 0, false },
 			jobs:   map[string]*cccell.Job{}, stored: map[string]cccell.StoredJob{}, states: map[string]cccell.State{}, excess: map[string]bool{},
 		},
@@ -175,6 +191,7 @@
 		})
 		l.reached[id] = true
 	}
+	l.crashLoad.advise = l.advise
 	l.replaceLeader()
 	l.run(6000, nil)
 	for _, j := range traffic {
@@ -189,9 +206,60 @@
 func (l *shareLoad) replaceLeader() {
 	l.crashLoad.replaceLeader()
 	l.cell.SetTeams(l.teams)
+	l.calls = newPolicyCalls(l.cell)
 	l.cell.AdoptExcess(slices.Collect(maps.Keys(l.excess)))
 }
 
+// policyCalls are the calls to the policy service, which answers one call at a time from each of the processes.
+type policyCalls struct {
+	queue   *cccell.AdviceQueue
+	vms     []string
+	freeAt  map[string]ms
+	pending []policyCall
+}
+
+// policyCall is a call that is under way.
+type policyCall struct {
+	cccell.AdviceAssignment
+	at ms
+}
+
+func newPolicyCalls(c *cccell.Cell) *policyCalls {
+	p := &policyCalls{queue: cccell.NewAdviceQueue(c), freeAt: map[string]ms{}}
+	for i := range shareCallers {
+		p.vms = append(p.vms, fmt.Sprintf("vm%02d", i))
+	}
+	return p
+}
+
+// advise makes the requests of a round, and delivers the replies that are due. Some of the workers may run a stage.
+func (l *shareLoad) advise(requests []cccell.AdviceRequest) {
+	p := l.calls
+	p.queue.Add(requests)
+	p.pending = slices.DeleteFunc(p.pending, func(call policyCall) bool {
+		if call.at > l.now {
+			return false
+		}
+		r := &call.Request
+		reply := cccell.AdviceReply{Stage: r.Stage, Workers: r.Workers, Tickets: map[string]string{}, ValidMs: 2500, ID: r.ID}
+		part := kindOf(l.jobs[r.Stage.Job]).allowed
+		for _, id := range r.Workers {
+			h := fnv.New32a()
+			fmt.Fprint(h, id, r.Stage)
+			if float64(h.Sum32()%1000) < 1000*part {
+				reply.Tickets[id] = "t"
+			}
+		}
+		p.queue.Complete(call.VM, &reply, l.now)
+		l.cell.OnAdviceReply(&reply, l.now)
+		return true
+	})
+	for _, a := range p.queue.Assign(p.vms, func(string) bool { return false }, 0, l.now) {
+		p.freeAt[a.VM] = max(l.now, p.freeAt[a.VM]) + ms(a.Request.CallMs)
+		p.pending = append(p.pending, policyCall{a, p.freeAt[a.VM]})
+	}
+}
+
 // takeAway ends some workers, which have two seconds' notice.
 func (l *shareLoad) takeAway(workers []*ccworkersim.Worker) {
 	for _, w := range workers {
@@ -201,27 +269,29 @@
 	}
 }
 
-// play plays the traffic, and the time after it until all jobs have completed. each is called before each round with
-// the time since the begin of the traffic.
-func (l *shareLoad) play(each func(at ms)) {
+// play plays the traffic, and the time after it until all jobs have completed.
+func (l *shareLoad) play() {
 	began, next := l.now, 0
-	for l.now-began < shareLoadMs+shareDrainMs && (next < len(l.traffic) || !l.complete()) {
+	var open []*sharedJob
+	for l.now-began < shareLoadMs+shareDrainMs && (next < len(l.traffic) || len(open) > 0) {
 		at := l.now - began
-		if each != nil {
-			each(at)
+		if l.each != nil {
+			l.each(at)
 		}
 		for ; next < len(l.traffic) && l.traffic[next].at <= at; next++ {
 			j := l.traffic[next]
 			j.AcceptedMs = int64(l.now)
 			l.jobs[j.ID], l.stored[j.ID] = j.Job, cccell.StoredJob{Job: j.Job}
 			l.cell.AddJob(j.Job, l.now, l.now)
+			open = append(open, j)
 		}
-		l.run(crashStepMs, nil)
-		for _, j := range l.traffic[:next] {
-			if p := l.stored[j.ID].Progress; j.done == 0 && p != nil && p.State == cccell.Completed {
+		l.run(shareStepMs, nil)
+		open = slices.DeleteFunc(open, func(j *sharedJob) bool {
+			if p := l.stored[j.ID].Progress; p != nil && p.State == cccell.Completed {
 				j.done = l.now - began
 			}
-		}
+			return j.done != 0
+		})
 	}
 }
 
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -87,8 +87,9 @@
 	held map[*worker]bool
 	// notBefore is the end of the delay after a start or an advice request that failed.
 	notBefore ms
-	// unplaced is the number of tasks to be started in this round.
+	// unplaced is the number of tasks to be started in this round, ahead that of the stages that are placed before.
 	unplaced int
+	ahead    int
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
 }
--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -1,6 +1,10 @@
 package cccell
 
-import "sort"
+import (
+	"sort"
+
+	"coriandercross/core/ccfair"
+)
 
 // Summary is the state of a cell as shown in the state dump.
 type Summary struct {
@@ -12,6 +16,8 @@
 	PendingWrites int `json:"Unnoted"`
 	Stats         Stats
 	Workers       []WorkerSummary
+	// Teams holds the accounts of the teams, nil if the configuration has none.
+	Teams []ccfair.Summary `json:",omitempty"`
 }
 
 // WorkerSummary is the state of a worker as shown in the state dump.
@@ -33,7 +39,7 @@
 
 // Summary returns the state of the cell for the state dump.
 func (c *Cell) Summary(now ms) *Summary {
-	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats}
+	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats, Teams: c.TeamSummaries(now)}
 	for id, w := range c.workers {
 		free := w.free()
 		ws := WorkerSummary{
@@ -46,3 +52,8 @@
 	sort.Slice(s.Workers, func(a, b int) bool { return s.Workers[a].ID < s.Workers[b].ID })
 	return s
 }
+
+// TeamSummaries returns the accounts of the teams of the configuration.
+func (c *Cell) TeamSummaries(now ms) []ccfair.Summary {
+	return c.shares.Summaries(now)
+}
--- a/core/ccfair/shares.go
+++ b/core/ccfair/shares.go
@@ -243,6 +243,8 @@
 	// Excess is true for a job beyond its team's budget, and Held is the result of Team.Held.
 	Excess bool
 	Held   float64
+	// Begun is true once a task of the job was started.
+	Begun bool
 }
 
 // Due returns the time by which work is placed; the earliest comes first. It is the latest time at which the work can
@@ -251,7 +253,11 @@
 // later once that can't be reached either.
 func (w *Work) Due(now ms) float64 {
 	due := float64(w.ArrivedAt) + float64(w.TargetMs-w.LeftMs)
-	if float64(now) > due {
+	late := float64(now) > due
+	if w.Begun {
+		late = now > w.ArrivedAt+ms(w.TargetMs)
+	}
+	if late {
 		due += (lateFactor - 1) * float64(w.TargetMs)
 	}
 	if float64(now) > due {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -210,6 +210,7 @@
 func (l *leadership) loop() {
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
+	defer l.p.cfg.Metrics.setTeams(nil)
 	for {
 		select {
 		case <-l.ended:
@@ -252,6 +253,7 @@
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
+		p.cfg.Metrics.setTeams(l.cell.TeamSummaries(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
 	}
 }
