--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"math"
 	"sort"
 
 	"coriandercross/core/ccwork"
@@ -69,6 +70,7 @@
 	for _, s := range list {
 		s.job.team.Wait()
 	}
+	c.findScarce(list, now)
 	rank := make(map[*stage]float64, len(list))
 	for _, s := range list {
 		rank[s] = c.rank(s, now)
@@ -89,6 +91,9 @@
 		}
 		return x.id.Stage < y.id.Stage
 	})
+	for i, s := range list {
+		s.ahead = i
+	}
 	return list
 }
 
@@ -321,8 +326,11 @@
 		}
 	}
 	fields := []any{"Job", s.id.Job, "Run", s.id.Run, "Stage", s.id.Stage, "Tasks", s.spec.Count, "JobAgeMs", now - s.job.arrivedAt, "WaitMs", totalMs}
-	fields = append(fields, teamField(s.job.spec)...)
-	c.cfg.Log(event, append(append(fields, kv...), byReason...)...)
+	fields = append(append(fields, teamField(s.job.spec)...), kv...)
+	if s.job.team != nil {
+		fields = append(fields, "Ahead", s.ahead, "Excess", s.job.excess, "Held", math.Round(100*s.job.team.Held(s.job.running))/100)
+	}
+	c.cfg.Log(event, append(fields, byReason...)...)
 }
 
 // best returns the index of the worker for the next task. The lowest cost is best; among workers of the same cost it is
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -94,11 +94,12 @@
 	held map[*worker]bool
 	// notBefore is the end of the delay after a start or an advice request that failed.
 	notBefore ms
-	// unplaced is the number of tasks to be started in this round.
+	// unplaced is the number of tasks to be started in this round, ahead that of the stages that are placed before.
 	unplaced int
 	// overCap is the reason for the delay of the tasks that the cap of the team does not admit in this round, or empty if
 	// it admits all.
 	overCap string
+	ahead   int
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
 	// prediction is the result of Cell.predict at predictedAt, 0 for never.
--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"coriandercross/core/ccfair"
 	"coriandercross/core/ccruntimes"
 )
 
@@ -20,6 +21,8 @@
 	// RunTimes has the errors of the predicted run times, by queue; RunTimeKeys is the number of keys that were learned.
 	RunTimes    []ccruntimes.QueueError `json:",omitempty"`
 	RunTimeKeys int                     `json:",omitempty"`
+	// TeamShares has what the teams are owed and have, nil if the configuration has none.
+	TeamShares []ccfair.Summary `json:",omitempty"`
 }
 
 // WorkerSummary is the state of a worker as shown in the state dump.
@@ -41,7 +44,7 @@
 
 // Summary returns the state of the cell for the state dump.
 func (c *Cell) Summary(now ms) *Summary {
-	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats, Teams: c.Teams(now)}
+	s := &Summary{Token: c.cfg.Token, Jobs: len(c.jobs), Open: len(c.open), PendingWrites: len(c.dirty), Stats: c.stats, Teams: c.Teams(now), TeamShares: c.TeamShares(now)}
 	for id, w := range c.workers {
 		free := w.free()
 		ws := WorkerSummary{
@@ -58,3 +61,8 @@
 	sort.Slice(s.Workers, func(a, b int) bool { return s.Workers[a].ID < s.Workers[b].ID })
 	return s
 }
+
+// TeamShares returns the accounts of the teams of the configuration.
+func (c *Cell) TeamShares(now ms) []ccfair.Summary {
+	return c.shares.Summaries(now)
+}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -229,6 +229,7 @@
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
 	defer l.p.cfg.Metrics.teams.set(nil)
+	defer l.p.cfg.Metrics.setShares(nil)
 	for {
 		var began time.Time
 		select {
@@ -277,6 +278,7 @@
 		l.statsAt = now
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
 		p.cfg.Metrics.teams.set(l.cell.Teams(now))
+		p.cfg.Metrics.setShares(l.cell.TeamShares(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
 	}
 }
--- a/io/cccontrol/teammetrics.go
+++ b/io/cccontrol/teammetrics.go
@@ -1,10 +1,12 @@
 package cccontrol
 
 import (
+	"sort"
 	"sync"
 	"sync/atomic"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/ccfair"
 	"coriandercross/core/ccwork"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -105,3 +107,21 @@
 	c.mu.Unlock()
 	c.vec.WithLabelValues(team, outcome).Inc()
 }
+
+// setShares sets the metrics of the teams; those of other teams are removed.
+func (m *Metrics) setShares(teams []ccfair.Summary) {
+	for _, g := range []*prometheus.GaugeVec{m.teamShares, m.teamCores, m.teamWaiting, m.teamExcess} {
+		g.Reset()
+	}
+	if len(teams) > maxTeamMetrics {
+		sort.SliceStable(teams, func(a, b int) bool { return teams[a].Weight > teams[b].Weight })
+		teams = teams[:maxTeamMetrics]
+	}
+	for i := range teams {
+		t := &teams[i]
+		m.teamShares.WithLabelValues(t.Team).Set(t.Held)
+		m.teamCores.WithLabelValues(t.Team).Set(float64(t.Cores) / 1000)
+		m.teamWaiting.WithLabelValues(t.Team).Set(float64(t.Waiting))
+		m.teamExcess.WithLabelValues(t.Team).Set(float64(t.Excess))
+	}
+}
