--- a/core/ccsuccession/model_test.go
+++ b/core/ccsuccession/model_test.go
@@ -70,7 +70,6 @@
 	began       ms
 	term        *ccquorum.Term
 	handover    *ccquorum.Handover
-	settled     bool
 	loaded      bool
 	recorded    bool
 	resignation Resignation
--- a/core/ccsuccession/rank.go
+++ b/core/ccsuccession/rank.go
@@ -27,8 +27,8 @@
 }
 
 // Order sorts candidates, the best first. Those that are not demoted come first; among them those in the home region,
-// since the store and most workers are there; then those with more processor time, of which VMs with more memory and a
-// faster link have more as well.
+// since the store is there and each write of a leader elsewhere takes a round trip between regions longer; then those
+// with more processor time, of which VMs with more memory and a faster link have more as well.
 func Order(list []Candidate, home string) {
 	slices.SortFunc(list, func(a, b Candidate) int {
 		if a.Demoted != b.Demoted {
--- a/core/ccsuccession/resignation.go
+++ b/core/ccsuccession/resignation.go
@@ -17,10 +17,10 @@
 	minGain = 2.0
 	// minShare is the share of the leader's normal processor time that a successor should have: it has to carry the lead.
 	minShare = 0.5
-	// homeForMs is the time for which only processes in the leader's region are accepted, and largeForMs the time after
-	// which also those with less than minShare are.
-	homeForMs  ms = 400
-	largeForMs ms = 1500
+	// largeForMs is the time for which only processes with minShare are accepted, and homeForMs the time for which only
+	// those in the leader's region are: a leader in another region is further from the store, also later.
+	largeForMs ms = 400
+	homeForMs  ms = 1500
 	// minTermMs is the age of a term from which the leader hands over, and busyTermMs the age while leaders have changed
 	// too often.
 	minTermMs  ms = 500
@@ -87,11 +87,11 @@
 	}
 	self := Candidate{Cores: s.Cores, Slowness: s.Slowness}
 	o := &Offer{Region: s.Region, Cores: max(minShare*s.Cores, minGain*self.capacity()), Since: r.slowSince}
-	if now-r.offeredAt >= homeForMs {
-		o.Region, o.Widened = "", 1
-	}
 	if now-r.offeredAt >= largeForMs {
-		o.Cores, o.Widened = minGain*self.capacity(), 2
+		o.Cores, o.Widened = minGain*self.capacity(), 1
+	}
+	if now-r.offeredAt >= homeForMs {
+		o.Region, o.Widened = "", 2
 	}
 	return o
 }
--- a/core/ccsuccession/rules_test.go
+++ b/core/ccsuccession/rules_test.go
@@ -57,10 +57,10 @@
 		"SuccessorIsSlow":      {nil, func(c *Candidate) { c.Slowness = 2.5 }, 10_000, false},
 		"SuccessorIsDemoted":   {nil, func(c *Candidate) { c.Demoted = true }, 10_000, false},
 		"ReportIsOld":          {nil, func(c *Candidate) { c.ReportedAt = 900 }, 10_000, false},
-		"OtherRegion":          {nil, func(c *Candidate) { c.Region = "s" }, 200, false},
-		"OtherRegionLater":     {nil, func(c *Candidate) { c.Region = "s" }, 800, true},
-		"SmallerVM":            {func(s *State) { s.Slowness = 10 }, func(c *Candidate) { c.Cores = 0.192 }, 1000, false},
-		"SmallerVMLater":       {func(s *State) { s.Slowness = 10 }, func(c *Candidate) { c.Cores = 0.192 }, 2000, true},
+		"OtherRegion":          {nil, func(c *Candidate) { c.Region = "s" }, 1500, false},
+		"OtherRegionLater":     {nil, func(c *Candidate) { c.Region = "s" }, 2000, true},
+		"SmallerVM":            {func(s *State) { s.Slowness = 10 }, func(c *Candidate) { c.Cores = 0.192 }, 400, false},
+		"SmallerVMLater":       {func(s *State) { s.Slowness = 10 }, func(c *Candidate) { c.Cores = 0.192 }, 800, true},
 		"SmallerVMIsNoGain":    {nil, func(c *Candidate) { c.Cores = 0.192 }, 10_000, false},
 		"NotSettled":           {func(s *State) { s.Settled = false }, nil, 10_000, false},
 		"StoreNotReached":      {func(s *State) { s.StoreReached = false }, nil, 10_000, false},
@@ -130,3 +130,18 @@
 	assert.Assert(t, b.Demoted("vm", 500+demotionMs-10_001) && !b.Demoted("vm", 500+demotionMs-10_000))
 	assert.Equal(t, len(a.Demotions(3000+demotionMs)), 0)
 }
+
+// TestOrder checks who takes over first.
+func TestOrder(t *testing.T) {
+	list := []Candidate{
+		{VM: "remote-slow", Region: "s", Cores: 0.8, Slowness: 7}, {VM: "demoted", Region: "r", Cores: 0.8, Demoted: true}, {VM: "small", Region: "r", Cores: 0.192},
+		{VM: "remote", Region: "s", Cores: 0.8}, {VM: "slow", Region: "r", Cores: 0.8, Slowness: 6}, {VM: "b", Region: "r", Cores: 0.8}, {VM: "a", Region: "r", Cores: 0.8},
+		{VM: "half", Region: "r", Cores: 0.4}, {VM: "remote-small", Region: "s", Cores: 0.192},
+	}
+	Order(list, "r")
+	var got []string
+	for _, c := range list {
+		got = append(got, c.VM)
+	}
+	assert.DeepEqual(t, got, []string{"a", "b", "half", "small", "slow", "remote", "remote-small", "remote-slow", "demoted"})
+}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -85,6 +85,8 @@
 	// lag is that of the event loop, and resignation decides whether this leader hands over because it is slow.
 	lag         ccsuccession.Lag
 	resignation ccsuccession.Resignation
+	// wasSlow is whether this VM was slow in the last round.
+	wasSlow bool
 	// offer tells whom this leader hands over to, nil while it stays.
 	offer atomic.Pointer[ccsuccession.Offer]
 	// suspendedTime is the last observed value of ccclock.SuspendedTime.
@@ -218,7 +220,7 @@
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
 	for {
-		began := time.Now()
+		var began time.Time
 		select {
 		case <-l.ended:
 			return
--- a/io/cccontrol/succession.go
+++ b/io/cccontrol/succession.go
@@ -247,6 +247,14 @@
 		Region: p.cfg.Region, Cores: p.cfg.Cores, Slowness: p.succession.slowness(), Lag: l.lag.Ms(now), AgeMs: now - l.beganAt,
 		Settled: l.handedOver.Load() && l.record.settled(), StoreReached: p.cfg.Store.AgeMs() < leaderStoreAgeMs, Patience: p.succession.patience(now),
 	}
+	if slow := s.Slowness >= ccsuccession.SlowFrom; slow != l.wasSlow {
+		l.wasSlow = slow
+		if slow {
+			// A successor waits for the leases at workers of the roster that it does not reach, also at those that have
+			// left since the last write.
+			l.rosterAt = 0
+		}
+	}
 	before, offer := l.offer.Load(), l.resignation.Offer(&s, now)
 	l.offer.Store(offer)
 	if before == nil && offer == nil || before != nil && offer != nil && before.Widened == offer.Widened {
