Late work is not moved back, and excess may ask for tickets

A job was taken for late by the callers' estimates, which are off by up to 0.9, and by a target that is shorter than what callers expect (wide stages run in waves, failed runs are run again); it then went behind a minute of other work. Change: work is ranked by its latest start as before, within the time it is owed or not; nothing moves back for being late. findScarce is gone. Conclusion: moving late work back needs run times that are known well; see docs/design/shares.md.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -48,8 +48,6 @@
 	// has found to be excess.
 	arrivals    []*job
 	knownExcess map[string]bool
-	// scarce holds the services of which work within the budgets of the teams has waited for scarceAfterMs.
-	scarce map[string]bool
 	// excessLoggedAt is when logExcess last logged each team.
 	excessLoggedAt map[string]ms
 	// open holds the unfinished stages whose predecessors are finished.
--- a/core/cccell/share.go
+++ b/core/cccell/share.go
@@ -7,44 +7,6 @@
 	"coriandercross/core/ccwork"
 )
 
-// scarceAfterMs is the time that work within its team's budget waits from which the room that becomes free, and the time
-// of the policy service, are left to such work. It is longer than two calls to the slowest policy service seen.
-const scarceAfterMs ms = 1500
-
-// minScarceShare is the part of a service's room that is in use at least when there is too little of it. While half of it is
-// free, work that waits for the policy service alone leaves no other work without a task.
-const minScarceShare = 0.5
-
-// findScarce finds the services of which there is too little for the work within the budgets of the teams. Load: the
-// stages of the excess of a team get tickets in the free moments of the policy service, and with these the room that
-// becomes free, before work of other teams that waits for it has its tickets. Gangs wait long anyway.
-func (c *Cell) findScarce(waiting []*stage, now ms) {
-	c.scarce = nil
-	if len(c.teams) == 0 {
-		return
-	}
-	c.scarce = map[string]bool{}
-	for _, s := range waiting {
-		if now-s.readyAt >= scarceAfterMs && !s.spec.Gang && !s.spec.LongRunning && !c.deferred(s, now) {
-			c.scarce[c.queue(s.job).Service] = true
-		}
-	}
-	for service := range c.scarce {
-		c.scarce[service] = c.usedShare(service) >= minScarceShare
-	}
-}
-
-// usedShare returns the part of the cores or of the memory of a service's workers that is in use, whichever is smaller.
-func (c *Cell) usedShare(service string) float64 {
-	var free, capacity ccwork.Size
-	for _, w := range c.usable {
-		if w.info.Service == service {
-			free, capacity = free.Plus(w.free()), capacity.Plus(w.info.Capacity)
-		}
-	}
-	return 1 - freeShare(free, capacity)
-}
-
 // teamExceedsLogMs is the least interval between two lines on one team whose jobs exceed its budget.
 const teamExceedsLogMs ms = 5000
 
@@ -116,7 +78,7 @@
 	}
 	return ccfair.Work{
 		ArrivedAt: arrivedAt, TargetMs: int64(q.SlackFactor*float64(chain)) + q.TargetMs, LeftMs: left,
-		Excess: j.excess, Held: j.team.Held(j.running), Begun: j.started,
+		Excess: j.excess, Held: j.team.Held(j.running),
 	}
 }
 
