--- a/core/ccfair/shares.go
+++ b/core/ccfair/shares.go
@@ -33,8 +33,7 @@
 	maxShareDelayMs = 24_000
 	// recentMs is the time over which the use of room is averaged: several tasks of batch work, since a small team holds
 	// more than its share while a single task of it runs.
-	recentMs   ms = 20_000
-	lateFactor    = 3
+	recentMs ms = 20_000
 )
 
 // Shares holds what each team is owed, and what it has.
