Late work keeps its place: the estimates are too wrong to give jobs up

Estimates of quick jobs are up to nine tenths wrong there; jobs in the middle of their work were found late, then of no use, and put a minute back. Change: Work.Due doesn't depend on the time any more. The tests' load has estimates of quick jobs up to nine tenths wrong.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -91,7 +91,7 @@
 	c.stats.AdviceRequests++
 	t.requested, t.requestID, t.deadline = true, c.cfg.Token<<attemptBits+c.stats.AdviceRequests, adviceDeadline(callMs, now)
 	c.orders.AdviceRequests = append(c.orders.AdviceRequests, AdviceRequest{
-		ID: t.requestID, Stage: s.id, Workers: names, CallMs: callMs, rank: c.rank(s, now), chosenAt: now,
+		ID: t.requestID, Stage: s.id, Workers: names, CallMs: callMs, rank: c.rank(s), chosenAt: now,
 	})
 	return true
 }
@@ -113,7 +113,7 @@
 		return false
 	}
 	s.tickets.deadline = adviceDeadline(r.CallMs, now)
-	r.rank = c.rank(s, now)
+	r.rank = c.rank(s)
 	return true
 }
 
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -67,7 +67,7 @@
 	c.findScarce(list, now)
 	rank := make(map[*stage]float64, len(list))
 	for _, s := range list {
-		rank[s] = c.rank(s, now)
+		rank[s] = c.rank(s)
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a], list[b]
@@ -128,8 +128,8 @@
 // rank returns the position of a stage in the order of placement; the lowest is placed first. Typical load: bursts of
 // short jobs on top of long-running load. Jobs are ordered by the time at which they would miss their latency target,
 // with a head start for higher priorities, so that no job waits forever. If the configuration has teams, work beyond what
-// its team is owed comes later, and so do jobs that can't be in time any more; see ccfair.
-func (c *Cell) rank(s *stage, now ms) float64 {
+// its team is owed comes later; see ccfair.
+func (c *Cell) rank(s *stage) float64 {
 	if s.spec.LongRunning {
 		return longRunningRank + float64(s.readyAt)
 	}
@@ -137,7 +137,7 @@
 	due := float64(s.job.arrivedAt) + q.SlackFactor*float64(c.chainMs(s.job)) + float64(q.TargetMs)
 	if len(c.teams) > 0 {
 		w := c.work(s)
-		due = w.Due(now)
+		due = w.Due()
 	}
 	return due + float64(q.Priority)*priorityRankMs
 }
--- a/core/cccell/share.go
+++ b/core/cccell/share.go
@@ -116,7 +116,7 @@
 	}
 	return ccfair.Work{
 		ArrivedAt: arrivedAt, TargetMs: int64(q.SlackFactor*float64(chain)) + q.TargetMs, LeftMs: left,
-		Excess: j.excess, Held: j.team.Held(j.running), Begun: j.started,
+		Excess: j.excess, Held: j.team.Held(j.running),
 	}
 }
 
--- a/core/ccfair/shares.go
+++ b/core/ccfair/shares.go
@@ -31,8 +31,6 @@
 	// own, and maxShareDelayMs the longest such time.
 	shareDelayMs    = 8000
 	maxShareDelayMs = 24_000
-	// lateFactor is the number of targets after which the result of a job is of no more use to its caller.
-	lateFactor = 3
 	// recentMs is the time over which the use of room is averaged: several tasks of batch work, since a small team holds
 	// more than its share while a single task of it runs.
 	recentMs ms = 20_000
@@ -243,26 +241,13 @@
 	// Excess is true for a job beyond its team's budget, and Held is the result of Team.Held.
 	Excess bool
 	Held   float64
-	// Begun is true once a task of the job was started.
-	Begun bool
 }
 
 // Due returns the time by which work is placed; the earliest comes first. It is the latest time at which the work can
-// start for the job to meet its target, and a bounded time later for work beyond its team's budget or share. A job that
-// can't be in time any more comes after those that can: it is due when its result is of no more use, and ExcessDelayMs
-// later once that can't be reached either.
-func (w *Work) Due(now ms) float64 {
+// start for the job to meet its target, and a bounded time later for work beyond its team's budget or share. It doesn't
+// depend on the time, so that late work is not passed by what comes later.
+func (w *Work) Due() float64 {
 	due := float64(w.ArrivedAt) + float64(w.TargetMs-w.LeftMs)
-	late := float64(now) > due
-	if w.Begun {
-		late = now > w.ArrivedAt+ms(w.TargetMs)
-	}
-	if late {
-		due += (lateFactor - 1) * float64(w.TargetMs)
-	}
-	if float64(now) > due {
-		due += float64(ExcessDelayMs)
-	}
 	if w.Excess {
 		due += float64(ExcessDelayMs)
 	}
