A reply of the leader from before it failed does not keep it

Change: after a broken or refused connection, contact counts only if it is younger than the failure, or than a heartbeat. Test: TestContactBeforeTheFailureDoesNotCount.

--- a/core/cccell/shareload_test.go
+++ b/core/cccell/shareload_test.go
@@ -75,7 +75,7 @@
 	day uint64
 }
 
-// shareLoad is the load of sceau's heaviest days.
+// shareLoad is a burst of batch work in which one team sends many times its usual.
 type shareLoad struct {
 	*crashLoad
 	teams   []cccell.Team
--- a/core/ccsuccession/judge.go
+++ b/core/ccsuccession/judge.go
@@ -61,6 +61,16 @@
 	return (e.Failure == Dead || e.Failure == Silent) && (e.Misses < maxVetoedMisses || e.OwnSlow)
 }
 
+// MaxContactAge returns the age up to which a reply of the leader to another process shows that it is alive. It is at most
+// usual. When the leader's connection broke, a reply from before that shows nothing; one that is younger than heartbeat, the
+// time between two replies, may be from after it.
+func (e *Evidence) MaxContactAge(heartbeat, usual ms) ms {
+	if e.Failure == Dead {
+		return min(usual, max(e.ForMs, heartbeat))
+	}
+	return usual
+}
+
 // Keep returns why a leader should not be replaced now, "" if it should.
 func (e *Evidence) Keep() string {
 	if e.Failure == Ended || e.Failure == Resigns {
--- a/core/ccsuccession/rules_test.go
+++ b/core/ccsuccession/rules_test.go
@@ -40,6 +40,26 @@
 	}
 }
 
+// A leader was killed, and the reply that it had sent to another process 30 ms before counted as contact 270 ms later: the
+// first in rank kept it, and the next one that tried led.
+func TestContactBeforeTheFailureDoesNotCount(t *testing.T) {
+	const heartbeat, usual ms = 150, 300
+	tests := map[string]struct {
+		e    Evidence
+		want ms
+	}{
+		"DeadForLonger":    {Evidence{Failure: Dead, ForMs: 268}, 268},
+		"JustBroken":       {Evidence{Failure: Dead, ForMs: 20}, heartbeat},
+		"BrokenForSeconds": {Evidence{Failure: Dead, ForMs: 2000}, usual},
+		"Silent":           {Evidence{Failure: Silent, ForMs: 20}, usual},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.e.MaxContactAge(heartbeat, usual), test.want)
+		})
+	}
+}
+
 // TestOffer checks when a leader hands over, and to whom.
 func TestOffer(t *testing.T) {
 	slow := State{Region: "r", Cores: 0.8, Slowness: 6, AgeMs: 60_000, Settled: true, StoreReached: true}
--- a/io/cccontrol/succession.go
+++ b/io/cccontrol/succession.go
@@ -190,7 +190,8 @@
 		Failure: failures[failure.why], Misses: failure.misses, ForMs: now - failure.sinceMs, OwnSlow: p.succession.slow(now), Patience: p.succession.patience(now),
 	}
 	if e.NeedsContacts() {
-		e.Asked, e.Answered, e.Reached = p.askContacts(ctx, failure.leader)
+		maxAge := e.MaxContactAge(heartbeatMs(p.memberCount()), peerContactMs+p.extraHeartbeat())
+		e.Asked, e.Answered, e.Reached = p.askContacts(ctx, failure.leader, maxAge)
 	}
 	why := e.Keep()
 	if why == "" {
@@ -202,8 +203,8 @@
 }
 
 // askContacts asks other processes for their last reply from a leader. It returns how many were asked, how many of them
-// replied and are not slow themselves, and how many had a reply recently.
-func (p *Process) askContacts(ctx context.Context, leader leaderRecord) (asked, answered, reached int) {
+// replied and are not slow themselves, and how many had a reply that is younger than maxAge.
+func (p *Process) askContacts(ctx context.Context, leader leaderRecord, maxAge ms) (asked, answered, reached int) {
 	ctx, cancel := context.WithTimeout(ctx, contactTimeoutMs.Duration())
 	defer cancel()
 	replies := make(chan *ccpeer.LeaderContactReply, contactsAsked)
@@ -220,7 +221,6 @@
 			replies <- out
 		}()
 	}
-	maxAge := peerContactMs + p.extraHeartbeat()
 	for range asked {
 		out := <-replies
 		if out == nil {
--- a/io/cccontrol/succession_test.go
+++ b/io/cccontrol/succession_test.go
@@ -220,7 +220,7 @@
 			p := newFollower(t, nil)
 			p.members["a"] = member{VM: "a", Address: listener.Addr().String()}
 			p.members["leader"] = member{VM: "leader", Address: "127.0.0.1:1"}
-			asked, answered, reached := p.askContacts(ctx, leaderRecord{VM: "leader", Address: "127.0.0.1:1", Token: 1})
+			asked, answered, reached := p.askContacts(ctx, leaderRecord{VM: "leader", Address: "127.0.0.1:1", Token: 1}, peerContactMs)
 			assert.DeepEqual(t, []int{asked, answered, reached}, []int{1, test.answered, test.reached})
 			assert.Equal(t, h.asked.Load(), int64(1))
 		})
