--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -125,4 +125,13 @@
 mutant slow-observer-campaigns $leads/judge.go 'case e.Failure == Silent && e.OwnSlow &&' 'case false &&' ./$leads "$lead"
 mutant term-goes-on-after-handover io/cccontrol/succession.go 'if l.end("slow: handed over to " + vm) {' 'if true {' ./io/cccontrol "-run=TestSlowLeaderEndsItsTerm"
 mutant any-handed-over-term-counts io/cccontrol/follow.go 'case out.HandedOver && out.Token == leader.Token:' 'case out.HandedOver:' ./io/cccontrol "-run=TestSuccessor"
+mutant contact-from-before-the-failure-counts $leads/judge.go 'return min(usual, max(e.ForMs, heartbeat))' 'return usual' ./$leads "-run=TestContactBefore"
+fair=core/ccfair/shares.go
+mutant excess-ranks-as-before $fair 'due += float64(ExcessDelayMs)' '' ./core/ccfair "-run=TestOrderOfWork"
+mutant share-does-not-count $fair 'if w.Held > 1 {' 'if false {' ./core/ccfair "-run=TestOrderOfWork"
+mutant excess-is-charged $fair 't.excess++
+		return true' 't.excess++
+		t.budget--
+		return true' ./core/ccfair "-run=Budget"
+mutant excess-is-forgotten-at-a-takeover $cells/share.go 'j.excess = c.knownExcess[j.spec.ID]' 'j.excess = false' ./$cells "-run=TestTakeoverChangesNoBudget"
 exit $survived
