The first change that peers get of a job names its team

Cause: the leader had accepted the job itself, so that 'queued' was no change; the first change to be sent was one of the order between teams, which does not name the team, but the team counted as sent with it. A process that knows a job without a team lets everyone read it, as jobs of releases without teams. Change: the first change of a job that is sent names the team, whatever the change is; peers read it from early completions, too. Before: TestFirstChangeNamesTheTeam fails in all cases. After: green.

--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -79,6 +79,7 @@
 			if t, ok := sc.teams[c.Job]; ok && t.sentIn == sc.token {
 				c.Team = "" // The peers have it. Bytes between regions are expensive.
 			} else if ok {
+				c.Team = t.name // Also in a change that does not name it.
 				sc.teams[c.Job] = jobTeam{t.name, sc.token}
 			}
 			sc.recent = append(sc.recent, c)
@@ -111,6 +112,9 @@
 // setState sets the state of a job, and reports whether it changed. A final state never changes. An early completion is
 // only remembered. The caller holds mu.
 func (sc *stateCache) setState(c cccell.StateChange, now ms) bool {
+	if c.Team != "" && sc.teams[c.Job].name == "" {
+		sc.teams[c.Job] = jobTeam{name: c.Team}
+	}
 	switch {
 	case c.Early:
 		sc.early[c.Job] = now
@@ -119,9 +123,6 @@
 		delete(sc.early, c.Job)
 		return true
 	}
-	if c.Team != "" && sc.teams[c.Job].name == "" {
-		sc.teams[c.Job] = jobTeam{name: c.Team}
-	}
 	old := sc.states[c.Job]
 	if old.Final() {
 		return false
--- a/io/cccontrol/statecache_test.go
+++ b/io/cccontrol/statecache_test.go
@@ -151,3 +151,27 @@
 		})
 	}
 }
+
+// The first change that peers got of a job that the leader had accepted itself did not name its team, so that they let other
+// teams read the job.
+func TestFirstChangeNamesTheTeam(t *testing.T) {
+	tests := map[string]cccell.StateChange{
+		"Excess":  {Job: "j", State: cccell.Queued, Excess: true},
+		"Early":   {Job: "j", State: cccell.Running, Early: true},
+		"Started": {Job: "j", State: cccell.Running},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			leader, peer := newStateCache(), newStateCache()
+			leader.beginTerm(3, nil, 1000)
+			token, seq := leader.position()
+			leader.merge("j", "a", cccell.Queued, 1000)
+			leader.apply([]cccell.StateChange{change}, 1100)
+			next, _, changes, _ := leader.changesSince(token, seq)
+			peer.applyReplicated(token, next, append(changes, cccell.StateChange{Job: "j", State: cccell.Running}), 1200)
+			_, team, known := peer.job("j")
+			assert.Assert(t, known)
+			assert.Equal(t, team, "a")
+		})
+	}
+}
