The metrics of teams come from one collector

Cause: what teams run against their caps came from a collector that shows the last summaries, what they have of their shares from four gauges that were reset and set anew five times a second: two mechanisms with bounds of their own for one thing, found by reading the whole change. A scrape between the reset and the last set saw some teams, or none. Ruled out: one summary for both: caps and shares count different things (all work at full size; what is not long-running as reserved). Change: teamMetrics collects both. Names, labels and values of the series are the same. Test: TestTeamMetricsAreBounded also checks the shares: the bound, the choice by weight, values, and that a process that does not lead shows none.

--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -230,8 +230,7 @@
 func (l *leadership) loop() {
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
-	defer l.p.cfg.Metrics.teams.set(nil)
-	defer l.p.cfg.Metrics.setShares(nil)
+	defer l.p.cfg.Metrics.teams.set(nil, nil)
 	for {
 		var began time.Time
 		select {
@@ -279,8 +278,7 @@
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
-		p.cfg.Metrics.teams.set(l.cell.Teams(now))
-		p.cfg.Metrics.setShares(l.cell.TeamShares(now))
+		p.cfg.Metrics.teams.set(l.cell.Teams(now), l.cell.TeamShares(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
 	}
 }
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -25,8 +25,6 @@
 	runTimeErrors *prometheus.HistogramVec
 	// slowness is how many times slower than normally this VM runs.
 	slowness prometheus.Gauge
-	// teamShares, teamCores, teamWaiting and teamExcess are from ccfair.Summary, at the leader only.
-	teamShares, teamCores, teamWaiting, teamExcess *prometheus.GaugeVec
 }
 
 // latencyBuckets range from the duration of a call within a failure domain to a caller's longest timeout, in
@@ -80,15 +78,6 @@
 	}
 	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
 	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
-	team := func(name, help string) *prometheus.GaugeVec {
-		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "coriandercross_team_" + name, Help: help}, []string{"team"})
-		reg.MustRegister(g)
-		return g
-	}
-	m.teamShares = team("shares", "How many times its share a team has, at the leader.")
-	m.teamCores = team("cores", "Cores that the work of a team holds, but for long-running work.")
-	m.teamWaiting = team("waiting", "Stages of a team that wait.")
-	m.teamExcess = team("excess", "Jobs of a team beyond its weight, since the begin of the leader's term.")
 	return m
 }
 
--- a/io/cccontrol/teammetrics.go
+++ b/io/cccontrol/teammetrics.go
@@ -13,16 +13,18 @@
 )
 
 const (
-	// maxTeamMetrics bounds the teams with metrics of their own. The others, in the order of names, are added up under
-	// otherTeams.
+	// maxTeamMetrics bounds the teams with metrics of their own. For the caps, the others, in the order of names, are added
+	// up under otherTeams; for the shares, the teams with the largest weights are shown.
 	maxTeamMetrics = 100
 	otherTeams     = "(others)"
 )
 
-// teamMetrics shows what each team has running, while this process leads.
+// teamMetrics shows what each team has running, and its share, while this process leads.
 type teamMetrics struct {
 	teams                           atomic.Pointer[[]cccell.TeamSummary]
 	tasks, waiting, running, limits *prometheus.Desc
+	accounts                        atomic.Pointer[[]ccfair.Summary]
+	shares, cores, stages, excess   *prometheus.Desc
 }
 
 // newTeamMetrics returns metrics without teams.
@@ -35,11 +37,15 @@
 		waiting: desc("coriandercross_team_waiting_tasks", "Tasks of the team that could start now."),
 		running: desc("coriandercross_team_running", "Capacity that counts against the cap of the team.", "resource"),
 		limits:  desc("coriandercross_team_cap", "What the team may have running; absent without a cap.", "resource"),
+		shares:  desc("coriandercross_team_shares", "How many times its share a team has, at the leader."),
+		cores:   desc("coriandercross_team_cores", "Cores that the work of a team holds, but for long-running work."),
+		stages:  desc("coriandercross_team_waiting", "Stages of a team that wait."),
+		excess:  desc("coriandercross_team_excess", "Jobs of a team beyond its weight, since the begin of the leader's term."),
 	}
 }
 
-// set sets the teams to be shown.
-func (m *teamMetrics) set(teams []cccell.TeamSummary) {
+// set sets the teams to be shown, and their accounts.
+func (m *teamMetrics) set(teams []cccell.TeamSummary, accounts []ccfair.Summary) {
 	if len(teams) > maxTeamMetrics {
 		others := cccell.TeamSummary{Team: otherTeams}
 		for i := range teams[maxTeamMetrics:] {
@@ -51,19 +57,24 @@
 		teams = append(teams[:maxTeamMetrics:maxTeamMetrics], others)
 	}
 	m.teams.Store(&teams)
+	if len(accounts) > maxTeamMetrics {
+		sort.SliceStable(accounts, func(a, b int) bool { return accounts[a].Weight > accounts[b].Weight })
+		accounts = accounts[:maxTeamMetrics]
+	}
+	m.accounts.Store(&accounts)
 }
 
 // Describe implements prometheus.Collector.
 func (m *teamMetrics) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{m.tasks, m.waiting, m.running, m.limits} {
+	for _, d := range []*prometheus.Desc{m.tasks, m.waiting, m.running, m.limits, m.shares, m.cores, m.stages, m.excess} {
 		ch <- d
 	}
 }
 
 // Collect implements prometheus.Collector.
 func (m *teamMetrics) Collect(ch chan<- prometheus.Metric) {
-	teams := m.teams.Load()
-	if teams == nil {
+	teams, accounts := m.teams.Load(), m.accounts.Load()
+	if teams == nil || accounts == nil {
 		return
 	}
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
@@ -87,6 +98,13 @@
 		resources(m.running, t.Team, t.Running, true)
 		resources(m.limits, t.Team, t.Cap, false)
 	}
+	for i := range *accounts {
+		t := &(*accounts)[i]
+		gauge(m.shares, t.Held, t.Team)
+		gauge(m.cores, milli*float64(t.Cores), t.Team)
+		gauge(m.stages, float64(t.Waiting), t.Team)
+		gauge(m.excess, float64(t.Excess), t.Team)
+	}
 }
 
 // teamCounter counts events by team and outcome. The number of its series is bounded.
@@ -107,21 +125,3 @@
 	c.mu.Unlock()
 	c.vec.WithLabelValues(team, outcome).Inc()
 }
-
-// setShares sets the metrics of the teams; those of other teams are removed.
-func (m *Metrics) setShares(teams []ccfair.Summary) {
-	for _, g := range []*prometheus.GaugeVec{m.teamShares, m.teamCores, m.teamWaiting, m.teamExcess} {
-		g.Reset()
-	}
-	if len(teams) > maxTeamMetrics {
-		sort.SliceStable(teams, func(a, b int) bool { return teams[a].Weight > teams[b].Weight })
-		teams = teams[:maxTeamMetrics]
-	}
-	for i := range teams {
-		t := &teams[i]
-		m.teamShares.WithLabelValues(t.Team).Set(t.Held)
-		m.teamCores.WithLabelValues(t.Team).Set(float64(t.Cores) / 1000)
-		m.teamWaiting.WithLabelValues(t.Team).Set(float64(t.Waiting))
-		m.teamExcess.WithLabelValues(t.Team).Set(float64(t.Excess))
-	}
-}
--- a/io/cccontrol/teammetrics_test.go
+++ b/io/cccontrol/teammetrics_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/ccfair"
 	"coriandercross/core/ccwork"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -41,7 +42,7 @@
 			Team: fmt.Sprintf("t%03d", i), Tasks: 2, Waiting: 3, Running: ccwork.Size{MilliCores: 1500, MemoryMB: 7}, Cap: ccwork.Size{MilliCores: 2000},
 		})
 	}
-	m.teams.set(teams)
+	m.teams.set(teams, nil)
 	got := gather()
 	assert.Equal(t, len(got), maxTeamMetrics*6+5)
 	for name, want := range map[string]float64{
@@ -57,6 +58,22 @@
 	} {
 		assert.Equal(t, got[name], want, name)
 	}
-	m.teams.set(nil)
+	var accounts []ccfair.Summary
+	for i := range maxTeamMetrics + 3 {
+		accounts = append(accounts, ccfair.Summary{Team: fmt.Sprintf("t%03d", i), Weight: int64(i), Held: 1.5, Cores: 2500, Waiting: 4, Excess: 5})
+	}
+	m.teams.set(nil, accounts)
+	got = gather()
+	assert.Equal(t, len(got), maxTeamMetrics*4, "the teams with the largest weights")
+	for name, want := range map[string]float64{
+		"coriandercross_team_shares t003":  1.5,
+		"coriandercross_team_cores t003":   2.5,
+		"coriandercross_team_waiting t003": 4,
+		"coriandercross_team_excess t003":  5,
+		"coriandercross_team_excess t002":  0,
+	} {
+		assert.Equal(t, got[name], want, name)
+	}
+	m.teams.set(nil, nil)
 	assert.Equal(t, len(gather()), 0, "a process that does not lead shows no team")
 }
