A round computes chains once a job, and bounds silent workers only with teams

Each round computed the critical path of a job for every waiting stage, twice with teams, with a list each time, though it never changes; rank computed the due time by targets and threw it away with teams; every round went through all workers for the bound on what silent ones run, also without a team; and the cell kept a map of teams for its length and one log field. Change: the job keeps its critical path and the stage what is left by the estimates; rank computes one due time; the bound and the summaries ask the book whether there are teams; the map is a flag, and the weight is that of the job's account.

--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -46,12 +46,11 @@
 // SetTeams activates the limits of teams. A team that is left out keeps its last known limits while its jobs run on.
 // Before the first call, no task of a team is started.
 func (c *Cell) SetTeams(teams []Team) {
-	c.teams = map[string]*Team{}
+	c.hasTeams = len(teams) > 0
 	limits := make(map[string]ccquota.Limits, len(teams))
 	weights := make(map[string]int64, len(teams))
 	for i := range teams {
 		t := &teams[i]
-		c.teams[t.Name] = t
 		limits[t.Name], weights[t.Name] = t.Limits, t.Limits.Weight
 		if a := c.book.Account(t.Name); c.book.Known() && a.Limits().Cap != t.Limits.Cap {
 			running, tasks := a.Running()
@@ -81,6 +80,9 @@
 // use there counts, for each team.
 func (c *Cell) boundUnknownRunning(now ms) ccwork.Size {
 	var out ccwork.Size
+	if !c.book.HasTeams() {
+		return out
+	}
 	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
 	lapsed := now >= c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)
 	for _, w := range c.workers {
@@ -194,8 +196,7 @@
 
 // Teams returns the summaries of all teams, ordered by name.
 func (c *Cell) Teams(now ms) []TeamSummary {
-	accounts := c.book.Accounts()
-	if len(accounts) == 0 || (len(accounts) == 1 && accounts[0].Team() == "") {
+	if !c.book.HasTeams() {
 		return nil
 	}
 	waiting := map[*ccquota.Account]int{}
@@ -203,7 +204,7 @@
 		waiting[s.job.account] += s.countUnplaced()
 	}
 	var out []TeamSummary
-	for _, a := range accounts {
+	for _, a := range c.book.Accounts() {
 		if a.Team() == "" {
 			continue
 		}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -37,7 +37,8 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	queues  map[string]*Queue
-	teams   map[string]*Team
+	// hasTeams is true while the configuration has teams.
+	hasTeams bool
 	// book holds what each team has running; see caps.go. capWaits holds the teams with stages that wait for a cap.
 	book     *ccquota.Book
 	capWaits map[*ccquota.Account]*capWait
@@ -200,7 +201,7 @@
 	}
 	j := c.insert(spec, now, nowUnix)
 	j.adopted = now < c.handoverAt
-	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", spec.CriticalPathMs(), "Lasting", spec.LongRunning()}, teamField(spec)...)...)
+	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
 }
@@ -214,7 +215,7 @@
 func (c *Cell) insert(spec *Job, now, nowUnix ms) *job {
 	j := &job{
 		spec: spec, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
-		arrivedAt: now, acceptedAt: now - spec.age(nowUnix),
+		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(),
 	}
 	c.jobs[spec.ID] = j
 	if j.team != nil {
--- a/core/cccell/hold.go
+++ b/core/cccell/hold.go
@@ -131,7 +131,7 @@
 // shorter for a job with little time to spare: beside 2.5 times the usual batch work, small tasks take all room that
 // becomes free, and a large task whose job has to start within 10 s would never find any.
 func (c *Cell) holdAfter(s *stage) ms {
-	if len(c.teams) == 0 {
+	if !c.hasTeams {
 		return holdAfterMs
 	}
 	w := c.work(s)
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -142,12 +142,12 @@
 		return longRunningRank + float64(s.readyAt)
 	}
 	q := c.queue(s.job)
-	due := float64(s.job.arrivedAt) + q.SlackFactor*float64(c.chainMs(s.job)) + float64(q.TargetMs)
-	if len(c.teams) > 0 {
+	later := float64(q.Priority) * priorityRankMs
+	if c.hasTeams {
 		w := c.work(s)
-		due = w.Due()
+		return w.Due() + later
 	}
-	return due + float64(q.Priority)*priorityRankMs
+	return float64(s.job.arrivedAt) + q.SlackFactor*float64(c.chainMs(s.job)) + float64(q.TargetMs) + later
 }
 
 // chainMs returns the expected duration of the longest chain of dependent stages of a job.
@@ -155,7 +155,7 @@
 	if c.cfg.RunTimes != nil {
 		return c.learnedChainMs(j)
 	}
-	return j.spec.CriticalPathMs()
+	return j.criticalPathMs
 }
 
 // eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage unless the
--- a/core/cccell/share.go
+++ b/core/cccell/share.go
@@ -1,6 +1,7 @@
 package cccell
 
 import (
+	"slices"
 	"sort"
 
 	"coriandercross/core/ccfair"
@@ -61,7 +62,7 @@
 		return
 	}
 	c.excessLoggedAt[name] = now
-	c.cfg.Log("team exceeds its weight", "Team", name, "Weight", c.teams[name].Limits.Weight, "Job", j.spec.ID)
+	c.cfg.Log("team exceeds its weight", "Team", name, "Weight", j.account.Limits().Weight, "Job", j.spec.ID)
 }
 
 // work returns what the order of a stage among those of other teams depends on.
@@ -84,7 +85,7 @@
 
 // deferred reports whether a stage comes after the work of other teams, since its team sends more than it is owed.
 func (c *Cell) deferred(s *stage, now ms) bool {
-	if len(c.teams) == 0 || !s.job.excess {
+	if !c.hasTeams || !s.job.excess {
 		return false
 	}
 	w := c.work(s)
@@ -93,6 +94,17 @@
 
 // leftMs returns the expected duration of the longest chain that begins with the stage, given that of the whole job.
 func (s *stage) leftMs(chainMs int64) int64 {
+	if s.estimatedLeftMs == 0 {
+		s.estimatedLeftMs = s.leftByEstimatesMs()
+	}
+	if whole := s.job.criticalPathMs; whole > 0 {
+		return s.estimatedLeftMs * chainMs / whole
+	}
+	return s.estimatedLeftMs
+}
+
+// leftByEstimatesMs returns the duration of the longest chain that begins with the stage, by the callers' estimates.
+func (s *stage) leftByEstimatesMs() int64 {
 	stages := s.job.spec.Stages
 	longest := make([]int64, len(stages))
 	for i := s.id.Stage; i < len(stages); i++ {
@@ -106,14 +118,7 @@
 			}
 		}
 	}
-	left := int64(0)
-	for _, l := range longest {
-		left = max(left, l)
-	}
-	if whole := s.job.spec.CriticalPathMs(); whole > 0 {
-		return left * chainMs / whole
-	}
-	return left
+	return slices.Max(longest)
 }
 
 // use counts a task of the stage towards what its team has running. Long-running work doesn't count: it is placed
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -42,9 +42,10 @@
 	// ones.
 	liveAttempts int
 	running      ccwork.Size
-	// chainMs is the result of Cell.learnedChainMs at chainAt.
-	chainMs int64
-	chainAt ms
+	// criticalPathMs is the result of Job.CriticalPathMs. chainMs is that of Cell.learnedChainMs at chainAt.
+	criticalPathMs int64
+	chainMs        int64
+	chainAt        ms
 	// team is the account of the job's team, nil for a job without one. acceptedAt is when the job was accepted, as far as
 	// the clocks of the processes agree; excess is true for a job beyond the budget of its team.
 	team       *ccfair.Team
@@ -102,6 +103,8 @@
 	ahead   int
 	// placementDelay is the time since the stage became ready in which its tasks could not be started.
 	placementDelay placementDelay
+	// estimatedLeftMs is the result of stage.leftByEstimatesMs, 0 before its first call.
+	estimatedLeftMs int64
 	// prediction is the result of Cell.predict at predictedAt, 0 for never.
 	prediction  ccruntimes.Prediction
 	predictedAt ms
--- a/core/ccquota/book.go
+++ b/core/ccquota/book.go
@@ -10,8 +10,8 @@
 // Book holds the accounts of all teams. It is not safe for concurrent use.
 type Book struct {
 	accounts map[string]*Account
-	// known is true once SetLimits was called.
-	known bool
+	// known is true once SetLimits was called, hasTeams once there is the account of a team.
+	known, hasTeams bool
 }
 
 // Account is what one team has running, and its limits. An account is never removed, since jobs refer to it; their
@@ -35,10 +35,16 @@
 	if a == nil {
 		a = &Account{book: b, team: team}
 		b.accounts[team] = a
+		b.hasTeams = b.hasTeams || team != ""
 	}
 	return a
 }
 
+// HasTeams reports whether there is an account but for that of jobs without a team.
+func (b *Book) HasTeams() bool {
+	return b.hasTeams
+}
+
 // Accounts returns all accounts, ordered by the names of the teams.
 func (b *Book) Accounts() []*Account {
 	out := make([]*Account, 0, len(b.accounts))
