One way to give the cell a configuration, and one to ask for the version in force

Change: leadership.updateConfig, and configVersion where the version is sent, dumped or compared. Behaviour as it was.

--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -140,10 +140,7 @@
 	token, seq := p.stateCache.position()
 	in := &ccpeer.SyncRequest{
 		VM: p.cfg.VM, Token: token, Seq: seq, Draining: p.draining.Load(),
-		StartMs: p.cfg.StartMs, Following: leader.Token, ReceivedMs: p.receivedFrom(leader.Token),
-	}
-	if c := p.config.Load(); c != nil {
-		in.Version = c.config.Version
+		StartMs: p.cfg.StartMs, Following: leader.Token, ReceivedMs: p.receivedFrom(leader.Token), Version: p.configVersion(),
 	}
 	p.measurePace()
 	in.SlowTenths = p.succession.slowTenths()
@@ -190,7 +187,7 @@
 	for _, request := range out.AdviceRequests {
 		go p.adviseLeader(ctx, request)
 	}
-	if c := p.config.Load(); out.Version > 0 && (c == nil || c.config.Version < out.Version) {
+	if out.Version > p.configVersion() {
 		go p.fetchConfig(ctx, leader.Address)
 	}
 	switch {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -263,11 +263,7 @@
 		l.end("a worker has seen a higher token")
 		return
 	}
-	if c := p.config.Load(); c != nil && c.config.Version > l.configVersion {
-		l.configVersion = c.config.Version
-		l.cell.SetQueues(c.config.Queues())
-		l.cell.SetTeams(c.config.Teams)
-	}
+	l.updateConfig()
 	l.cell.Schedule(now, unixNow())
 	l.publishEarly(now)
 	l.sendOrders(l.cell.TakeOrders(), now)
@@ -283,6 +279,15 @@
 	}
 }
 
+// updateConfig gives the cell the configuration in force, unless it has it.
+func (l *leadership) updateConfig() {
+	if c := l.p.config.Load(); c != nil && c.config.Version > l.configVersion {
+		l.configVersion = c.config.Version
+		l.cell.SetQueues(c.config.Queues())
+		l.cell.SetTeams(c.config.Teams)
+	}
+}
+
 // callWorker makes a call in a new goroutine. The event loop runs onReply with the reply.
 func (l *leadership) callWorker(kind string, call func() cccell.Reply, onReply func(r cccell.Reply, now ms)) {
 	go func() {
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -55,11 +55,7 @@
 			l.cell.AddUnlistedWorker(w, now)
 		}
 	}
-	if c := p.config.Load(); c != nil {
-		l.cell.SetQueues(c.config.Queues())
-		l.cell.SetTeams(c.config.Teams)
-		l.configVersion = c.config.Version
-	}
+	l.updateConfig()
 	l.adoptJobs(submissions, progress, now)
 	return submissionsRev, directoryRev, nil
 }
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -250,10 +250,7 @@
 	leader, replyAt := p.currentLeader()
 	d := Dump{
 		VM: p.cfg.VM, Leader: leader.VM, Token: leader.Token, HeardMs: int64(p.now() - replyAt), StoreAgeMs: p.cfg.Store.AgeMs(),
-		Draining: p.draining.Load(), Jobs: map[cccell.State]int{},
-	}
-	if c := p.config.Load(); c != nil {
-		d.Version = c.config.Version
+		Draining: p.draining.Load(), Jobs: map[cccell.State]int{}, Version: p.configVersion(),
 	}
 	p.mu.Lock()
 	for _, m := range p.members {
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -63,12 +63,9 @@
 		p.stateCache.mu.Lock()
 		out := &ccpeer.SyncReply{
 			Leading: true, Token: l.token, Seq: seq, Full: full, Changes: changes, AdviceRequests: requests, QueuedJobs: p.stateCache.queued,
-			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat),
+			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(),
 		}
 		p.stateCache.mu.Unlock()
-		if c := p.config.Load(); c != nil {
-			out.Version = c.config.Version
-		}
 		if l.accepts(peer) {
 			if !l.handOver(in.VM) {
 				return p.noLeaderReply(), nil
