--- a/core/ccruntimes/prediction.go
+++ b/core/ccruntimes/prediction.go
@@ -100,18 +100,15 @@
 
 // AtMs returns a quantile of the run time. Beyond the first and the last knot it stays the same.
 func (p *Prediction) AtMs(q float64) float64 {
-	for i := range knots {
+	if q <= knots[0] {
+		return math.Exp2(p.logs[0])
+	}
+	for i := 1; i < knotCount; i++ {
 		if q <= knots[i] {
-			if i == 0 {
-				break
-			}
 			f := (q - knots[i-1]) / (knots[i] - knots[i-1])
 			return math.Exp2(p.logs[i-1] + f*(p.logs[i]-p.logs[i-1]))
 		}
 	}
-	if q <= knots[0] {
-		return math.Exp2(p.logs[0])
-	}
 	return math.Exp2(p.logs[knotLast])
 }
 
--- a/core/ccworkersim/cap.go
+++ b/core/ccworkersim/cap.go
@@ -1,8 +1,6 @@
 package ccworkersim
 
-import (
-	"coriandercross/core/ccwork"
-)
+import "coriandercross/core/ccwork"
 
 // checkCap checks that a start keeps its team within the cap. With CapOverrun, that is the rule of the platform: so many
 // percent more, and the task that starts. Otherwise the check allows neither, but for a task that is larger than the cap
--- a/io/ccharness/process.go
+++ b/io/ccharness/process.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/cockroachdb/errors"
 )
 
 // Process is an operating system process. It can be started more than once.
