--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -22,6 +22,10 @@
 	AuthorityMs, PriorAuthorityMs ms
 	// RemoteFactor is the ratio of a task's duration outside the rack of its data to its duration inside.
 	RemoteFactor float64
+	// PriorUnstored is true if a prior leader may have run jobs that were not stored. Ended reports whether a job that the
+	// cell does not have is known to have ended; it may be nil.
+	PriorUnstored bool
+	Ended         func(id string) bool
 	// RunTimes learns how long tasks take; nil to rely on the callers' estimates.
 	RunTimes *ccruntimes.Learner
 	// ObserveRunTime is called for each task that is done with the factors by which the prediction and the estimate of its
@@ -65,6 +69,11 @@
 	orders       Orders
 	attemptCount int64
 	deposed      bool
+	// unstoredCount is the number of unstored jobs; orphanEnds holds the ends of tasks of unknown jobs, by job.
+	unstoredCount int
+	orphanEnds    map[string][]orphanEnd
+	// startedAt is when the term of this leader began.
+	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
 	authorityUntil ms
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
@@ -125,6 +134,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
+		orphanEnds: map[string][]orphanEnd{}, startedAt: now,
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
@@ -194,21 +204,44 @@
 	return j.queue
 }
 
-// AddJob adds an accepted job. It does nothing when the cell has the job already.
+// AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
-	if c.jobs[spec.ID] != nil {
+	if c.jobs[spec.ID] == nil {
+		c.addStored(spec, c.mayHaveBegun(now), now, nowUnix)
+		c.jobs[spec.ID].origin = originFound
+		return
+	}
+	c.markStored(c.jobs[spec.ID], now)
+}
+
+// AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
+// true if a prior leader may have started tasks of it.
+func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
+	if j := c.jobs[spec.ID]; j != nil && j.origin == originFound && !begun && now >= c.handoverAt {
+		j.adopted = false
+	}
+	c.addStored(spec, begun, now, nowUnix)
+	c.jobs[spec.ID].origin = originReported
+}
+
+// addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
+func (c *Cell) addStored(spec *Job, begun bool, now, nowUnix ms) {
+	if j := c.jobs[spec.ID]; j != nil {
+		c.markStored(j, now)
 		return
 	}
 	j := c.insert(spec, now, nowUnix)
-	j.adopted = now < c.handoverAt
+	j.adopted = begun || now < c.handoverAt
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
+	c.attachOrphans(j, now)
 }
 
-// HasJob reports whether the cell has a job.
+// HasJob reports whether the cell has a job that is stored.
 func (c *Cell) HasJob(id string) bool {
-	return c.jobs[id] != nil
+	j := c.jobs[id]
+	return j != nil && !j.unstored
 }
 
 // insert adds a job to memory, without runs.
@@ -351,8 +384,12 @@
 	return true
 }
 
-// publishState adds the current state of a job to the orders, for the processes that reply to callers.
+// publishState adds the current state of a job to the orders, for the processes that reply to callers. An unstored job
+// has no state for them.
 func (c *Cell) publishState(j *job) {
+	if j.unstored {
+		return
+	}
 	c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Team: j.spec.Team})
 }
 
@@ -371,7 +408,9 @@
 func (c *Cell) States() []StateChange {
 	out := make([]StateChange, 0, len(c.jobs))
 	for _, j := range c.jobs {
-		out = append(out, StateChange{Job: j.spec.ID, State: c.stateOf(j), Team: j.spec.Team})
+		if !j.unstored {
+			out = append(out, StateChange{Job: j.spec.ID, State: c.stateOf(j), Team: j.spec.Team})
+		}
 	}
 	return out
 }
@@ -380,7 +419,7 @@
 func (c *Cell) QueuedJobs() map[string]int {
 	out := map[string]int{}
 	for _, j := range c.jobs {
-		if !j.started && j.final == "" {
+		if !j.started && j.final == "" && !j.unstored {
 			out[j.spec.Queue.Name]++
 		}
 	}
@@ -390,6 +429,7 @@
 // RemoveEndedJobs drops the jobs that arrived before a time, whose final state is published, and that have no live
 // attempts.
 func (c *Cell) RemoveEndedJobs(arrivedBefore ms) {
+	c.forgetOrphanEnds(c.roundAt)
 	for address := range c.suspects {
 		c.forgetSuspects(address)
 	}
--- a/core/cccell/early.go
+++ b/core/cccell/early.go
@@ -17,7 +17,7 @@
 func (c *Cell) UnwrittenCompletions(now ms) []string {
 	var out []string
 	for j := range c.unwritten {
-		if !j.early && now-j.decidedAt >= earlyAfterMs && c.earlyCount < maxEarly {
+		if !j.early && !j.unstored && now-j.decidedAt >= earlyAfterMs && c.earlyCount < maxEarly {
 			j.early = true
 			c.earlyCount++
 			out = append(out, j.spec.ID)
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -15,6 +15,9 @@
 	if a.stage != nil && (e.End == EndDone || e.End == EndFailed) {
 		unacked.job, unacked.version = a.stage.job, a.stage.job.version
 	}
+	if a.stage == nil && c.holdOrphanEnd(w, e, now) {
+		unacked.orphanUntil = c.startedAt + orphanHoldMs
+	}
 	w.unackedEnds = append(w.unackedEnds, unacked)
 }
 
--- a/core/cccell/persist.go
+++ b/core/cccell/persist.go
@@ -18,8 +18,12 @@
 // removes the job.
 func (c *Cell) NextWrites(budget int, nowUnix ms) []ProgressWrite {
 	var out []ProgressWrite
-	n := 0
-	for _, j := range c.dirty {
+	var kept []*job
+	for i, j := range c.dirty {
+		if j.unstored {
+			kept = append(kept, j) // Its submission is written under the condition that there is no progress.
+			continue
+		}
 		rows := 2
 		if j.final != "" {
 			rows++
@@ -28,22 +32,31 @@
 			}
 		}
 		if budget < rows {
+			kept = append(kept, c.dirty[i:]...)
 			break
 		}
 		budget -= rows
-		n++
 		delete(c.inDirty, j)
 		out = append(out, ProgressWrite{
 			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelRequested: j.cancelRequested, job: j, version: j.version,
 		})
 	}
-	c.dirty = append(c.dirty[:0:0], c.dirty[n:]...)
+	c.dirty = kept
 	return out
 }
 
-// PendingWrites returns the number of jobs with changes that NextWrites has not returned yet.
+// PendingWrites returns the number of stored jobs with changes that NextWrites has not returned yet.
 func (c *Cell) PendingWrites() int {
-	return len(c.dirty)
+	if c.unstoredCount == 0 {
+		return len(c.dirty)
+	}
+	n := 0
+	for _, j := range c.dirty {
+		if !j.unstored {
+			n++
+		}
+	}
+	return n
 }
 
 // OnWritten is called when the store has persisted the records at the given revision.
@@ -68,7 +81,7 @@
 		}
 	}
 	for _, w := range c.workers {
-		w.advanceAck()
+		w.advanceAck(now)
 	}
 }
 
@@ -89,10 +102,10 @@
 
 // advanceAck moves ackedEnd past the ends whose changes are persisted. Ends are acknowledged in the order of their
 // numbers.
-func (w *worker) advanceAck() {
+func (w *worker) advanceAck(now ms) {
 	for len(w.unackedEnds) > 0 {
 		e := w.unackedEnds[0]
-		if e.job != nil && e.job.persisted < e.version {
+		if (e.job != nil && e.job.persisted < e.version) || now < e.orphanUntil {
 			return
 		}
 		w.ackedEnd = e.number
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -138,6 +138,9 @@
 			continue // The stop is sent when the worker replies again.
 		}
 		for _, a := range w.attempts {
+			if a.stage == nil && now-a.sentAt > strayGraceMs {
+				a.stopWanted = true
+			}
 			if a.state == inDoubt && !a.stopWanted && now-a.inDoubtSince > inDoubtGraceMs {
 				a.stopWanted = true
 			}
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -181,7 +181,7 @@
 		c.recordEnd(w, e, now)
 	}
 	if r.ClockMs < w.listsClock {
-		w.advanceAck()
+		w.advanceAck(now)
 		return // Newer lists were handled already, so a task that is running by these lists may have ended.
 	}
 	w.listsClock = r.ClockMs
@@ -202,7 +202,7 @@
 		w.admitted = true
 		c.cfg.Log("worker taken", "Worker", w.info.ID, "Born", w.incarnation, "Running", len(lists.Running), "Ended", len(lists.Ended), "Token", c.cfg.Token)
 	}
-	w.advanceAck()
+	w.advanceAck(now)
 }
 
 // maxEndsListed is the number of ends in one reply; a reply with that many ends may leave some out.
@@ -272,7 +272,7 @@
 	a := &attempt{task: t.Task, number: t.Attempt, worker: w, state: running, sentAt: now, progressAt: now, confirmedAt: now, adopted: true}
 	s := c.stageOf(t.Task)
 	if s == nil {
-		a.stopWanted = true
+		a.stopWanted = !c.cfg.PriorUnstored
 		c.cfg.Log("stray task", "Job", t.Task.Job, "Task", t.Task, "Attempt", t.Attempt, "Worker", w.info.ID)
 		w.addAttempt(a)
 		return a
--- a/core/cccell/share.go
+++ b/core/cccell/share.go
@@ -39,7 +39,7 @@
 		default:
 			continue
 		}
-		if j.final == "" {
+		if j.final == "" && !j.unstored {
 			c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Excess: true})
 		}
 	}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -33,6 +33,10 @@
 	version, persisted int64
 	// adopted is true when a prior leader may have started tasks of the job.
 	adopted bool
+	// origin tells where an accepted job has come from.
+	origin jobOrigin
+	// unstored is true until the submission is known to be in the store.
+	unstored bool
 	// cancelRequested is true when the store holds a cancel request.
 	cancelRequested bool
 	// arrivedAt is when this process learned of the job. For an adopted job it is earlier by the job's age, up to
@@ -53,6 +57,18 @@
 	excess     bool
 }
 
+// jobOrigin tells where a job has come from.
+type jobOrigin int
+
+const (
+	// originAdopted is that of a job of a prior leader, or of one that is not stored yet.
+	originAdopted jobOrigin = iota
+	// originFound is that of a job that was found in the store, of which no process has told yet.
+	originFound
+	// originReported is that of a job of which the process that accepted it has told.
+	originReported
+)
+
 // run is one run of a job.
 type run struct {
 	number int
--- /dev/null
+++ b/core/cccell/unstored.go
@@ -0,0 +1,178 @@
+package cccell
+
+// Unstored jobs. Load: the store is slow or does not reply, and the submissions of urgent jobs wait for it. A job is
+// placed before its submission is in the store, but nothing of it is published or written until then, and the workers
+// go on listing the ends of its tasks: every later leader finds them.
+//
+// A leader that follows may find attempts of such jobs before it learns of the jobs. Their ends stay listed at the
+// workers for orphanHoldMs, in which callers repeat their submissions, and are remembered for longer, so that no task
+// that is done starts again.
+
+const (
+	// maxUnstored bounds the unstored jobs.
+	maxUnstored = 4096
+	// orphanHoldMs is the time from the start of a term in which the ends of tasks of unknown jobs are not acknowledged,
+	// and jobs that arrive count as started by a prior leader: callers repeat a submission for three seconds.
+	orphanHoldMs ms = 4000
+	// orphanMemoryMs is the time for which the ends of tasks of unknown jobs are remembered. A write of a submission is
+	// carried out later than that at no time.
+	orphanMemoryMs ms = 30_000
+	// strayGraceMs is the time that a running task of an unknown job has before it is stopped, in which the process that
+	// holds the submission tells a new leader of the job.
+	strayGraceMs ms = 300
+)
+
+// orphanEnd is the end of a task of an unknown job.
+type orphanEnd struct {
+	w   *worker
+	end EndedTask
+	at  ms
+}
+
+// AddUnstored adds a job whose submission is being written. begun is true if a prior leader may have started tasks of
+// it. It returns false if the job is not run before it is stored.
+func (c *Cell) AddUnstored(spec *Job, begun bool, now, nowUnix ms) bool {
+	if j := c.jobs[spec.ID]; j != nil {
+		return true
+	}
+	if c.unstoredCount >= maxUnstored {
+		return false
+	}
+	j := c.insert(spec, now, nowUnix)
+	j.adopted = begun || now < c.handoverAt
+	j.unstored = true
+	c.unstoredCount++
+	c.cfg.Log("job begun before it is stored", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Begun", begun}, teamField(spec)...)...)
+	c.startDueRuns(j, now, nowUnix)
+	c.attachOrphans(j, now)
+	return true
+}
+
+// mayHaveBegun reports whether a prior leader may have started tasks of a job that is found now and of which no process
+// has told.
+func (c *Cell) mayHaveBegun(now ms) bool {
+	return now < c.handoverAt || (c.cfg.PriorUnstored && now-c.startedAt < orphanHoldMs)
+}
+
+// markStored records that the submission of a job is in the store.
+func (c *Cell) markStored(j *job, now ms) {
+	if !j.unstored {
+		return
+	}
+	j.unstored = false
+	c.unstoredCount--
+	c.cfg.Log("begun job stored", "Job", j.spec.ID, "AfterMs", now-j.arrivedAt, "Started", j.started, "Decided", j.final)
+	c.publishState(j)
+	if j.excess && j.final == "" {
+		c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Excess: true})
+	}
+}
+
+// Unstored returns the jobs that have been unstored since a time or longer.
+func (c *Cell) Unstored(since ms) []*Job {
+	if c.unstoredCount == 0 {
+		return nil
+	}
+	var out []*Job
+	for _, j := range c.jobs {
+		if j.unstored && j.arrivedAt <= since {
+			out = append(out, j.spec)
+		}
+	}
+	return out
+}
+
+// UnstoredCount returns the number of unstored jobs.
+func (c *Cell) UnstoredCount() int {
+	return c.unstoredCount
+}
+
+// DropUnstored ends an unstored job that can't be stored, since the store has an ended job or one of another team under
+// its ID.
+func (c *Cell) DropUnstored(id string, now ms) {
+	j := c.jobs[id]
+	if j == nil || !j.unstored {
+		return
+	}
+	c.finish(j, Cancelled, now)
+	c.cfg.Log("begun job dropped", "Job", id, "AfterMs", now-j.arrivedAt, "LiveAttempts", j.liveAttempts)
+	j.unstored = false
+	c.unstoredCount--
+	// Nothing of it is written, so that nothing has to be awaited before its ends are acknowledged.
+	j.published, j.persisted = Cancelled, j.version
+	delete(c.unwritten, j)
+	delete(c.inDirty, j)
+	for i, other := range c.dirty {
+		if other == j {
+			c.dirty = append(c.dirty[:i], c.dirty[i+1:]...)
+			break
+		}
+	}
+}
+
+// holdOrphanEnd remembers the end of a task whose job is unknown, and reports whether the worker has to go on listing it.
+func (c *Cell) holdOrphanEnd(w *worker, e *EndedTask, now ms) bool {
+	if !c.cfg.PriorUnstored || c.jobs[e.Task.Job] != nil || (e.End != EndDone && e.End != EndFailed) {
+		return false
+	}
+	if c.cfg.Ended != nil && c.cfg.Ended(e.Task.Job) {
+		return false
+	}
+	c.orphanEnds[e.Task.Job] = append(c.orphanEnds[e.Task.Job], orphanEnd{w, *e, now})
+	return now-c.startedAt < orphanHoldMs
+}
+
+// attachOrphans applies what is known of the tasks of a job that has just been added.
+func (c *Cell) attachOrphans(j *job, now ms) {
+	id := j.spec.ID
+	for _, w := range c.workers {
+		if w.orphans == 0 {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.stage == nil && a.task.Job == id {
+				c.attachOrphan(w, a, now)
+			}
+		}
+	}
+	ends := c.orphanEnds[id]
+	delete(c.orphanEnds, id)
+	for i := range ends {
+		o := &ends[i]
+		s := c.stageOf(o.end.Task)
+		if s == nil {
+			continue
+		}
+		c.cfg.Log("end of a begun job found", "Job", id, "Task", o.end.Task, "Attempt", o.end.Attempt, "Worker", o.w.info.ID, "End", o.end.End)
+		c.endAttempt(&attempt{task: o.end.Task, number: o.end.Attempt, worker: o.w, stage: s, adopted: true}, o.end.End, o.end.Checkpoint, now)
+		for k := range o.w.unackedEnds {
+			if u := &o.w.unackedEnds[k]; u.number == o.end.Number && u.orphanUntil != 0 {
+				u.job, u.version, u.orphanUntil = j, j.version, 0
+			}
+		}
+	}
+}
+
+// attachOrphan makes an attempt of an unknown job one of a task.
+func (c *Cell) attachOrphan(w *worker, a *attempt, now ms) {
+	s := c.stageOf(a.task)
+	if s == nil {
+		return
+	}
+	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
+	w.removeAttempt(a)
+	a.stage, a.need, a.state, a.adopted = s, s.need, ordered, true
+	a.stopWanted = a.stopWanted || unneeded
+	w.addAttempt(a)
+	c.confirmStart(a, now)
+	c.cfg.Log("task adopted", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "Unneeded", unneeded)
+}
+
+// forgetOrphanEnds drops the ends that are older than orphanMemoryMs.
+func (c *Cell) forgetOrphanEnds(now ms) {
+	for id, ends := range c.orphanEnds {
+		if now-ends[len(ends)-1].at > orphanMemoryMs {
+			delete(c.orphanEnds, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/cccell/unstored_test.go
@@ -0,0 +1,170 @@
+package cccell
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// doneList returns the lists of a worker at which the attempts have ended successfully, numbered from 1.
+func doneList(starts []StartOrder) *TaskLists {
+	l := &TaskLists{}
+	for i := range starts {
+		l.Ended = append(l.Ended, EndedTask{Number: int64(i + 1), Task: starts[i].Task, Attempt: starts[i].Attempt, End: EndDone})
+	}
+	return l
+}
+
+// A job that is not stored yet runs, but callers and the store learn nothing of it, and its worker goes on listing the
+// ends of its tasks. Once it is stored, all of that follows.
+func TestUnstoredJobRunsUnseen(t *testing.T) {
+	c := readyCell(t, testWorker("w1"))
+	assert.Assert(t, c.AddUnstored(testJob("j", 2), false, 1100, 1100))
+	starts := runStarts(c, 1110)
+	assert.Equal(t, len(starts), 2)
+	out := pollAll(t, c, 1200, map[string]*TaskLists{"w1": doneList(starts)})
+	assert.Equal(t, len(out.Polls), 1)
+	assert.Equal(t, c.jobs["j"].final, Completed)
+	out = runRound(c, 2000)
+	assert.Equal(t, len(out.Changes), 0)
+	assert.Equal(t, len(c.UnwrittenCompletions(2000)), 0)
+	assert.Equal(t, c.PendingWrites(), 0)
+	assert.Equal(t, len(c.NextWrites(31, 2000)), 0)
+	assert.Equal(t, c.workers["w1"].ackedEnd, int64(0))
+	assert.Assert(t, !c.HasJob("j"))
+	assert.Equal(t, len(c.States()), 0)
+
+	c.AddReportedJob(testJob("j", 2), false, 2100, 2100)
+	assert.Equal(t, len(c.TakeOrders().Changes), 1)
+	writes := c.NextWrites(31, 2100)
+	assert.Equal(t, len(writes), 1)
+	c.OnWritten(writes, 7, 2110)
+	assert.Equal(t, c.jobs["j"].published, Completed)
+	assert.Equal(t, c.workers["w1"].ackedEnd, int64(2))
+	assert.Equal(t, c.UnstoredCount(), 0)
+}
+
+// While the store is down for four seconds, urgent jobs come every 100 ms. Those that have been stored when the store is
+// back have been done by then; without running them before, each would only begin.
+func TestOutageDoesNotHoldUpWork(t *testing.T) {
+	const backAt = 5000
+	c := readyCell(t, testWorker("w1"), testWorker("w2"))
+	running := map[attemptKey]ms{}
+	number := int64(0)
+	for now := ms(1000); now < backAt; now += 20 {
+		if now%100 == 0 {
+			c.AddUnstored(testJob(now.Duration().String(), 2), false, now, now)
+		}
+		for _, o := range runStarts(c, now) {
+			running[attemptKey{o.Task, o.Attempt}] = now
+		}
+		for key, at := range running {
+			if now-at >= 500 {
+				delete(running, key)
+				number++
+				w := c.jobs[key.task.Job].runs[0].stages[0].tasks[key.task.Index][0].worker
+				c.recordEnd(w, &EndedTask{Number: number, Task: key.task, Attempt: key.number, End: EndDone}, now)
+			}
+		}
+	}
+	done := 0
+	for id, j := range c.jobs {
+		c.AddReportedJob(j.spec, false, backAt, backAt)
+		if j.arrivedAt < backAt-700 {
+			assert.Equal(t, j.final, Completed, id)
+			done++
+		}
+	}
+	assert.Assert(t, done >= 30, "%d done", done)
+	assert.Assert(t, c.PendingWrites() >= done)
+}
+
+// A leader dies while the store is down and a job runs that is not stored. When the job is submitted again, its next
+// leader must neither repeat the task that was done nor the one that runs.
+func TestNextLeaderFindsUnstoredWork(t *testing.T) {
+	const attempt = 1<<attemptBits + 1
+	task := func(index int) TaskID { return TaskID{Job: "j", Index: index} }
+	lists := &TaskLists{
+		Running: []RunningTask{{Task: task(1), Attempt: attempt}},
+		Ended:   []EndedTask{{Number: 1, Task: task(0), Attempt: attempt, End: EndDone}},
+	}
+	c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+	c.SetWorker(testWorker("w1"), 1000)
+	pollAll(t, c, 1000, map[string]*TaskLists{"w1": lists})
+	pollAll(t, c, 1030, map[string]*TaskLists{"w1": lists})
+	out := runRound(c, 1100)
+	assert.Equal(t, len(out.Stops), 0) // The job may still come.
+	c.AddReportedJob(testJob("j", 3), true, 1150, 1150)
+	starts := runStarts(c, 1160)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task, task(2))
+	assert.Equal(t, c.workers["w1"].ackedEnd, int64(0))
+	writes := c.NextWrites(31, 1200)
+	assert.Equal(t, len(writes), 1)
+	c.OnWritten(writes, 9, 1210)
+	assert.Equal(t, c.workers["w1"].ackedEnd, int64(1))
+}
+
+// The tasks of a job that nobody submits again are stopped, and their ends acknowledged, after a bounded time. A job
+// that comes even later is not repeated.
+func TestUnknownWorkIsEnded(t *testing.T) {
+	const attempt = 1<<attemptBits + 1
+	done, running := TaskID{Job: "j"}, TaskID{Job: "k"}
+	lists := &TaskLists{
+		Running: []RunningTask{{Task: running, Attempt: attempt}}, Ended: []EndedTask{{Number: 1, Task: done, Attempt: attempt, End: EndDone}},
+	}
+	c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+	c.SetWorker(testWorker("w1"), 1000)
+	pollAll(t, c, 1000, map[string]*TaskLists{"w1": lists})
+	out := runRound(c, 1000+strayGraceMs+1)
+	assert.Equal(t, len(out.Stops), 1)
+	assert.Equal(t, out.Stops[0].Task, running)
+	w := c.workers["w1"]
+	w.advanceAck(1000 + orphanHoldMs - 1)
+	assert.Equal(t, w.ackedEnd, int64(0))
+	w.advanceAck(1000 + orphanHoldMs)
+	assert.Equal(t, w.ackedEnd, int64(1))
+	now := 1000 + orphanHoldMs + 3000
+	c.AddReportedJob(testJob("j", 1), false, now, now)
+	assert.Equal(t, c.jobs["j"].final, Completed)
+}
+
+// A new leader does not know whether a job that it finds in the store was begun before: the job waits for a worker that
+// does not reply. It starts at once when the process that accepted it tells that no leader had it.
+func TestFoundJobWaitsUntilItIsReported(t *testing.T) {
+	c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+	c.SetHandover(1000, 1000)
+	c.SetWorker(testWorker("w1"), 1000)
+	c.SetWorker(testWorker("silent"), 1000)
+	c.Schedule(1000, 1000)
+	out := c.TakeOrders()
+	for i := range out.Polls {
+		r := executedReply(1000)
+		if out.Polls[i].WorkerID == "silent" {
+			r = Reply{Outcome: ReplyLost}
+		}
+		c.OnPollReply(&out.Polls[i], r, &TaskLists{}, 1000)
+	}
+	c.AddJob(testJob("j", 1), 1100, 1100)
+	assert.Equal(t, len(runStarts(c, 1110)), 0)
+	c.AddReportedJob(testJob("j", 1), false, 1200, 1200)
+	assert.Equal(t, len(runStarts(c, 1210)), 1)
+	c.AddReportedJob(testJob("k", 1), true, 1300, 1300)
+	assert.Equal(t, len(runStarts(c, 1310)), 0)
+}
+
+// A job that can't be stored, since its ID is taken, ends without a trace, and does not hold up acknowledgements.
+func TestDroppedJobHoldsUpNothing(t *testing.T) {
+	c := readyCell(t, testWorker("w1"))
+	c.AddUnstored(testJob("j", 2), false, 1100, 1100)
+	starts := runStarts(c, 1110)
+	lists := doneList(starts[:1])
+	lists.Running = []RunningTask{{Task: starts[1].Task, Attempt: starts[1].Attempt}}
+	pollAll(t, c, 1200, map[string]*TaskLists{"w1": lists})
+	c.DropUnstored("j", 1300)
+	assert.Equal(t, c.PendingWrites(), 0)
+	out := runRound(c, 1310)
+	assert.Equal(t, len(out.Stops), 1)
+	c.workers["w1"].advanceAck(1310)
+	assert.Equal(t, c.workers["w1"].ackedEnd, int64(1))
+}
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -121,6 +121,8 @@
 	number  int64
 	job     *job
 	version int64
+	// orphanUntil is the time until which the worker has to list the end of a task of an unknown job, 0 for others.
+	orphanUntil ms
 }
 
 // newestIncarnation returns the newest incarnation that the worker or the store has reported.
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -35,6 +35,8 @@
 	Metrics  string `long:"metrics" description:"address for metrics and the state dump; port 9464 of the IP in the settings if left out"`
 
 	LearnRunTimes bool `long:"learn-run-times" description:"learn from finished runs how long tasks take, and use that in place of the callers' estimates; the same at all processes"`
+	// StoreBeforeStart gives up the work that is done while the store is away, for operators who want none of it.
+	StoreBeforeStart bool `long:"store-before-start" description:"start no task before its job is in the store, also while the store is slow or silent; the same at all processes"`
 }
 
 const (
@@ -72,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	p := newEntryProcess(s, path, logger, c.LearnRunTimes)
+	p := newEntryProcess(s, path, logger, c)
 	p.logWriter = out
 	p.metrics = c.Metrics
 	if p.metrics == "" {
@@ -102,7 +104,7 @@
 }
 
 // newEntryProcess builds the process. It opens no socket.
-func newEntryProcess(s *ccplatform.Settings, path string, logger *log.Logger, learnRunTimes bool) *entryProcess {
+func newEntryProcess(s *ccplatform.Settings, path string, logger *log.Logger, c *entryCommand) *entryProcess {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	storeCalls := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -129,7 +131,7 @@
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
-		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: learnRunTimes,
+		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: c.LearnRunTimes, StoreBeforeStart: c.StoreBeforeStart,
 	})
 	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg}
 }
--- /dev/null
+++ b/io/cccontrol/begin_test.go
@@ -0,0 +1,148 @@
+package cccontrol
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coriandercross/core/cccell"
+	"coriandercross/core/ccwork"
+	"coriandercross/io/ccpeer"
+	"coriandercross/io/ccstore"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// outageStore does not execute any call until it is back.
+type outageStore struct {
+	Store
+	back  atomic.Bool
+	mu    sync.Mutex
+	items map[string][]byte
+}
+
+func (s *outageStore) Write(ctx context.Context, t *Txn) (int64, error) {
+	if !s.back.Load() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+		return 0, errors.Mark(errors.New("no reply"), ccstore.ErrInDoubt)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range t.Puts {
+		s.items[p.Key] = p.Value
+	}
+	return 1, nil
+}
+
+// runningLeader confirms to run jobs, unless it is dead, and records what it is told.
+type runningLeader struct {
+	ccpeer.CellHandler
+	refuses bool
+	mu      sync.Mutex
+	begun   []ccpeer.BeginRequest
+	stored  []ccpeer.NotifyRequest
+}
+
+func (l *runningLeader) Begin(_ context.Context, in *ccpeer.BeginRequest) (*ccpeer.BeginReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun = append(l.begun, *in)
+	return &ccpeer.BeginReply{Begun: !l.refuses}, nil
+}
+
+func (l *runningLeader) Notify(_ context.Context, in *ccpeer.NotifyRequest) (*ccpeer.NotifyReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stored = append(l.stored, *in)
+	return &ccpeer.NotifyReply{Leading: true}, nil
+}
+
+// TestSubmissionInOutage checks what a caller hears whose submission can't be stored at once. While the leader runs the
+// job, the caller waits, and is accepted as soon as the store is back; if that takes too long, it hears that the outcome
+// is unknown, and the job is stored later. The caller is refused only if no process can have its job.
+func TestSubmissionInOutage(t *testing.T) {
+	tests := map[string]struct {
+		backAfter time.Duration
+		refuses   bool // The leader does not run the job.
+		returning bool
+		want      error
+		atLeast   time.Duration
+	}{
+		"BackInTime":        {backAfter: 400 * time.Millisecond, atLeast: 350 * time.Millisecond},
+		"BackTooLate":       {backAfter: 1200 * time.Millisecond, want: ccstore.ErrInDoubt, atLeast: 800 * time.Millisecond},
+		"NotRun":            {backAfter: 1200 * time.Millisecond, refuses: true, want: ccstore.ErrInDoubt},
+		"NotRunButReturned": {backAfter: 1200 * time.Millisecond, refuses: true, returning: true, want: ccstore.ErrInDoubt},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &outageStore{items: map[string][]byte{}}
+			p := newFollower(t, store)
+			leader := &runningLeader{refuses: test.refuses}
+			p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, leader), StartMs: 1, Token: 1}, "test")
+			p.leaderReplyAt = p.now()
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go p.notifier.run(ctx)
+			time.AfterFunc(test.backAfter, func() { store.back.Store(true) })
+			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			began := time.Now()
+			go func() { // The leader replies to Sync calls all the while.
+				for ctx.Err() == nil {
+					p.mu.Lock()
+					p.leaderReplyAt = p.now()
+					p.mu.Unlock()
+					time.Sleep(50 * time.Millisecond)
+				}
+			}()
+			err := p.Submit(ctx, Caller{Returning: test.returning}, job, 1000)
+			if test.want == nil {
+				assert.NilError(t, err)
+			} else {
+				assert.Assert(t, errors.Is(err, test.want), "%v", err)
+			}
+			assert.Assert(t, time.Since(began) >= test.atLeast, "answered after %s", time.Since(began))
+			assert.Assert(t, time.Since(began) < time.Second)
+			time.Sleep(time.Until(began.Add(test.backAfter + 400*time.Millisecond)))
+			leader.mu.Lock()
+			defer leader.mu.Unlock()
+			assert.Assert(t, len(leader.begun) >= 1)
+			assert.Equal(t, leader.begun[0].Begun, test.returning)
+			if !test.refuses {
+				assert.Equal(t, len(store.items), 1)
+				assert.Equal(t, len(leader.stored), 1)
+				assert.DeepEqual(t, leader.stored[0].Begun, []string{"j"})
+			}
+		})
+	}
+}
+
+// TestReturningCallerIsNotRefused checks that a process that reaches neither store nor leader refuses only a caller that
+// no other process has seen: another one may have started or written the job.
+func TestReturningCallerIsNotRefused(t *testing.T) {
+	for name, returning := range map[string]bool{"First": false, "Returning": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newFollower(t, &refusingStore{})
+			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			err := p.Submit(context.Background(), Caller{Returning: returning}, job, 1000)
+			var refusal *Refusal
+			assert.Equal(t, errors.As(err, &refusal), !returning)
+			assert.Equal(t, errors.Is(err, ccstore.ErrInDoubt), returning)
+		})
+	}
+}
+
+// refusingStore carries out no write.
+type refusingStore struct {
+	Store
+}
+
+func (refusingStore) Write(context.Context, *Txn) (int64, error) {
+	return 0, errors.Mark(errors.New("busy"), ccstore.ErrUnavailable)
+}
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"coriandercross/core/ccadmit"
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccwork"
 	"coriandercross/io/ccpeer"
@@ -48,9 +49,6 @@
 	storeRetryAfterMs = 1500
 	// overCapRetryAfterMs is Refusal.RetryAfterMs for a job above the cap of its team: only an edit by an operator helps.
 	overCapRetryAfterMs = 3600_000
-	// inDoubtFraction is the fraction of a caller's time budget after which a write with an unknown outcome is no
-	// longer retried: further retries seldom help, and the caller can use the rest of its time otherwise.
-	inDoubtFraction = 0.3
 	// maxQueuedJobsAgeMs is the age up to which the leader's counts of queued jobs are returned to callers.
 	maxQueuedJobsAgeMs ms = 1800
 	// maxStateAgeMs is the age of the leader's last counts from which the state of a job that has not ended is read
@@ -74,7 +72,7 @@
 	j.Team, j.Key = caller.Team, caller.Key
 	err := p.checkCap(ctx, j)
 	if err == nil {
-		err = p.submit(ctx, &caller, j, began+ms(float64(budgetMs)*inDoubtFraction))
+		err = p.submit(ctx, &caller, j, &ccadmit.Submission{ArrivedAt: began, BudgetMs: budgetMs, Returning: caller.Returning})
 	}
 	outcome := "accepted"
 	var refusal *Refusal
@@ -119,8 +117,7 @@
 }
 
 // submit writes a job to the store, through the leader if this process can't reach the store, and notifies the leader.
-// A write with an unknown outcome is retried until the deadline.
-func (p *Process) submit(ctx context.Context, caller *Caller, j *cccell.Job, deadline ms) error {
+func (p *Process) submit(ctx context.Context, caller *Caller, j *cccell.Job, s *ccadmit.Submission) error {
 	if _, team, known := p.stateCache.job(j.ID); known {
 		ok, err := p.authorize(ctx, caller, j.ID, team)
 		if err != nil {
@@ -132,11 +129,8 @@
 		return nil // The job was accepted before.
 	}
 	j.AcceptedMs = int64(unixNow())
-	write := p.submitter.submit
-	if p.cfg.Store.Lost() {
-		write = p.submitThroughLeader
-	}
-	if err := write(ctx, j, deadline); err != nil {
+	sub := newSubmission(j, s.AnswerAt())
+	if err := p.waitStored(ctx, j, s, sub); err != nil {
 		var stored *alreadyStored
 		if errors.As(err, &stored) {
 			if !p.checkOwner(caller, j.ID, &stored.owner) {
@@ -144,13 +138,12 @@
 			}
 			return nil // The job was accepted before: it has ended, or the leader has it.
 		}
-		if errors.Is(err, ccstore.ErrInDoubt) {
-			return err
+		if errors.Is(err, ccstore.ErrInDoubt) || s.Answer() == ccadmit.Unknown {
+			return errors.Mark(err, ccstore.ErrInDoubt)
 		}
 		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), RetryAfterMs: jitterRetryAfter(storeRetryAfterMs)}
 	}
-	p.stateCache.merge(j.ID, j.Team, cccell.Queued, p.now())
-	p.notifier.job(j)
+	p.stored(j, p.mayHaveBegun(s))
 	return nil
 }
 
--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -17,6 +17,8 @@
 	configWatchTimeoutMs ms = 1000
 	// configRetryDelayMs is the delay after a failed watch.
 	configRetryDelayMs ms = 200
+	// configPollMs is the interval at which AwaitConfiguration looks for a configuration.
+	configPollMs ms = 20
 )
 
 // activeConfig is a configuration in force.
@@ -64,6 +66,15 @@
 	}
 }
 
+// AwaitConfiguration blocks until a configuration is in force, for timeout at most.
+func (p *Process) AwaitConfiguration(ctx context.Context, timeout ms) {
+	for began := p.now(); p.config.Load() == nil && p.now()-began < timeout; {
+		if !sleep(ctx, configPollMs) {
+			return
+		}
+	}
+}
+
 // fetchConfig fetches the configuration of a peer and puts it in force if it is newer.
 func (p *Process) fetchConfig(ctx context.Context, address string) {
 	p.requestConfig(ctx, address, false)
--- a/io/cccontrol/keys.go
+++ b/io/cccontrol/keys.go
@@ -27,6 +27,9 @@
 	Key cckey.ID
 	// Queue is the name of the queue of the request's route.
 	Queue string
+	// Returning is true if the caller has used a part of its time before this request: another process may have got the
+	// same submission.
+	Returning bool
 	// keys are the keys of all teams, nil if the configuration has no teams.
 	keys *cckey.Table
 }
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -99,6 +99,8 @@
 	rosterAt ms
 	// writingRoster is true while a write of the roster is under way.
 	writingRoster bool
+	// storing holds the IDs of the jobs that storeBegun is writing.
+	storing map[string]bool
 	// runTimes is what the cell learns with, nil if it does not. runTimesAt is the start of the last write of its
 	// snapshot, or of the term; writingRunTimes is true while one is under way.
 	runTimes        *ccruntimes.Learner
@@ -114,7 +116,7 @@
 	began := p.now()
 	p.loadingToken.Store(r.Token)
 	defer p.loadingToken.Store(0)
-	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventQueueSize), ended: make(chan struct{}), roster: map[string]int64{}, suspendedTime: ccclock.SuspendedTime()}
+	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventQueueSize), ended: make(chan struct{}), roster: map[string]int64{}, storing: map[string]bool{}, suspendedTime: ccclock.SuspendedTime()}
 	l.announcement = ccpeer.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision, Demoted: r.Demoted}
 	l.beganAt, l.hadAuthority = began, true
 	l.ctx, l.cancel = context.WithCancel(ctx)
@@ -131,8 +133,8 @@
 	}
 	l.cell = cccell.New(cccell.Config{
 		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
-		PriorAuthorityMs: l.handover.EndsAt() - began,
-		RemoteFactor:     p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
+		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: p.priorUnstored(prior), Ended: p.stateCache.ended,
+		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
 	l.dispatcher = newAdviceDispatcher(l)
 	l.announce(*prior)
@@ -273,6 +275,7 @@
 	l.recordVoters(now)
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
+		l.storeBegun(now)
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
 		p.cfg.Metrics.teams.set(l.cell.Teams(now), l.cell.TeamShares(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -13,6 +13,8 @@
 	decisions   *prometheus.CounterVec
 	flushMs     prometheus.Histogram
 	terms       prometheus.Counter
+	// unstored is the number of jobs that run and are not stored yet.
+	unstored prometheus.Gauge
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
 	adviceWaiting prometheus.Gauge
 	adviceCalls   *prometheus.CounterVec
@@ -53,6 +55,9 @@
 			Name: "coriandercross_note_ms", Help: "Time to write progress to the store.", Buckets: latencyBuckets,
 		}),
 		terms: prometheus.NewCounter(prometheus.CounterOpts{Name: "coriandercross_leads_total", Help: "Terms as the leader."}),
+		unstored: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coriandercross_unstored_jobs", Help: "Jobs that the leader runs and that are not in the store yet.",
+		}),
 		adviceWaiting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coriandercross_advice_waiting", Help: "Requests to the policy service that wait at the leader.",
 		}),
@@ -76,7 +81,7 @@
 			Name: "coriandercross_vm_slowness", Help: "How many times longer a fixed work takes than normally on this VM.",
 		}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.unstored, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
 	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
 	return m
 }
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 
+	"coriandercross/core/ccadmit"
 	"coriandercross/core/ccclock"
 	"coriandercross/io/ccstore"
 
@@ -20,6 +22,10 @@
 	failures      atomic.Int64
 	// reachedSince is when the first call after an outage succeeded, 0 before the first outage.
 	reachedSince atomic.Int64
+	// usualWriteTenths is the usual duration of a write in tenths of a millisecond, 0 before the first.
+	usualWriteTenths atomic.Int64
+	// troubleAt is when a call last failed, or took longer than ccadmit.BeginAfter; 0 for never.
+	troubleAt atomic.Int64
 }
 
 const (
@@ -47,6 +53,37 @@
 	return int64(t.clock.Now()) - t.lastSuccessAt.Load()
 }
 
+// UsualWriteMs returns the usual duration of a write, 0 before the first.
+func (t *MonitoredStore) UsualWriteMs() ccclock.Millis {
+	return ccclock.Millis(t.usualWriteTenths.Load() / 10)
+}
+
+// observeWrite records the duration of a write. The usual duration falls at once and rises by a tenth of a millisecond
+// with each longer write, so that a slow store does not pass for a usual one within some seconds.
+func (t *MonitoredStore) observeWrite(took ccclock.Millis, err error) {
+	usual := t.usualWriteTenths.Load()
+	if usual > 0 && took >= ccadmit.BeginAfter(t.UsualWriteMs()) {
+		t.troubleAt.Store(int64(t.clock.Now()))
+	}
+	if errors.Is(err, ccstore.ErrUnavailable) || errors.Is(err, ccstore.ErrInDoubt) {
+		return
+	}
+	next := max(int64(took)*10, 10)
+	if usual > 0 {
+		next = min(next, usual+1)
+	}
+	t.usualWriteTenths.Store(next)
+}
+
+// TroubleAgeMs returns the time since a call last failed or was slow, or a very long time if that never happened.
+func (t *MonitoredStore) TroubleAgeMs() ccclock.Millis {
+	at := t.troubleAt.Load()
+	if at == 0 {
+		return math.MaxInt32
+	}
+	return t.clock.Now() - ccclock.Millis(at)
+}
+
 // ReachedMs returns for how long the store has been reached since the last outage, or since the start of the process.
 func (t *MonitoredStore) ReachedMs() int64 {
 	if t.failures.Load() >= storeLostCalls {
@@ -63,6 +100,7 @@
 		return
 	}
 	if err != nil && (errors.Is(err, ccstore.ErrUnavailable) || errors.Is(err, ccstore.ErrInDoubt)) {
+		t.troubleAt.Store(now)
 		if t.failures.Add(1) == storeLostCalls && t.onChange != nil {
 			t.onChange(false, now-t.lastSuccessAt.Load())
 		}
@@ -100,7 +138,9 @@
 
 // Write implements Store.
 func (t *MonitoredStore) Write(ctx context.Context, txn *Txn) (int64, error) {
+	sent := t.clock.Now()
 	rev, err := t.Store.Write(ctx, txn)
+	t.observeWrite(t.clock.Now()-sent, err)
 	t.record(err)
 	return rev, err
 }
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -32,8 +32,9 @@
 
 // sentJob is a job with the time at which its notification was queued.
 type sentJob struct {
-	job *cccell.Job
-	at  ms
+	job   *cccell.Job
+	begun bool
+	at    ms
 }
 
 // resendPeriodMs is the age up to which a job is sent again to a new leader. Older jobs are in the store when the new
@@ -43,6 +44,7 @@
 // outbox holds the notifications that have not been sent yet.
 type outbox struct {
 	jobs          []*cccell.Job
+	begun         []string // The IDs of those jobs that a leader may have run before they were stored.
 	cancels       []string
 	adviceReplies []cccell.AdviceReply
 }
@@ -51,12 +53,20 @@
 	return &notifier{p: p, wake: make(chan struct{}, 1)}
 }
 
-// job queues the notification of an accepted job.
-func (n *notifier) job(j *cccell.Job) {
+// addJob adds an accepted job.
+func (out *outbox) addJob(j *cccell.Job, begun bool) {
+	out.jobs = append(out.jobs, j)
+	if begun {
+		out.begun = append(out.begun, j.ID)
+	}
+}
+
+// job queues the notification of an accepted job. begun is true if a leader may have run it before it was stored.
+func (n *notifier) job(j *cccell.Job, begun bool) {
 	now := n.p.now()
 	n.enqueue(func(out *outbox) {
-		out.jobs = append(out.jobs, j)
-		n.recent = append(n.recent, sentJob{j, now})
+		out.addJob(j, begun)
+		n.recent = append(n.recent, sentJob{j, begun, now})
 		for len(n.recent) > 0 && now-n.recent[0].at > resendPeriodMs {
 			n.recent = n.recent[1:]
 		}
@@ -69,7 +79,7 @@
 	n.enqueue(func(out *outbox) {
 		for _, r := range n.recent {
 			if now-r.at <= resendPeriodMs {
-				out.jobs = append(out.jobs, r.job)
+				out.addJob(r.job, r.begun)
 			}
 		}
 	})
@@ -112,7 +122,7 @@
 		if len(out.jobs)+len(out.cancels)+len(out.adviceReplies) == 0 {
 			continue
 		}
-		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Cancels: out.cancels, AdviceReplies: out.adviceReplies}
+		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Begun: out.begun, Cancels: out.cancels, AdviceReplies: out.adviceReplies}
 		if !n.deliver(ctx, in) {
 			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Answers", len(in.AdviceReplies))
 		}
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -50,6 +50,8 @@
 	// LearnRunTimes is true if the process, as leader, learns run times from finished runs and uses them in place of the
 	// callers' estimates.
 	LearnRunTimes bool
+	// StoreBeforeStart is true if no task starts before its job is stored, also while the store is slow or silent.
+	StoreBeforeStart bool
 }
 
 // Process runs on an entry VM, a VM that accepts the requests of callers. Its methods may be called from any goroutine.
--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -166,6 +166,12 @@
 	return s, ok
 }
 
+// ended reports whether a job is known to have ended.
+func (sc *stateCache) ended(job string) bool {
+	s, ok := sc.state(job)
+	return ok && s.Final()
+}
+
 // job returns the state of a job, its team, and whether the job is known. The team is empty if the job belongs to none,
 // or if this process learned of the job from a release without teams.
 func (sc *stateCache) job(job string) (cccell.State, string, bool) {
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coriandercross/core/cccell"
@@ -27,6 +28,8 @@
 	deadline ms
 	// inDoubt is true once a write of the job has failed with an unknown outcome.
 	inDoubt bool
+	// persistent is true once a leader runs the job: it is then written, however long that takes.
+	persistent atomic.Bool
 	// done receives the result.
 	done chan error
 }
@@ -47,6 +50,8 @@
 type alreadyStored struct {
 	// owner is the owner of the stored job, the zero value if it belongs to no team.
 	owner cccell.Owner
+	// ended is true if the job has ended.
+	ended bool
 }
 
 // Error implements error.
@@ -58,14 +63,8 @@
 // *alreadyStored if the job was in the store before, with ccstore.ErrUnavailable if the job was certainly not
 // written, and with ccstore.ErrInDoubt if it may have been, or may still be.
 func (s *submitter) submit(ctx context.Context, j *cccell.Job, deadline ms) error {
-	sub := &submission{job: j, data: encode(j), deadline: deadline, done: make(chan error, 1)}
-	s.mu.Lock()
-	s.pending = append(s.pending, sub)
-	if !s.running {
-		s.running = true
-		go s.run()
-	}
-	s.mu.Unlock()
+	sub := newSubmission(j, deadline)
+	s.add(sub)
 	select {
 	case err := <-sub.done:
 		return err
@@ -74,6 +73,22 @@
 	}
 }
 
+// newSubmission returns the submission of a job that is written until the deadline.
+func newSubmission(j *cccell.Job, deadline ms) *submission {
+	return &submission{job: j, data: encode(j), deadline: deadline, done: make(chan error, 1)}
+}
+
+// add queues a submission.
+func (s *submitter) add(sub *submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, sub)
+	if !s.running {
+		s.running = true
+		go s.run()
+	}
+}
+
 // run writes batches until no submission is left.
 func (s *submitter) run() {
 	for {
@@ -133,6 +148,8 @@
 	for _, sub := range batch {
 		sub.inDoubt = sub.inDoubt || inDoubt
 		switch {
+		case sub.persistent.Load():
+			retry = append(retry, sub)
 		case !sub.inDoubt:
 			sub.done <- err
 		case now+retryDelayMs < sub.deadline:
@@ -162,29 +179,29 @@
 			retry = append(retry, sub)
 			continue
 		}
-		owner := s.storedOwner(job, progress)
+		owner, ended := s.storedOwner(job, progress)
 		if sub.inDoubt && owner.Team == sub.job.Team {
 			sub.done <- nil // An earlier write of this submission was carried out.
 		} else {
-			sub.done <- &alreadyStored{owner}
+			sub.done <- &alreadyStored{owner, ended}
 		}
 	}
 	return retry
 }
 
-// storedOwner returns the owner of a job whose submission or progress, or both, are in the store. Either may be nil.
-func (s *submitter) storedOwner(job, progress *Item) cccell.Owner {
-	var owner cccell.Owner
+// storedOwner returns the owner of a job whose submission or progress, or both, are in the store, and whether the job
+// has ended. Either may be nil.
+func (s *submitter) storedOwner(job, progress *Item) (owner cccell.Owner, ended bool) {
 	var err error
 	if job != nil {
 		owner, err = jobOwner(job)
 	} else {
-		var ended storedState
-		ended, err = decodeState(progress)
-		owner = ended.owner
+		var state storedState
+		state, err = decodeState(progress)
+		owner, ended = state.owner, state.state.Final()
 	}
 	if err != nil {
 		s.p.cfg.Log.Error("owner of a stored job can't be decoded", "Error", err)
 	}
-	return owner
+	return owner, ended
 }
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
 	"coriandercross/io/ccpeer"
 )
@@ -94,9 +96,9 @@
 func (l *leadership) onNotify(in *ccpeer.NotifyRequest) {
 	l.post(func(now ms) {
 		for _, j := range in.Jobs {
-			if !l.cell.HasJob(j.ID) {
-				l.addJob(j, now)
-			}
+			l.addJob(j, func(j *cccell.Job, now, nowUnix ms) {
+				l.cell.AddReportedJob(j, slices.Contains(in.Begun, j.ID), now, nowUnix)
+			}, now)
 		}
 		for _, id := range in.Cancels {
 			l.cell.Cancel(id, now)
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -42,7 +42,7 @@
 				l.p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 				continue
 			}
-			l.addJob(j, now)
+			l.addJob(j, l.cell.AddJob, now)
 		}
 	}
 	for i := range items {
@@ -52,12 +52,12 @@
 	}
 }
 
-// addJob adds an accepted job to the cell, unless the job has ended already.
-func (l *leadership) addJob(j *cccell.Job, now ms) {
+// addJob adds an accepted job to the cell with add, unless the job has ended already.
+func (l *leadership) addJob(j *cccell.Job, add func(j *cccell.Job, now, nowUnix ms), now ms) {
 	if s, ok := l.p.stateCache.state(j.ID); ok && s.Final() {
 		return
 	}
-	l.cell.AddJob(j, now, unixNow())
+	add(j, now, unixNow())
 }
 
 // watchDirectory passes the changes of the directory to the cell.
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -21,6 +21,7 @@
 	methodCellConfig    = "/coriandercross/Document"
 	methodAnnounce      = "/coriandercross/Announce"
 	methodRelayWrite    = "/coriandercross/Keep"
+	methodBegin         = "/coriandercross/Begin"
 )
 
 // SyncRequest asks the leader for the changes of job states. The leader replies when there is a change, or after its
@@ -111,6 +112,8 @@
 	Cancels []string      `cbor:"3,keyasint,omitempty"`
 	// AdviceReplies are the results of SyncReply.AdviceRequests.
 	AdviceReplies []cccell.AdviceReply `cbor:"4,keyasint,omitempty"`
+	// Begun are the IDs of those Jobs that a leader may have run before they were written.
+	Begun []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -204,6 +207,8 @@
 	Cancel string `cbor:"2,keyasint,omitempty"`
 	// BudgetMs is the time for which the write of a job may be retried.
 	BudgetMs int64 `cbor:"3,keyasint"`
+	// Begun is true if a leader may have started tasks of Job.
+	Begun bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -232,6 +237,34 @@
 	return m.Outcome.Check()
 }
 
+// BeginRequest asks the leader to run a job whose submission is still being written.
+type BeginRequest struct {
+	// VM is the sender.
+	VM  string      `cbor:"1,keyasint"`
+	Job *cccell.Job `cbor:"2,keyasint"`
+	// Begun is true if another leader may have started tasks of the job.
+	Begun bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Check implements Message.
+func (m *BeginRequest) Check() error {
+	if m.Job == nil {
+		return errors.Wrap(ErrBadMessage, "request to begin a job has no job")
+	}
+	return errors.Mark(m.Job.Check(), ErrBadMessage)
+}
+
+// BeginReply is the reply to a BeginRequest.
+type BeginReply struct {
+	// Begun is true if the receiver leads and has the job now.
+	Begun bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Check implements Message.
+func (m *BeginReply) Check() error {
+	return nil
+}
+
 // CellConfigRequest asks for the configuration in force.
 type CellConfigRequest struct {
 	// KnownVersion is the version that the sender has. The reply is empty unless there is a newer one.
@@ -268,13 +301,14 @@
 	CellConfig(ctx context.Context, in *CellConfigRequest) (*CellConfigReply, error)
 	Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceReply, error)
 	RelayWrite(ctx context.Context, in *RelayWriteRequest) (*RelayWriteReply, error)
+	Begin(ctx context.Context, in *BeginRequest) (*BeginReply, error)
 }
 
 // ServeCell serves the calls that arrive on a listener until ctx ends.
 func ServeCell(ctx context.Context, l net.Listener, h CellHandler) error {
 	mux := handlers{
 		methodSync: unary(h.Sync), methodNotify: unary(h.Notify), methodLeaderContact: unary(h.LeaderContact), methodCellConfig: unary(h.CellConfig), methodAnnounce: unary(h.Announce),
-		methodRelayWrite: unary(h.RelayWrite),
+		methodRelayWrite: unary(h.RelayWrite), methodBegin: unary(h.Begin),
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return errors.Wrap(server.Serve(ctx, l), "serving peers")
@@ -309,3 +343,8 @@
 func (c *Client) RelayWrite(ctx context.Context, address string, in *RelayWriteRequest) (*RelayWriteReply, error) {
 	return call[RelayWriteRequest, RelayWriteReply](ctx, c, c.control, address, methodRelayWrite, in)
 }
+
+// Begin asks the leader to run a job whose submission is still being written.
+func (c *Client) Begin(ctx context.Context, address string, in *BeginRequest) (*BeginReply, error) {
+	return call[BeginRequest, BeginReply](ctx, c, c.control, address, methodBegin, in)
+}
