Every new leader keeps the ends of unknown jobs for a while

Ruled out: a report of unstored jobs from leader to peers (a leader that dies within a heartbeat of the first one has told nobody). Change: a cell with a prior leader always remembers these ends. Jobs that have ended are known to a new leader, so that usually there are none.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -22,7 +22,8 @@
 	AuthorityMs, PriorAuthorityMs ms
 	// RemoteFactor is the ratio of a task's duration outside the rack of its data to its duration inside.
 	RemoteFactor float64
-	// PriorUnstored is true if a prior leader may have run jobs that were not stored. Ended reports whether a job that the
+	// PriorUnstored is true if a prior leader may have run jobs that were not stored: if there was one, since it may have
+	// been the only process that did not reach the store. Ended reports whether a job that the
 	// cell does not have is known to have ended; it may be nil.
 	PriorUnstored bool
 	Ended         func(id string) bool
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -190,19 +190,6 @@
 	}
 }
 
-// unstoredMemoryMs is the time after trouble with the store for which jobs may run that are not stored. startSpreadMs is
-// the time within which the processes of a system start.
-const (
-	unstoredMemoryMs ms = 15_000
-	startSpreadMs       = 1000
-)
-
-// priorUnstored reports whether the prior leader may have run jobs that are not stored: the store was slow or silent for
-// this process lately, or the process is too young to tell.
-func (p *Process) priorUnstored(prior *leaderRecord) bool {
-	if prior.Token == 0 {
-		return false
-	}
-	young := p.now() < unstoredMemoryMs && prior.StartMs < p.cfg.StartMs-startSpreadMs
-	return young || p.cfg.Store.TroubleAgeMs() < unstoredMemoryMs
-}
+// unstoredMemoryMs is the time after trouble with the store, or after the start of this process, for which a returning
+// caller's job may run without being stored.
+const unstoredMemoryMs ms = 15_000
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -133,7 +133,7 @@
 	}
 	l.cell = cccell.New(cccell.Config{
 		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
-		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: p.priorUnstored(prior), Ended: p.stateCache.ended,
+		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, Ended: p.stateCache.ended,
 		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
 	l.dispatcher = newAdviceDispatcher(l)
