--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -70,6 +70,8 @@
 	orders       Orders
 	attemptCount int64
 	deposed      bool
+	// earlyAfterMs is the age from which UnwrittenCompletions returns a job.
+	earlyAfterMs ms
 	// unstoredCount is the number of unstored jobs; orphanEnds holds the ends of tasks of unknown jobs, by job.
 	unstoredCount int
 	orphanEnds    map[string][]orphanEnd
@@ -135,7 +137,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
-		orphanEnds: map[string][]orphanEnd{}, startedAt: now,
+		orphanEnds: map[string][]orphanEnd{}, startedAt: now, earlyAfterMs: maxEarlyAfterMs,
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
--- a/core/cccell/early.go
+++ b/core/cccell/early.go
@@ -5,19 +5,25 @@
 // the next leader learns it from them, so that it neither takes the state back nor runs a task again. The workers list
 // the ends until the state is written, so that a loss of the voters alone does no harm either.
 
-// earlyAfterMs is the age of an unwritten completion from which it is published early. The store usually takes a few ms,
-// a slow one a fifth of a second.
-const earlyAfterMs ms = 300
+// maxEarlyAfterMs is the age of an unwritten completion from which it is published early, if nothing is known of the
+// usual duration of a write.
+const maxEarlyAfterMs ms = 300
+
+// SetEarlyAfter sets the age of an unwritten completion from which it is published early: one that it has only while the
+// store is slower than usual.
+func (c *Cell) SetEarlyAfter(after ms) {
+	c.earlyAfterMs = min(after, maxEarlyAfterMs)
+}
 
 // maxEarly bounds the early completions, which each voter keeps.
 const maxEarly = 20_000
 
-// UnwrittenCompletions returns the jobs that have completed earlyAfterMs ago or more without being written. Each is
+// UnwrittenCompletions returns the jobs that have completed Cell.earlyAfterMs ago or more without being written. Each is
 // returned once.
 func (c *Cell) UnwrittenCompletions(now ms) []string {
 	var out []string
 	for j := range c.unwritten {
-		if !j.early && !j.unstored && now-j.decidedAt >= earlyAfterMs && c.earlyCount < maxEarly {
+		if !j.early && !j.unstored && now-j.decidedAt >= c.earlyAfterMs && c.earlyCount < maxEarly {
 			j.early = true
 			c.earlyCount++
 			out = append(out, j.spec.ID)
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 
+	"coriandercross/core/ccadmit"
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccquorum"
 	"coriandercross/io/ccstore"
@@ -266,6 +267,7 @@
 // publishEarly sends the completions that are not written in time to the peers, and publishes those that a majority of
 // the voters has.
 func (l *leadership) publishEarly(now ms) {
+	l.cell.SetEarlyAfter(flushIntervalMs + ccadmit.BeginAfter(l.p.cfg.Store.UsualWriteMs()))
 	if jobs := l.cell.UnwrittenCompletions(now); len(jobs) > 0 {
 		l.early = append(l.early, earlyBatch{l.p.stateCache.rememberEarly(jobs, now), jobs})
 	}
