A new leader does not wait for leases at workers that have drained and left

Cause: the store keeps the registrations of workers that leave while it is down. Change: the roster names the drained workers with their incarnations; one that still drains in the same incarnation is not awaited (Cell.AdoptDrained).

--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -51,6 +51,26 @@
 	return out
 }
 
+// Drained returns the incarnations of the registered workers that are drained, by ID. They are stored for the next leader:
+// while the store is down, the registrations of workers that have left remain.
+func (c *Cell) Drained() map[string]int64 {
+	out := map[string]int64{}
+	for id, w := range c.workers {
+		if w.listed && w.info.Draining && c.drained(w) {
+			out[id] = w.newestIncarnation()
+		}
+	}
+	return out
+}
+
+// AdoptDrained records that the prior leader has found a worker drained. If the worker still drains in the same
+// incarnation, no leader can have started a task there since, so that nothing has to be awaited if it does not reply.
+func (c *Cell) AdoptDrained(id string, incarnation int64, now ms) {
+	if w := c.workers[id]; w != nil && w.info.Draining && w.info.IncarnationMs == incarnation {
+		w.priorLeasesEndAt = now
+	}
+}
+
 // drained reports whether a worker is known to run nothing and gets no more tasks. It matters when a tenth of the
 // workers drain and leave while the leader is replaced.
 func (c *Cell) drained(w *worker) bool {
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -166,6 +166,48 @@
 	}
 }
 
+// While the store is down, the registrations of workers that have drained and left remain. A new leader must not wait
+// for leases at such a worker, but for those at every other one that does not reply. Seen on the test bench: jobs that
+// were submitted again after a loss of all power in an outage started 4.6 s late.
+func TestDrainedWorkerIsNotAwaited(t *testing.T) {
+	tests := map[string]struct {
+		draining    bool
+		incarnation int64
+		want        int
+	}{
+		"Drained":         {draining: true, incarnation: 1000, want: 1},
+		"ServesAgain":     {incarnation: 1000, want: 0},
+		"NextIncarnation": {draining: true, incarnation: 900, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetHandover(1000, 1000)
+			c.SetWorker(testWorker("w"), 1000)
+			gone := testWorker("gone")
+			gone.Draining = test.draining
+			c.SetWorker(gone, 1000)
+			c.AdoptDrained("gone", test.incarnation, 1000)
+			c.Adopt(StoredJob{Job: testJob("j", 1)}, 1000, 1000)
+			starts := 0
+			for now := ms(1000); now < 3000; now += 100 {
+				c.ExtendAuthority(now + 1000)
+				c.Schedule(now, now)
+				out := c.TakeOrders()
+				starts += len(out.Starts)
+				for i := range out.Polls {
+					r := executedReply(now + 10)
+					if out.Polls[i].WorkerID == "gone" {
+						r = Reply{Outcome: ReplyLost}
+					}
+					c.OnPollReply(&out.Polls[i], r, &TaskLists{}, now+10)
+				}
+			}
+			assert.Equal(t, starts, test.want)
+		})
+	}
+}
+
 // The prior leader was lost without notice. When its authority has ended, all workers are polled at once, so that
 // missing tasks start a round trip later. Seen on the test bench: adopted jobs started 2 s later, after two long polls
 // in sequence.
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -73,6 +73,8 @@
 // rosterRecord is the value of keyRoster.
 type rosterRecord struct {
 	Workers []cccell.WorkerInfo `cbor:"1,keyasint"`
+	// Drained holds the incarnations of registered workers that drain and run nothing.
+	Drained map[string]int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // encode encodes a record. It panics on failure, since all types of records can be encoded.
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -95,6 +95,8 @@
 	// roster is the roster that this term persisted last, empty before the first write: the incarnation of each worker,
 	// by ID.
 	roster map[string]int64
+	// drained is what this term persisted last of Cell.Drained.
+	drained map[string]int64
 	// rosterAt is when the roster of the cell was last compared with roster.
 	rosterAt ms
 	// writingRoster is true while a write of the roster is under way.
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -54,6 +54,9 @@
 		for _, w := range record.Workers {
 			l.cell.AddUnlistedWorker(w, now)
 		}
+		for id, incarnation := range record.Drained {
+			l.cell.AdoptDrained(id, incarnation, now)
+		}
 	}
 	l.updateConfig()
 	l.adoptJobs(submissions, progress, now)
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -1,6 +1,8 @@
 package cccontrol
 
 import (
+	"maps"
+
 	"coriandercross/core/cccell"
 
 	"github.com/cockroachdb/errors"
@@ -107,8 +109,8 @@
 		return
 	}
 	l.rosterAt = now
-	list := l.cell.Roster()
-	same := len(list) == len(l.roster)
+	list, drained := l.cell.Roster(), l.cell.Drained()
+	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained)
 	for i := range list {
 		same = same && l.roster[list[i].ID] == list[i].IncarnationMs
 	}
@@ -116,7 +118,7 @@
 		return
 	}
 	l.writingRoster = true
-	t := &Txn{If: []Condition{{keyLeader, l.record.revision}}, Puts: []Put{{Key: keyRoster, Value: encode(rosterRecord{Workers: list})}}}
+	t := &Txn{If: []Condition{{keyLeader, l.record.revision}}, Puts: []Put{{Key: keyRoster, Value: encode(rosterRecord{Workers: list, Drained: drained})}}}
 	go func() {
 		_, err := l.p.cfg.Store.Write(l.ctx, t)
 		l.post(func(ms) {
@@ -124,7 +126,7 @@
 			if err != nil {
 				return
 			}
-			l.roster = map[string]int64{}
+			l.roster, l.drained = map[string]int64{}, drained
 			for i := range list {
 				l.roster[list[i].ID] = list[i].IncarnationMs
 			}
