--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -134,4 +134,9 @@
 		t.budget--
 		return true' ./core/ccfair "-run=Budget"
 mutant excess-is-forgotten-at-a-takeover $cells/share.go 'j.excess = c.knownExcess[j.spec.ID]' 'j.excess = false' ./$cells "-run=TestTakeoverChangesNoBudget"
+mutant orphaned-ends-are-forgotten core/cccell/unstored.go 'if !c.cfg.PriorUnstored ||' 'if true ||' ./core/cccell '-run=NextLeaderFindsUnstoredWork|UnknownWorkIsEnded'
+mutant refusal-despite-doubt core/ccadmit/admit.go '|| s.Returning' '' ./core/ccadmit ''
+mutant progress-before-the-submission core/cccell/persist.go 'if j.unstored {
+			kept' 'if false {
+			kept' ./core/cccell '-run=UnstoredJobRunsUnseen'
 exit $survived
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -71,6 +71,10 @@
 	resizes bool
 	// caps has the versions of the caps of teams, oldest first; it is empty without teams.
 	caps []modelCaps
+	// unstored has the jobs that a leader runs and that are not stored yet, with the times of their submission; submitted
+	// counts them.
+	unstored  map[string]ms
+	submitted int
 	// authorityMs is the time for which a leader may give orders after a confirmation.
 	authorityMs ms
 	// runTimes is what all leaders learn with, nil for nothing.
@@ -92,7 +96,7 @@
 func newSimulation(t *rapid.T, teams bool, runTimes *ccruntimes.Learner) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
-		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
+		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, unstored: map[string]ms{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
 	}
 	sim.checker.MaxAttempts = modelMaxAttempts
 	sim.checker.LongRunning = func(id cccell.TaskID) bool { return sim.jobs[id.Job].Stages[id.Stage].LongRunning }
@@ -143,7 +147,7 @@
 	}
 	sim.token++
 	sim.revision++
-	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), RunTimes: sim.runTimes}, sim.now)
+	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
 	l := &leader{cell: c, token: sim.token}
 	sim.listWorkers(l)
 	for _, info := range sim.roster {
@@ -165,6 +169,11 @@
 	sim.leaders = append(sim.leaders, l)
 }
 
+// ended reports whether the store has a final state of a job.
+func (sim *simulation) ended(id string) bool {
+	return sim.progress[id].progress.State.Final()
+}
+
 // log returns a function that prints the decisions of a leader, or nil unless CELL_MODEL_LOG is set.
 func (sim *simulation) log(token int64) func(event string, kv ...any) {
 	if os.Getenv("CELL_MODEL_LOG") == "" {
@@ -449,6 +458,9 @@
 		}
 	}
 	sim.takeOver()
+	for _, id := range slices.Sorted(maps.Keys(sim.unstored)) {
+		sim.store(id)
+	}
 	for k := range 400 {
 		if k%10 == 0 {
 			for _, l := range sim.leaders {
@@ -509,7 +521,7 @@
 
 // modelOptions selects what a simulation has beside its faults.
 type modelOptions struct {
-	resizes, teams, learns bool
+	resizes, teams, learns, unstored bool
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
@@ -528,6 +540,12 @@
 			case 1:
 				sim.injectFault()
 			}
+			if opts.unstored {
+				if sim.draw(4, "unstored") == 0 {
+					sim.submitUnstored()
+				}
+				sim.storeSome()
+			}
 			sim.step(ms(5 + sim.draw(400, "time")))
 			sim.check()
 		}
