--- a/_scripts/ablate.sh
+++ b/_scripts/ablate.sh
@@ -26,7 +26,6 @@
 cell=core/cccell
 off none README.md '#' '#'
 off unstored-starts deploy/system.toml 'coriandercross entry' 'coriandercross entry --store-before-start'
-off predicted-polls $cell/polls.go 'since >= c.unackedPollInterval(w)' 'since >= unackedPollIntervalMs'
 off quick-early-completions $cell/early.go 'min(after, maxEarlyAfterMs)' 'maxEarlyAfterMs'
 off early-completions $cell/early.go '!j.early && !j.unstored' 'false && !j.unstored'
 off drained-roster $cell/registry.go 'w.priorLeasesEndAt = now' '_ = now'
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -7,13 +7,9 @@
 	// minPollIntervalMs is the minimum interval between two polls of a worker, so that ends at about the same time are
 	// read by one poll.
 	minPollIntervalMs ms = 25
-	// unackedPollIntervalMs is the longest interval between polls while ends that were read are not persisted yet. The
+	// unackedPollIntervalMs is the interval between polls while ends that were read are not persisted yet. The
 	// worker would reply to a long poll at once, since it still lists these ends.
 	unackedPollIntervalMs ms = 400
-	// minUnackedPollIntervalMs is the shortest such interval; see unackedPollInterval. It is longer in a large cell, so that
-	// these polls are at most maxUnackedPollsPerS.
-	minUnackedPollIntervalMs ms = 60
-	maxUnackedPollsPerS         = 800
 	// silentPollIntervalMs is the interval between polls of a worker that does not reply.
 	silentPollIntervalMs ms = 400
 	// quickPollIntervalMs is the interval between the first maxQuickPolls polls of a worker that a new leader has not
@@ -130,27 +126,11 @@
 	case !w.admitted || (c.needsFreshPoll(w) && now >= c.handoverAt):
 		return true
 	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
-		return since >= c.unackedPollInterval(w)
+		return since >= unackedPollIntervalMs
 	}
 	return len(w.attempts) > 0 || w.ackedEnd > w.confirmedAck
 }
 
-// unackedPollInterval returns the interval between polls of a worker that replies at once. Typical load: the store is slow
-// or silent for seconds, while urgent tasks of half a second end on every worker. The next poll is sent when the first
-// running task is expected to end, so that its end is read soon and few polls are in vain.
-func (c *Cell) unackedPollInterval(w *worker) ms {
-	interval := unackedPollIntervalMs
-	for _, a := range w.attempts {
-		if a.stage == nil || a.stage.spec.LongRunning || a.state != running {
-			continue
-		}
-		atPoll := max(w.pollDoneAt, a.sentAt)
-		interval = min(interval, atPoll-w.pollDoneAt+ms(c.remainingMs(a, atPoll)))
-	}
-	shortest := max(minUnackedPollIntervalMs, ms(1000*len(c.workers)/maxUnackedPollsPerS))
-	return min(max(interval, shortest), unackedPollIntervalMs)
-}
-
 // scheduleStops orders the stops that are due.
 func (c *Cell) scheduleStops(now ms) {
 	for _, w := range c.workers {
