A waiting caller is not told that the job of another team is its own

Cause: a submission that waits was accepted as soon as any job of its ID became known; the ID may be another team's. Found by reading. Change: the team of the known job decides, as for a job found in the store. TestIDTakenDuringOutage failed before (OtherTeam was accepted).

--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -27,7 +27,7 @@
 )
 
 // waitStored blocks until a job is in the store, or until its caller has to be answered. It fails as submitter.submit
-// does. A job that a leader runs is written later if it can't be written now.
+// does. The write of a job that a leader runs goes on after that.
 func (p *Process) waitStored(ctx context.Context, j *cccell.Job, s *ccadmit.Submission, sub *submission) error {
 	s.BeginAfterMs = ccadmit.BeginAfter(p.cfg.Store.UsualWriteMs())
 	timer := time.NewTimer(s.BeginAfterMs.Duration())
@@ -50,15 +50,15 @@
 			sub.inDoubt = s.InDoubt
 		case <-timer.C:
 		case <-ctx.Done():
-			p.finishLater(j, s, sub, failure)
+			p.notifyWhenStored(j, s, sub, failure)
 			return errors.Mark(ctx.Err(), ccstore.ErrInDoubt)
 		}
 		now := p.now()
-		if _, _, known := p.stateCache.job(j.ID); known {
-			p.finishLater(j, s, sub, failure)
-			return nil // Another process, or the leader, has written it.
+		if _, team, known := p.stateCache.job(j.ID); known {
+			p.notifyWhenStored(j, s, sub, failure)
+			return &alreadyStored{owner: cccell.Owner{Team: team}} // Another process, or the leader, has written it.
 		}
-		p.begin(ctx, j, s, sub, failure != nil || p.cfg.Store.Lost(), now)
+		p.requestBegin(ctx, j, s, sub, failure != nil || p.cfg.Store.Lost(), now)
 		switch {
 		case failure != nil && s.BegunBy == 0:
 			return failure
@@ -66,7 +66,7 @@
 			p.submitter.add(sub)
 			failure = nil
 		case now >= s.AnswerAt() && s.BegunBy != 0:
-			p.finishLater(j, s, sub, failure)
+			p.notifyWhenStored(j, s, sub, failure)
 			return errors.Wrap(ccstore.ErrInDoubt, "the job runs, but is not stored yet")
 		}
 		timer.Reset(ccadmit.RecheckMs.Duration())
@@ -79,8 +79,8 @@
 	return s.BegunBy != 0 || s.AskedInVain || (s.Returning && (p.now() < unstoredMemoryMs || p.cfg.Store.TroubleAgeMs() < unstoredMemoryMs))
 }
 
-// begin asks the leader to run a job that is not stored yet, if it is time to.
-func (p *Process) begin(ctx context.Context, j *cccell.Job, s *ccadmit.Submission, sub *submission, storeLost bool, now ms) {
+// requestBegin asks the leader, which may be this process, to run a job that is not stored yet, if it is time to.
+func (p *Process) requestBegin(ctx context.Context, j *cccell.Job, s *ccadmit.Submission, sub *submission, storeLost bool, now ms) {
 	leader, repliedAt := p.currentLeader()
 	l := p.leading()
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
@@ -109,8 +109,9 @@
 	}
 }
 
-// finishLater reports a job to the leader once it is stored, after its caller was answered.
-func (p *Process) finishLater(j *cccell.Job, s *ccadmit.Submission, sub *submission, failure error) {
+// notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. failure
+// is the outcome of the last write if that is not repeated; the leader then writes the job.
+func (p *Process) notifyWhenStored(j *cccell.Job, s *ccadmit.Submission, sub *submission, failure error) {
 	if failure != nil || s.BegunBy == 0 {
 		return
 	}
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coriandercross/core/cccell"
+	"coriandercross/core/cckey"
 	"coriandercross/core/ccwork"
 	"coriandercross/io/ccpeer"
 	"coriandercross/io/ccstore"
@@ -123,6 +124,30 @@
 	}
 }
 
+// TestIDTakenDuringOutage checks that a caller whose submission waits is told so when a job of another team turns out to
+// have its ID.
+func TestIDTakenDuringOutage(t *testing.T) {
+	for name, test := range map[string]struct {
+		team string
+		want error
+	}{"OtherTeam": {"blue", ErrOtherTeam}, "SameTeam": {"red", nil}} {
+		t.Run(name, func(t *testing.T) {
+			p := newFollower(t, &outageStore{items: map[string][]byte{}})
+			p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, &runningLeader{}), StartMs: 1, Token: 1}, "test")
+			p.leaderReplyAt = p.now()
+			time.AfterFunc(200*time.Millisecond, func() { p.stateCache.merge("j", test.team, cccell.Queued, p.now()) })
+			keys := cckey.NewTable()
+			for _, team := range []string{"red", "blue"} {
+				assert.NilError(t, keys.Add(team, []cckey.Digest{cckey.Of(team)}))
+			}
+			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			err := p.Submit(context.Background(), Caller{Team: "red", Key: 1, keys: keys}, job, 1000)
+			assert.Equal(t, errors.Is(err, ErrOtherTeam), test.want != nil, "%v", err)
+			assert.Equal(t, err == nil, test.want == nil)
+		})
+	}
+}
+
 // TestReturningCallerIsNotRefused checks that a process that reaches neither store nor leader refuses only a caller that
 // no other process has seen: another one may have started or written the job.
 func TestReturningCallerIsNotRefused(t *testing.T) {
