Linter clean; a job found before the handover stays adopted

Reading the change: a report cleared 'adopted' of a job that was found before the handover, which the prior leader may have started after it was stored.

--- a/core/ccadmit/admit.go
+++ b/core/ccadmit/admit.go
@@ -16,7 +16,7 @@
 	// minBeginAfterMs and beginAfterFactor define from which duration of a write the job's tasks start before it: a
 	// submission may wait for the write before its own, so that twice the usual duration is no sign of trouble.
 	minBeginAfterMs  ms = 25
-	beginAfterFactor    = 2
+	beginAfterFactor ms = 2
 	// RecheckMs is the interval between two decisions about a submission that waits.
 	RecheckMs ms = 40
 	// retryBeginMs is the delay before a leader that has not confirmed is asked again to start the job.
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -23,10 +23,10 @@
 	// RemoteFactor is the ratio of a task's duration outside the rack of its data to its duration inside.
 	RemoteFactor float64
 	// PriorUnstored is true if a prior leader may have run jobs that were not stored: if there was one, since it may have
-	// been the only process that did not reach the store. Ended reports whether a job that the
-	// cell does not have is known to have ended; it may be nil.
+	// been the only process that did not reach the store.
 	PriorUnstored bool
-	Ended         func(id string) bool
+	// Ended reports whether a job that the cell does not have is known to have ended; it may be nil.
+	Ended func(id string) bool
 	// RunTimes learns how long tasks take; nil to rely on the callers' estimates.
 	RunTimes *ccruntimes.Learner
 	// ObserveRunTime is called for each task that is done with the factors by which the prediction and the estimate of its
@@ -209,22 +209,21 @@
 
 // AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
-	if c.jobs[spec.ID] == nil {
-		c.addStored(spec, c.mayHaveBegun(now), now, nowUnix)
-		c.jobs[spec.ID].origin = originFound
-		return
+	known := c.jobs[spec.ID] != nil
+	c.addStored(spec, c.mayHaveBegun(now), now, nowUnix)
+	if !known {
+		c.jobs[spec.ID].found = now >= c.handoverAt
 	}
-	c.markStored(c.jobs[spec.ID], now)
 }
 
 // AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
 // true if a prior leader may have started tasks of it.
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
-	if j := c.jobs[spec.ID]; j != nil && j.origin == originFound && !begun && now >= c.handoverAt {
+	if j := c.jobs[spec.ID]; j != nil && j.found && !begun {
 		j.adopted = false
 	}
 	c.addStored(spec, begun, now, nowUnix)
-	c.jobs[spec.ID].origin = originReported
+	c.jobs[spec.ID].found = false
 }
 
 // addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -33,8 +33,8 @@
 	version, persisted int64
 	// adopted is true when a prior leader may have started tasks of the job.
 	adopted bool
-	// origin tells where an accepted job has come from.
-	origin jobOrigin
+	// found is true for an accepted job that was found in the store after the handover, of which no process has told yet.
+	found bool
 	// unstored is true until the submission is known to be in the store.
 	unstored bool
 	// cancelRequested is true when the store holds a cancel request.
@@ -57,18 +57,6 @@
 	excess     bool
 }
 
-// jobOrigin tells where a job has come from.
-type jobOrigin int
-
-const (
-	// originAdopted is that of a job of a prior leader, or of one that is not stored yet.
-	originAdopted jobOrigin = iota
-	// originFound is that of a job that was found in the store, of which no process has told yet.
-	originFound
-	// originReported is that of a job of which the process that accepted it has told.
-	originReported
-)
-
 // run is one run of a job.
 type run struct {
 	number int
