A caller that comes back waits for silent workers only if the prior leader has run unstored jobs

Change: the job says that its caller is returning, and the leader takes it for begun only if a worker has listed a task of an unknown job in this term. The store's recent troubles are not needed any more.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -72,6 +72,9 @@
 	deposed      bool
 	// earlyAfterMs is the age from which UnwrittenCompletions returns a job.
 	earlyAfterMs ms
+	// orphansSeen is true once a worker has listed a task of an unknown job: a prior leader has run jobs that were not
+	// stored.
+	orphansSeen bool
 	// unstoredCount is the number of unstored jobs; orphanEnds holds the ends of tasks of unknown jobs, by job.
 	unstoredCount int
 	orphanEnds    map[string][]orphanEnd
@@ -210,20 +213,18 @@
 // AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
 	known := c.jobs[spec.ID] != nil
-	c.addStored(spec, c.mayHaveBegun(now), now, nowUnix)
+	c.addStored(spec, false, now, nowUnix)
 	if !known {
-		c.jobs[spec.ID].found = now >= c.handoverAt
+		c.jobs[spec.ID].found = true
 	}
 }
 
 // AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
 // true if a prior leader may have started tasks of it.
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
-	if j := c.jobs[spec.ID]; j != nil && j.found && !begun {
-		j.adopted = false
-	}
 	c.addStored(spec, begun, now, nowUnix)
-	c.jobs[spec.ID].found = false
+	j := c.jobs[spec.ID]
+	j.found, j.adopted = false, j.adopted || begun
 }
 
 // addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -116,6 +116,9 @@
 	Team string `cbor:"9,keyasint,omitempty"`
 	// Key is the API key with which the job was submitted, or 0.
 	Key cckey.ID `cbor:"10,keyasint,omitempty"`
+	// Returning is true if the caller had used a part of its time when it submitted the job to the process that accepted it:
+	// another process may have got it before.
+	Returning bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Owner says who may read and cancel a job.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -30,7 +30,7 @@
 			}
 		}
 		for _, s := range c.waiting(now, handedOver) {
-			if s.job.adopted && !handedOver {
+			if !handedOver && c.awaitsHandover(s.job) {
 				c.requestAdviceEarly(s, now)
 				continue
 			}
@@ -55,7 +55,7 @@
 		switch s.unplaced = s.countUnplaced(); {
 		case s.unplaced == 0:
 			s.placementDelay.add(now, "")
-		case s.job.adopted && !handedOver:
+		case !handedOver && c.awaitsHandover(s.job):
 			s.placementDelay.add(now, delayHandover)
 			if c.initialPollDone {
 				list = append(list, s)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -273,6 +273,7 @@
 	s := c.stageOf(t.Task)
 	if s == nil {
 		a.stopWanted = !c.cfg.PriorUnstored
+		c.orphansSeen = c.orphansSeen || c.unknown(t.Task.Job)
 		c.cfg.Log("stray task", "Job", t.Task.Job, "Task", t.Task, "Attempt", t.Attempt, "Worker", w.info.ID)
 		w.addAttempt(a)
 		return a
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -33,7 +33,7 @@
 	version, persisted int64
 	// adopted is true when a prior leader may have started tasks of the job.
 	adopted bool
-	// found is true for an accepted job that was found in the store after the handover, of which no process has told yet.
+	// found is true for an accepted job that was found in the store, of which no process has told yet.
 	found bool
 	// unstored is true until the submission is known to be in the store.
 	unstored bool
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -48,10 +48,16 @@
 	return true
 }
 
-// mayHaveBegun reports whether a prior leader may have started tasks of a job that is found now and of which no process
-// has told.
-func (c *Cell) mayHaveBegun(now ms) bool {
-	return now < c.handoverAt || (c.cfg.PriorUnstored && now-c.startedAt < orphanHoldMs)
+// awaitsHandover reports whether a job may start tasks only when the handover is complete, since a prior leader may have
+// started some: it did before the job was stored, for another process that the caller has come from or that has not told
+// of the job yet, if it has run such jobs at all. Load: after a loss of all power every caller comes back, and one silent
+// worker must not hold up their jobs for the length of its leases.
+func (c *Cell) awaitsHandover(j *job) bool {
+	if j.adopted {
+		return true
+	}
+	doubtful := (j.found || j.spec.Returning) && c.cfg.PriorUnstored && j.arrivedAt-c.startedAt < orphanHoldMs
+	return doubtful && (c.orphansSeen || !c.initialPollDone)
 }
 
 // markStored records that the submission of a job is in the store.
@@ -112,16 +118,19 @@
 
 // holdOrphanEnd remembers the end of a task whose job is unknown, and reports whether the worker has to go on listing it.
 func (c *Cell) holdOrphanEnd(w *worker, e *EndedTask, now ms) bool {
-	if !c.cfg.PriorUnstored || c.jobs[e.Task.Job] != nil || (e.End != EndDone && e.End != EndFailed) {
-		return false
-	}
-	if c.cfg.Ended != nil && c.cfg.Ended(e.Task.Job) {
+	if !c.cfg.PriorUnstored || !c.unknown(e.Task.Job) || (e.End != EndDone && e.End != EndFailed) {
 		return false
 	}
+	c.orphansSeen = true
 	c.orphanEnds[e.Task.Job] = append(c.orphanEnds[e.Task.Job], orphanEnd{w, *e, now})
 	return now-c.startedAt < orphanHoldMs
 }
 
+// unknown reports whether a job is neither in the cell nor known to have ended.
+func (c *Cell) unknown(id string) bool {
+	return c.jobs[id] == nil && (c.cfg.Ended == nil || !c.cfg.Ended(id))
+}
+
 // attachOrphans applies what is known of the tasks of a job that has just been added.
 func (c *Cell) attachOrphans(j *job, now ms) {
 	id := j.spec.ID
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -33,8 +33,7 @@
 	timer := time.NewTimer(s.BeginAfterMs.Duration())
 	defer timer.Stop()
 	if p.cfg.Store.Lost() {
-		begun := p.mayHaveBegun(s)
-		go func() { sub.done <- p.submitThroughLeader(ctx, j, begun, sub.deadline) }()
+		go func() { sub.done <- p.submitThroughLeader(ctx, j, sub.deadline) }()
 	} else {
 		p.submitter.add(sub)
 	}
@@ -73,10 +72,9 @@
 	}
 }
 
-// mayHaveBegun reports whether a leader may have started tasks of a job before it is stored: for this process, or for
-// another one from which its caller has come.
-func (p *Process) mayHaveBegun(s *ccadmit.Submission) bool {
-	return s.BegunBy != 0 || s.AskedInVain || (s.Returning && (p.now() < unstoredMemoryMs || p.cfg.Store.TroubleAgeMs() < unstoredMemoryMs))
+// mayHaveBegun reports whether a leader may have started tasks of a job for this process.
+func mayHaveBegun(s *ccadmit.Submission) bool {
+	return s.BegunBy != 0 || s.AskedInVain
 }
 
 // requestBegin asks the leader, which may be this process, to run a job that is not stored yet, if it is time to.
@@ -86,7 +84,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{VM: p.cfg.VM, Job: j, Begun: p.mayHaveBegun(s)}
+	in := &ccpeer.BeginRequest{VM: p.cfg.VM, Job: j, Begun: mayHaveBegun(s)}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -190,7 +188,3 @@
 		l.cell.DropUnstored(j.ID, now)
 	}
 }
-
-// unstoredMemoryMs is the time after trouble with the store, or after the start of this process, for which a returning
-// caller's job may run without being stored.
-const unstoredMemoryMs ms = 15_000
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -69,7 +69,7 @@
 // accepted, or may still be. budgetMs is the caller's time budget. The job becomes one of the caller's team.
 func (p *Process) Submit(ctx context.Context, caller Caller, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
-	j.Team, j.Key = caller.Team, caller.Key
+	j.Team, j.Key, j.Returning = caller.Team, caller.Key, caller.Returning
 	err := p.checkCap(ctx, j)
 	if err == nil {
 		err = p.submit(ctx, &caller, j, &ccadmit.Submission{ArrivedAt: began, BudgetMs: budgetMs, Returning: caller.Returning})
@@ -143,7 +143,7 @@
 		}
 		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), RetryAfterMs: jitterRetryAfter(storeRetryAfterMs)}
 	}
-	p.stored(j, p.mayHaveBegun(s))
+	p.stored(j, mayHaveBegun(s))
 	return nil
 }
 
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math"
 	"sync/atomic"
 
-	"coriandercross/core/ccadmit"
 	"coriandercross/core/ccclock"
 	"coriandercross/io/ccstore"
 
@@ -24,8 +22,6 @@
 	reachedSince atomic.Int64
 	// usualWriteTenths is the usual duration of a write in tenths of a millisecond, 0 before the first.
 	usualWriteTenths atomic.Int64
-	// troubleAt is when a call last failed, or took longer than ccadmit.BeginAfter; 0 for never.
-	troubleAt atomic.Int64
 }
 
 const (
@@ -62,9 +58,6 @@
 // with each longer write, so that a slow store does not pass for a usual one within some seconds.
 func (t *MonitoredStore) observeWrite(took ccclock.Millis, err error) {
 	usual := t.usualWriteTenths.Load()
-	if usual > 0 && took >= ccadmit.BeginAfter(t.UsualWriteMs()) {
-		t.troubleAt.Store(int64(t.clock.Now()))
-	}
 	if errors.Is(err, ccstore.ErrUnavailable) || errors.Is(err, ccstore.ErrInDoubt) {
 		return
 	}
@@ -75,15 +68,6 @@
 	t.usualWriteTenths.Store(next)
 }
 
-// TroubleAgeMs returns the time since a call last failed or was slow, or a very long time if that never happened.
-func (t *MonitoredStore) TroubleAgeMs() ccclock.Millis {
-	at := t.troubleAt.Load()
-	if at == 0 {
-		return math.MaxInt32
-	}
-	return t.clock.Now() - ccclock.Millis(at)
-}
-
 // ReachedMs returns for how long the store has been reached since the last outage, or since the start of the process.
 func (t *MonitoredStore) ReachedMs() int64 {
 	if t.failures.Load() >= storeLostCalls {
@@ -100,7 +84,6 @@
 		return
 	}
 	if err != nil && (errors.Is(err, ccstore.ErrUnavailable) || errors.Is(err, ccstore.ErrInDoubt)) {
-		t.troubleAt.Store(now)
 		if t.failures.Add(1) == storeLostCalls && t.onChange != nil {
 			t.onChange(false, now-t.lastSuccessAt.Load())
 		}
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -24,10 +24,10 @@
 	return minIsolationTimeoutMs + p.extraHeartbeat()
 }
 
-// submitThroughLeader asks the leader to write a job to the store. begun is true if a leader may have run it already. It fails with ccstore.ErrUnavailable or
+// submitThroughLeader asks the leader to write a job to the store. It fails with ccstore.ErrUnavailable or
 // ccstore.ErrInDoubt, as submitter.submit does.
-func (p *Process) submitThroughLeader(ctx context.Context, j *cccell.Job, begun bool, deadline ms) error {
-	return p.writeThroughLeader(ctx, &ccpeer.RelayWriteRequest{Job: j, Begun: begun, BudgetMs: int64(deadline - p.now())})
+func (p *Process) submitThroughLeader(ctx context.Context, j *cccell.Job, deadline ms) error {
+	return p.writeThroughLeader(ctx, &ccpeer.RelayWriteRequest{Job: j, BudgetMs: int64(deadline - p.now())})
 }
 
 // writeThroughLeader sends a write to the leader. It fails with ccstore.ErrUnavailable if the write was certainly not
@@ -59,7 +59,7 @@
 	var err error
 	if in.Job != nil {
 		if err = p.submitter.submit(ctx, in.Job, p.now()+ms(in.BudgetMs)); err == nil {
-			p.stored(in.Job, in.Begun)
+			p.stored(in.Job, false)
 		}
 	} else if err = p.writeCancel(ctx, in.Cancel); err == nil {
 		p.notifier.cancel(in.Cancel)
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -207,8 +207,6 @@
 	Cancel string `cbor:"2,keyasint,omitempty"`
 	// BudgetMs is the time for which the write of a job may be retried.
 	BudgetMs int64 `cbor:"3,keyasint"`
-	// Begun is true if a leader may have started tasks of Job.
-	Begun bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Check implements Message.
