One piece each for what the change to unstored jobs wrote twice

Cause: read as a whole, the change repeats itself. The sender's VM in BeginRequest was read by nobody. A comment of polls.go is as before, one of early.go says what the constant bounds.

--- a/core/cccell/early.go
+++ b/core/cccell/early.go
@@ -5,8 +5,8 @@
 // the next leader learns it from them, so that it neither takes the state back nor runs a task again. The workers list
 // the ends until the state is written, so that a loss of the voters alone does no harm either.
 
-// maxEarlyAfterMs is the age of an unwritten completion from which it is published early, if nothing is known of the
-// usual duration of a write.
+// maxEarlyAfterMs is the age of an unwritten completion from which it is published early, however slow the store usually
+// is.
 const maxEarlyAfterMs ms = 300
 
 // SetEarlyAfter sets the age of an unwritten completion from which it is published early: one that it has only while the
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -7,8 +7,8 @@
 	// minPollIntervalMs is the minimum interval between two polls of a worker, so that ends at about the same time are
 	// read by one poll.
 	minPollIntervalMs ms = 25
-	// unackedPollIntervalMs is the interval between polls while ends that were read are not persisted yet. The
-	// worker would reply to a long poll at once, since it still lists these ends.
+	// unackedPollIntervalMs is the interval between polls while ends that were read are not persisted yet. The worker
+	// would reply to a long poll at once, since it still lists these ends.
 	unackedPollIntervalMs ms = 400
 	// silentPollIntervalMs is the interval between polls of a worker that does not reply.
 	silentPollIntervalMs ms = 400
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -278,14 +278,19 @@
 		w.addAttempt(a)
 		return a
 	}
-	a.stage, a.need, a.state = s, s.need, ordered
-	unneeded := s.job.final != "" || s.done.has(t.Task.Index) || (!s.spec.Speculative && len(s.tasks[t.Task.Index]) > 0)
-	a.stopWanted = unneeded
-	w.addAttempt(a)
-	c.cfg.Log("task adopted", "Job", t.Task.Job, "Task", t.Task, "Attempt", t.Attempt, "Worker", w.info.ID, "Unneeded", unneeded)
+	c.assignToStage(a, s)
 	return a
 }
 
+// assignToStage adds an attempt that a prior leader started to the attempts of its task. It is stopped if it is not needed.
+func (c *Cell) assignToStage(a *attempt, s *stage) {
+	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
+	a.stage, a.need, a.state = s, s.need, ordered
+	a.stopWanted = a.stopWanted || unneeded
+	a.worker.addAttempt(a)
+	c.cfg.Log("task adopted", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", a.worker.info.ID, "Unneeded", unneeded)
+}
+
 // stageOf returns the stage of a task, or nil when no job in memory has that task.
 func (c *Cell) stageOf(t TaskID) *stage {
 	s := c.stageByID(StageID{Job: t.Job, Run: t.Run, Stage: t.Stage})
--- a/core/cccell/share.go
+++ b/core/cccell/share.go
@@ -39,13 +39,18 @@
 		default:
 			continue
 		}
-		if j.final == "" && !j.unstored {
-			c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Excess: true})
-		}
+		c.publishExcess(j)
 	}
 	c.arrivals, c.knownExcess = nil, nil
 }
 
+// publishExcess tells the peers that a job is beyond the budget of its team, unless it has ended or has no state for them.
+func (c *Cell) publishExcess(j *job) {
+	if j.final == "" && !j.unstored {
+		c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Excess: true})
+	}
+}
+
 // AdoptExcess tells the cell which jobs the prior leader found to be beyond the budgets of their teams. It is called
 // before the first round.
 func (c *Cell) AdoptExcess(jobs []string) {
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "slices"
+
 // Unstored jobs. Load: the store is slow or does not reply, and the submissions of urgent jobs wait for it. A job is
 // placed before its submission is in the store, but nothing of it is published or written until then, and the workers
 // go on listing the ends of its tasks: every later leader finds them.
@@ -69,8 +71,8 @@
 	c.unstoredCount--
 	c.cfg.Log("begun job stored", "Job", j.spec.ID, "AfterMs", now-j.arrivedAt, "Started", j.started, "Decided", j.final)
 	c.publishState(j)
-	if j.excess && j.final == "" {
-		c.orders.Changes = append(c.orders.Changes, StateChange{Job: j.spec.ID, State: c.stateOf(j), Excess: true})
+	if j.excess {
+		c.publishExcess(j)
 	}
 }
 
@@ -108,12 +110,7 @@
 	j.published, j.persisted = Cancelled, j.version
 	delete(c.unwritten, j)
 	delete(c.inDirty, j)
-	for i, other := range c.dirty {
-		if other == j {
-			c.dirty = append(c.dirty[:i], c.dirty[i+1:]...)
-			break
-		}
-	}
+	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
 }
 
 // holdOrphanEnd remembers the end of a task whose job is unknown, and reports whether the worker has to go on listing it.
@@ -139,9 +136,13 @@
 			continue
 		}
 		for _, a := range w.attempts {
-			if a.stage == nil && a.task.Job == id {
-				c.attachOrphan(w, a, now)
+			s := c.stageOf(a.task)
+			if a.stage != nil || a.task.Job != id || s == nil {
+				continue
 			}
+			w.removeAttempt(a)
+			c.assignToStage(a, s)
+			c.confirmStart(a, now)
 		}
 	}
 	ends := c.orphanEnds[id]
@@ -162,21 +163,6 @@
 	}
 }
 
-// attachOrphan makes an attempt of an unknown job one of a task.
-func (c *Cell) attachOrphan(w *worker, a *attempt, now ms) {
-	s := c.stageOf(a.task)
-	if s == nil {
-		return
-	}
-	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
-	w.removeAttempt(a)
-	a.stage, a.need, a.state, a.adopted = s, s.need, ordered, true
-	a.stopWanted = a.stopWanted || unneeded
-	w.addAttempt(a)
-	c.confirmStart(a, now)
-	c.cfg.Log("task adopted", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "Unneeded", unneeded)
-}
-
 // forgetOrphanEnds drops the ends that are older than orphanMemoryMs.
 func (c *Cell) forgetOrphanEnds(now ms) {
 	for id, ends := range c.orphanEnds {
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -72,11 +72,6 @@
 	}
 }
 
-// mayHaveBegun reports whether a leader may have started tasks of a job for this process.
-func mayHaveBegun(s *ccadmit.Submission) bool {
-	return s.BegunBy != 0 || s.AskedInVain
-}
-
 // requestBegin asks the leader, which may be this process, to run a job that is not stored yet, if it is time to.
 func (p *Process) requestBegin(ctx context.Context, j *cccell.Job, s *ccadmit.Submission, sub *submission, storeLost bool, now ms) {
 	leader, repliedAt := p.currentLeader()
@@ -84,7 +79,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{VM: p.cfg.VM, Job: j, Begun: mayHaveBegun(s)}
+	in := &ccpeer.BeginRequest{Job: j, Begun: s.MayHaveBegun()}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -147,7 +142,7 @@
 
 // begin adds a job to the cell that is not stored yet. It returns false if the job will not run before it is stored.
 func (l *leadership) begin(in *ccpeer.BeginRequest, now ms) bool {
-	if s, ok := l.p.stateCache.state(in.Job.ID); ok && s.Final() {
+	if l.p.stateCache.ended(in.Job.ID) {
 		return true // It has ended, and the sender will learn it.
 	}
 	if now >= l.cell.Authority() || l.p.cfg.StoreBeforeStart {
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -41,7 +41,7 @@
 	return 1, nil
 }
 
-// runningLeader confirms to run jobs, unless it is dead, and records what it is told.
+// runningLeader confirms to run jobs, unless refuses is set, and records what it is told.
 type runningLeader struct {
 	ccpeer.CellHandler
 	refuses bool
@@ -64,6 +64,11 @@
 	return &ccpeer.NotifyReply{Leading: true}, nil
 }
 
+// oneTaskJob returns a job with one task.
+func oneTaskJob() *cccell.Job {
+	return &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+}
+
 // TestSubmissionInOutage checks what a caller hears whose submission can't be stored at once. While the leader runs the
 // job, the caller waits, and is accepted as soon as the store is back; if that takes too long, it hears that the outcome
 // is unknown, and the job is stored later. The caller is refused only if no process can have its job.
@@ -92,7 +97,7 @@
 			t.Cleanup(cancel)
 			go p.notifier.run(ctx)
 			time.AfterFunc(test.backAfter, func() { store.back.Store(true) })
-			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			job := oneTaskJob()
 			began := time.Now()
 			go func() { // The leader replies to Sync calls all the while.
 				for ctx.Err() == nil {
@@ -140,7 +145,7 @@
 			for _, team := range []string{"red", "blue"} {
 				assert.NilError(t, keys.Add(team, []cckey.Digest{cckey.Of(team)}))
 			}
-			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			job := oneTaskJob()
 			err := p.Submit(context.Background(), Caller{Team: "red", Key: 1, keys: keys}, job, 1000)
 			assert.Equal(t, errors.Is(err, ErrOtherTeam), test.want != nil, "%v", err)
 			assert.Equal(t, err == nil, test.want == nil)
@@ -154,7 +159,7 @@
 	for name, returning := range map[string]bool{"First": false, "Returning": true} {
 		t.Run(name, func(t *testing.T) {
 			p := newFollower(t, &refusingStore{})
-			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: ccwork.Size{MilliCores: 1}}}}
+			job := oneTaskJob()
 			err := p.Submit(context.Background(), Caller{Returning: returning}, job, 1000)
 			var refusal *Refusal
 			assert.Equal(t, errors.As(err, &refusal), !returning)
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -143,7 +143,7 @@
 		}
 		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), RetryAfterMs: jitterRetryAfter(storeRetryAfterMs)}
 	}
-	p.stored(j, mayHaveBegun(s))
+	p.stored(j, s.MayHaveBegun())
 	return nil
 }
 
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -51,9 +51,12 @@
 
 // UsualWriteMs returns the usual duration of a write, 0 before the first.
 func (t *MonitoredStore) UsualWriteMs() ccclock.Millis {
-	return ccclock.Millis(t.usualWriteTenths.Load() / 10)
+	return ccclock.Millis(t.usualWriteTenths.Load() / tenthsPerMs)
 }
 
+// tenthsPerMs is the number of tenths in a millisecond.
+const tenthsPerMs = 10
+
 // observeWrite records the duration of a write. The usual duration falls at once and rises by a tenth of a millisecond
 // with each longer write, so that a slow store does not pass for a usual one within some seconds.
 func (t *MonitoredStore) observeWrite(took ccclock.Millis, err error) {
@@ -61,7 +64,7 @@
 	if errors.Is(err, ccstore.ErrUnavailable) || errors.Is(err, ccstore.ErrInDoubt) {
 		return
 	}
-	next := max(int64(took)*10, 10)
+	next := tenthsPerMs * max(int64(took), 1)
 	if usual > 0 {
 		next = min(next, usual+1)
 	}
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
 	"coriandercross/io/ccpeer"
 )
@@ -96,9 +95,9 @@
 func (l *leadership) onNotify(in *ccpeer.NotifyRequest) {
 	l.post(func(now ms) {
 		for _, j := range in.Jobs {
-			l.addJob(j, func(j *cccell.Job, now, nowUnix ms) {
-				l.cell.AddReportedJob(j, slices.Contains(in.Begun, j.ID), now, nowUnix)
-			}, now)
+			if !l.p.stateCache.ended(j.ID) {
+				l.cell.AddReportedJob(j, slices.Contains(in.Begun, j.ID), now, unixNow())
+			}
 		}
 		for _, id := range in.Cancels {
 			l.cell.Cancel(id, now)
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -38,13 +38,13 @@
 		if items[i].Deleted {
 			continue
 		}
-		if id, ok := trimPrefix(items[i].Key, prefixJobs); ok && !l.cell.HasJob(id) {
+		if id, ok := trimPrefix(items[i].Key, prefixJobs); ok && !l.cell.HasJob(id) && !l.p.stateCache.ended(id) {
 			j := &cccell.Job{}
 			if err := decode(items[i].Key, items[i].Value, j); err != nil {
 				l.p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 				continue
 			}
-			l.addJob(j, l.cell.AddJob, now)
+			l.cell.AddJob(j, now, unixNow())
 		}
 	}
 	for i := range items {
@@ -54,14 +54,6 @@
 	}
 }
 
-// addJob adds an accepted job to the cell with add, unless the job has ended already.
-func (l *leadership) addJob(j *cccell.Job, add func(j *cccell.Job, now, nowUnix ms), now ms) {
-	if s, ok := l.p.stateCache.state(j.ID); ok && s.Final() {
-		return
-	}
-	add(j, now, unixNow())
-}
-
 // watchDirectory passes the changes of the directory to the cell.
 func (l *leadership) watchDirectory(after int64) {
 	p := l.p
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -237,11 +237,9 @@
 
 // BeginRequest asks the leader to run a job whose submission is still being written.
 type BeginRequest struct {
-	// VM is the sender.
-	VM  string      `cbor:"1,keyasint"`
-	Job *cccell.Job `cbor:"2,keyasint"`
+	Job *cccell.Job `cbor:"1,keyasint"`
 	// Begun is true if another leader may have started tasks of the job.
-	Begun bool `cbor:"3,keyasint,omitempty"`
+	Begun bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Check implements Message.
