A process that no longer leads reports no unstored jobs

Found by reading the change again. Change: set to 0 when the event loop ends, as the metrics of teams are. TestUnstoredJobsAreNotCountedAfterTheTerm fails without it.

--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -14,6 +14,7 @@
 	"coriandercross/io/ccstore"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
 
@@ -176,3 +177,24 @@
 func (refusingStore) Write(context.Context, *Txn) (int64, error) {
 	return 0, errors.Mark(errors.New("busy"), ccstore.ErrUnavailable)
 }
+
+// TestUnstoredJobsAreNotCountedAfterTheTerm checks that a process which no longer leads does not go on to report the
+// unstored jobs of its term.
+func TestUnstoredJobsAreNotCountedAfterTheTerm(t *testing.T) {
+	p := newFollower(t, nil)
+	reg := prometheus.NewRegistry()
+	p.cfg.Metrics = NewMetrics(reg)
+	l := newLeadership(p, 1)
+	p.cfg.Metrics.unstored.Set(3)
+	close(l.ended)
+	l.loop()
+	families, err := reg.Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() == "coriandercross_unstored_jobs" {
+			assert.Equal(t, f.GetMetric()[0].GetGauge().GetValue(), 0.0)
+			return
+		}
+	}
+	t.Fatal("the metric is not registered")
+}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -235,6 +235,7 @@
 	tick := time.NewTicker(tickMs.Duration())
 	defer tick.Stop()
 	defer l.p.cfg.Metrics.teams.set(nil, nil)
+	defer l.p.cfg.Metrics.unstored.Set(0)
 	for {
 		var began time.Time
 		select {
