Mutation test and ablation replace text with the same function

Cause: ablate.sh had its own copy of the line of mutate.sh that replaces a text and fails if it is not found. Change: _scripts/replace.sh, sourced by both. Two mutants are caught as before.

--- a/_scripts/ablate.sh
+++ b/_scripts/ablate.sh
@@ -5,6 +5,7 @@
 # The journal entries of the plays are copied into journal/.
 set -eu
 top=$(git rev-parse --show-toplevel)
+. "$top/_scripts/replace.sh"
 bench=$(realpath "$1") site=$(realpath "$2") days=$3 seeds=$4 only=${5:-}
 
 # off NAME FILE OLD NEW replaces the text OLD, which must occur in FILE, by NEW, and plays the days.
@@ -12,7 +13,7 @@
   [ -z "$only" ] || [ "$only" = "$1" ] || return 0
   copy=$(mktemp -d)
   git clone -q "$top" "$copy"
-  FILE="$copy/$2" OLD="$3" NEW="$4" perl -0pi -e 'BEGIN{$o=$ENV{OLD};$n=$ENV{NEW}} s/\Q$o\E/$n/ or $bad=1; END{exit 1 if $bad}' "$copy/$2"
+  replace "$copy/$2" "$3" "$4"
   for day in $days; do
     for seed in $seeds; do
       out=$(cd "$copy" && "$bench" run "$site" "$day" --seed "$seed" --why "ablation: $1")
--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -3,6 +3,7 @@
 # Usage: _scripts/mutate.sh [NAME]   (all mutants, or only NAME)
 set -u
 top=$(git rev-parse --show-toplevel)
+. "$top/_scripts/replace.sh"
 only=${1:-}
 survived=0
 
@@ -12,7 +13,7 @@
   [ -z "$only" ] || [ "$only" = "$1" ] || return 0
   copy=$(mktemp -d)
   git -C "$top" ls-files -z --cached --others --exclude-standard | (cd "$top" && xargs -0 cp --parents -t "$copy")
-  if ! FILE="$copy/$2" OLD="$3" NEW="$4" perl -0pi -e 'BEGIN{$o=$ENV{OLD};$n=$ENV{NEW}} s/\Q$o\E/$n/ or $bad=1; END{exit 1 if $bad}' "$copy/$2"; then
+  if ! replace "$copy/$2" "$3" "$4"; then
     echo "MUTANT $1: pattern not found"
     survived=1
   elif (cd "$copy" && go test -count=1 "$5" $6 >"$copy/out" 2>&1); then
