--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -119,6 +119,8 @@
 	Vanished int64
 	Lapsed   int64
 	Failures int64
+	// LostDone counts the attempts that were taken for lost and that their workers listed as done later.
+	LostDone int64
 	// Crashes counts crashes of workers with attempts, GivenUp the tasks that were given up because of them.
 	Crashes int64
 	GivenUp int64
@@ -297,7 +299,7 @@
 		r.stages = append(r.stages, &stage{
 			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
 			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, crashes: map[int][]Crash{}, trialWaitSince: map[int]ms{}, checkpoints: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
-			perWorker: map[*worker]int{}, tickets: newTickets(),
+			perWorker: map[*worker]int{}, tickets: newTickets(), lost: map[attemptKey]lostAttempt{},
 		})
 	}
 	j.runs[number] = r
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -9,6 +9,7 @@
 	if a == nil {
 		// Started by a prior leader, or removed here before its end was listed.
 		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.stageOf(e.Task)}
+		c.logLostEnd(a, e.End, now)
 	}
 	c.endAttempt(a, e.End, e.Checkpoint, now)
 	unacked := unackedEnd{number: e.Number}
@@ -60,6 +61,46 @@
 	}
 }
 
+// Reasons for which an attempt is taken for lost, as they appear in logs.
+const (
+	// lostLease: the leases at the worker have ended.
+	lostLease = "Lease"
+	// lostRestart: the worker has started again.
+	lostRestart = "Restart"
+	// lostUnlisted: the worker's lists have neither the attempt nor its end.
+	lostUnlisted = "Unlisted"
+)
+
+// lostAttempt says when and why an attempt was taken for lost.
+type lostAttempt struct {
+	at  ms
+	why string
+}
+
+// loseAttempt ends an attempt that is taken for lost, so that its task may be started again.
+func (c *Cell) loseAttempt(a *attempt, why string, now ms) {
+	if s := a.stage; s != nil && s.job.final == "" {
+		s.lost[attemptKey{a.task, a.number}] = lostAttempt{now, why}
+	}
+	c.endAttempt(a, EndVanished, "", now)
+}
+
+// logLostEnd logs the end of an attempt that was taken for lost before.
+func (c *Cell) logLostEnd(a *attempt, end End, now ms) {
+	if a.stage == nil {
+		return
+	}
+	l, ok := a.stage.lost[attemptKey{a.task, a.number}]
+	if !ok {
+		return
+	}
+	if end == EndDone {
+		c.stats.LostDone++
+	}
+	c.cfg.Log("end of a lost attempt", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", a.worker.info.ID, "End", end, "Why", l.why, "LostMs", now-l.at,
+		"Done", a.stage.done.has(a.task.Index), "Again", len(a.stage.tasks[a.task.Index]))
+}
+
 // ranMs returns how long an attempt ran, or 0 when the time of its start is not known.
 func (a *attempt) ranMs(now ms) ms {
 	if a.sentAt == 0 || a.adopted {
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -161,7 +161,7 @@
 			}
 			c.suspectAll(w, now)
 			for _, a := range w.attempts {
-				c.endAttempt(a, EndVanished, "", now)
+				c.loseAttempt(a, lostLease, now)
 			}
 			c.confirmKnownCrashes(w.info.Address, now)
 			// A poll in flight may acknowledge ends of an earlier incarnation. If the worker registers again meanwhile,
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -222,7 +222,7 @@
 	w.admitted = false
 	for _, a := range w.attempts {
 		if a.state == running {
-			c.endAttempt(a, EndVanished, "", now)
+			c.loseAttempt(a, lostRestart, now)
 			continue
 		}
 		a.state, a.confirmedAt, a.stopWanted, a.stopConfirmed = inDoubt, 0, true, false
@@ -237,7 +237,7 @@
 		if present[key] || a.confirmedAt == 0 || r.Sent <= a.confirmedAt {
 			continue
 		}
-		c.endAttempt(a, EndVanished, "", now)
+		c.loseAttempt(a, lostUnlisted, now)
 	}
 }
 
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -82,6 +82,8 @@
 	trialWaitSince map[int]ms
 	// checkpoints holds the newest checkpoint of each task. That of a gang is under task 0.
 	checkpoints map[int]string
+	// lost holds the attempts that were taken for lost.
+	lost map[attemptKey]lostAttempt
 	// durations holds the durations of completed tasks in ms, scaled to the fastest worker type in the rack of the
 	// data.
 	durations []float64
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -120,7 +120,9 @@
 	}
 	c.orphansSeen = true
 	c.orphanEnds[e.Task.Job] = append(c.orphanEnds[e.Task.Job], orphanEnd{w, *e, now})
-	return now-c.startedAt < orphanHoldMs
+	held := now-c.startedAt < orphanHoldMs
+	c.cfg.Log("end of an unknown job", "Job", e.Task.Job, "Task", e.Task, "Attempt", e.Attempt, "Worker", w.info.ID, "End", e.End, "Held", held)
+	return held
 }
 
 // unknown reports whether a job is neither in the cell nor known to have ended.
