Tests: ends that a leader can't attribute are forgotten, and their tasks started again

Cause: an end is acknowledged once the job change that it causes is in the store. An end that causes none, since the leader does not know the job, or not the run, is acknowledged on the strength of that leader's memory: after 4 s of its term, or at once. Ruled out: that this needs a fault of the store; a submission that arrives late and two changes of the leader are enough, or a clock that is behind. Before and after: no change of logic.

--- a/core/cccell/unstored_test.go
+++ b/core/cccell/unstored_test.go
@@ -197,3 +197,55 @@
 	c.workers["w1"].advanceAck(1310)
 	assert.Equal(t, c.workers["w1"].ackedEnd, int64(1))
 }
+
+// A second leader acknowledged the end of a task whose job it did not know, and a third one, which was told of the job,
+// started the task again.
+func TestEndOfUnknownJobIsKept(t *testing.T) {
+	const attempt = 1<<attemptBits + 1
+	task := TaskID{Job: "j"}
+	lists := &TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: attempt, End: EndDone}}}
+	second := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+	second.SetWorker(testWorker("w1"), 1000)
+	for now := ms(1000); now < 40_000; now += 100 {
+		out := pollAll(t, second, now, map[string]*TaskLists{"w1": lists})
+		for i := range out.Polls {
+			if out.Polls[i].AckedEnd >= 1 {
+				lists = &TaskLists{} // The worker forgets the end, though nothing was written to the store.
+			}
+		}
+	}
+	third := New(Config{Token: 3, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 40_000)
+	third.SetWorker(testWorker("w1"), 40_000)
+	for now := ms(40_000); now < 41_000; now += 100 {
+		pollAll(t, third, now, map[string]*TaskLists{"w1": lists})
+	}
+	third.AddReportedJob(testJob("j", 1), true, 41_000, 41_000)
+	assert.Equal(t, len(runStarts(third, 41_010)), 0)
+}
+
+// A leader whose clock was behind acknowledged the end of a task of a scheduled run that was not due by its clock, and
+// started the task again when the run was due.
+func TestEndOfRunThatIsNotDueIsKept(t *testing.T) {
+	const attempt = 1<<attemptBits + 1
+	spec := testJob("j", 1)
+	spec.ScheduledRuns, spec.FirstRunMs, spec.PeriodMs = 2, 10_000, 50_000
+	for name, lists := range map[string]*TaskLists{
+		"Done":    {Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "j"}, Attempt: attempt, End: EndDone}}},
+		"Running": {Running: []RunningTask{{Task: TaskID{Job: "j"}, Attempt: attempt}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+			c.SetWorker(testWorker("w1"), 1000)
+			c.Adopt(StoredJob{Job: spec}, 1000, 9000)
+			for now := ms(1000); now < 3000; now += 100 {
+				c.Schedule(now, now+8000)
+				out := c.TakeOrders()
+				assert.Equal(t, len(out.Starts)+len(out.Stops), 0)
+				for i := range out.Polls {
+					assert.Equal(t, out.Polls[i].AckedEnd, int64(0))
+					c.OnPollReply(&out.Polls[i], executedReply(now), lists, now)
+				}
+			}
+		})
+	}
+}
