Ends that a leader can't attribute are stored before they are acknowledged

What callers saw: tasks of a job that ran before it was stored were run again after they were done (TWICE), once a second leader had let their worker forget the ends and a third one learned of the job; and tasks of a scheduled run, after a change to a leader whose clock was behind. Cause: an end is acknowledged when the change that it causes is in the store; the end of a task whose job the leader does not know, or whose run it has not begun, caused none, so that it was acknowledged on the strength of that leader's memory. The time of 4 s was no bound of the system: a process writes a submission for as long as it takes, and a write may be carried out late. Ruled out: a longer time (nothing bounds it); a record that makes the later submission fail (its caller would lose a job that may still be accepted); no acknowledgement at all (a worker lists its ends in the order of their numbers). Change: such ends are kept as a progress record under the ID of the job, written by the leader after a second, read by each later one, applied to the job whenever it comes and removed with its submission. A run of which a worker lists a task is begun. An end of a known job that has no such stage waits for the job's last change. TestUnknownWorkIsEnded asserted the acknowledgement after 4 s; it now asserts that there is none before the store has the record.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -75,9 +75,9 @@
 	// orphansSeen is true once a worker has listed a task of an unknown job: a prior leader has run jobs that were not
 	// stored.
 	orphansSeen bool
-	// unstoredCount is the number of unstored jobs; orphanEnds holds the ends of tasks of unknown jobs, by job.
+	// unstoredCount is the number of unstored jobs; unknownJobs holds the ends of tasks of unknown jobs, by job.
 	unstoredCount int
-	orphanEnds    map[string][]orphanEnd
+	unknownJobs   map[string]*unknownJob
 	// startedAt is when the term of this leader began.
 	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
@@ -142,7 +142,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
-		orphanEnds: map[string][]orphanEnd{}, startedAt: now, earlyAfterMs: maxEarlyAfterMs,
+		unknownJobs: map[string]*unknownJob{}, startedAt: now, earlyAfterMs: maxEarlyAfterMs,
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
@@ -306,6 +306,20 @@
 	return r
 }
 
+// runOf returns a run of a job, nil if the job has no such run or has ended. It begins a scheduled run that is not due by
+// this leader's clock, since a prior leader has: the caller has found tasks of it.
+func (c *Cell) runOf(j *job, number int, now ms) *run {
+	if r := j.runs[number]; r != nil {
+		return r
+	}
+	if j.final != "" || number < 0 || number >= j.spec.ScheduledRuns {
+		return nil
+	}
+	r := c.newRun(j, number)
+	c.advanceRun(r, now)
+	return r
+}
+
 // advanceRun opens the stages whose predecessors are finished. It marks the run as done when all stages are finished,
 // and the job as completed when all runs are done.
 func (c *Cell) advanceRun(r *run, now ms) {
@@ -434,7 +448,6 @@
 // RemoveEndedJobs drops the jobs that arrived before a time, whose final state is published, and that have no live
 // attempts.
 func (c *Cell) RemoveEndedJobs(arrivedBefore ms) {
-	c.forgetOrphanEnds(c.roundAt)
 	for address := range c.suspects {
 		c.forgetSuspects(address)
 	}
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -2,22 +2,27 @@
 
 import "slices"
 
-// recordEnd handles a row of a worker's list of ends. The worker may forget the end once the job change that it caused
-// is persisted.
+// recordEnd handles a row of a worker's list of ends. The worker may forget the end once what it has changed is
+// persisted: the progress of its job, or the record of a job that this leader does not know.
 func (c *Cell) recordEnd(w *worker, e *EndedTask, now ms) {
 	a := w.attempts[attemptKey{e.Task, e.Attempt}]
+	if a != nil && a.stage == nil {
+		w.removeAttempt(a)
+		a = nil
+	}
 	if a == nil {
 		// Started by a prior leader, or removed here before its end was listed.
-		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.stageOf(e.Task)}
+		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.foundStage(e.Task, now)}
 		c.logLostEnd(a, e.End, now)
 	}
 	c.endAttempt(a, e.End, e.Checkpoint, now)
 	unacked := unackedEnd{number: e.Number}
-	if a.stage != nil && (e.End == EndDone || e.End == EndFailed) {
-		unacked.job, unacked.version = a.stage.job, a.stage.job.version
-	}
-	if a.stage == nil && c.holdOrphanEnd(w, e, now) {
-		unacked.orphanUntil = c.startedAt + orphanHoldMs
+	if e.End == EndDone || e.End == EndFailed {
+		if j := c.jobs[e.Task.Job]; j != nil {
+			unacked.job, unacked.version = j, j.version
+		} else if u := c.recordUnknownEnd(w, e, now); u != nil {
+			unacked.unknown, unacked.version = u, u.version
+		}
 	}
 	w.unackedEnds = append(w.unackedEnds, unacked)
 }
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -56,12 +56,14 @@
 	jobIDs    []string
 	cancelled map[string]bool
 	progress  map[string]record
-	token     int64
-	revision  int64
-	leaders   []*leader
-	lateCalls []lateCall
-	storeDown bool
-	published map[string]cccell.State
+	// unknownEnds has the stored ends of tasks of unknown jobs.
+	unknownEnds map[string]record
+	token       int64
+	revision    int64
+	leaders     []*leader
+	lateCalls   []lateCall
+	storeDown   bool
+	published   map[string]cccell.State
 	// early holds the completions that a majority of the voters knows before they are written.
 	early       map[string]bool
 	faultsOff   bool
@@ -96,7 +98,7 @@
 func newSimulation(t *rapid.T, teams bool, runTimes *ccruntimes.Learner) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
-		progress: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, unstored: map[string]ms{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
+		progress: map[string]record{}, unknownEnds: map[string]record{}, published: map[string]cccell.State{}, early: map[string]bool{}, unstored: map[string]ms{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
 	}
 	sim.checker.MaxAttempts = modelMaxAttempts
 	sim.checker.LongRunning = func(id cccell.TaskID) bool { return sim.jobs[id.Job].Stages[id.Stage].LongRunning }
@@ -164,6 +166,11 @@
 		}
 		c.Adopt(s, sim.now, sim.now)
 	}
+	for _, id := range slices.Sorted(maps.Keys(sim.unknownEnds)) {
+		if r := sim.unknownEnds[id]; !sim.ended(id) {
+			c.AdoptUnknownEnds(id, &r.progress, r.revision, sim.now)
+		}
+	}
 	c.AdoptCompletions(slices.Sorted(maps.Keys(sim.early)), sim.now)
 	sim.learnSomeCaps(l)
 	sim.leaders = append(sim.leaders, l)
@@ -341,7 +348,7 @@
 	found := map[string]int64{}
 	same := true
 	for _, w := range l.writes {
-		found[w.Job] = sim.progress[w.Job].revision
+		found[w.Job] = sim.records(&w)[w.Job].revision
 		same = same && found[w.Job] == w.Revision
 	}
 	if !same {
@@ -352,7 +359,10 @@
 	}
 	sim.revision++
 	for _, w := range l.writes {
-		sim.progress[w.Job] = record{w.Progress, sim.revision}
+		sim.records(&w)[w.Job] = record{w.Progress, sim.revision}
+		if w.EndsStored && w.Progress.State.Final() {
+			delete(sim.unknownEnds, w.Job)
+		}
 	}
 	if !sim.faultsOff && sim.draw(5, "writeLost") == 0 {
 		return // Executed, but the reply is lost: the leader tries again.
@@ -361,6 +371,14 @@
 	l.writes = nil
 }
 
+// records returns the stored records among which a write belongs.
+func (sim *simulation) records(w *cccell.ProgressWrite) map[string]record {
+	if w.Unknown {
+		return sim.unknownEnds
+	}
+	return sim.progress
+}
+
 // step advances the time and runs a round of each leader.
 func (sim *simulation) step(d ms) {
 	sim.now += d
--- a/core/cccell/modelunstored_test.go
+++ b/core/cccell/modelunstored_test.go
@@ -12,9 +12,6 @@
 	"pgregory.net/rapid"
 )
 
-// modelCallerMs is the time within which a submission that is not stored yet is stored, or never.
-const modelCallerMs ms = 3000
-
 // TestCellModelUnstored is TestCellModel with jobs that the newest leader runs before they are stored. Some are stored
 // later, by the process that received them, which tells whoever leads then; the others are lost with that process.
 func TestCellModelUnstored(t *testing.T) {
@@ -44,14 +41,16 @@
 	return sim.leaders[len(sim.leaders)-1].cell
 }
 
-// storeSome stores some of the unstored jobs, and drops those whose callers have left.
+// storeSome stores some of the unstored jobs, and drops a few. Nothing bounds the time after which a job is stored.
 func (sim *simulation) storeSome() {
 	for _, id := range slices.Sorted(maps.Keys(sim.unstored)) {
-		switch at := sim.unstored[id]; {
-		case sim.now-at > modelCallerMs:
+		switch sim.draw(40, "unstored") {
+		case 0:
 			delete(sim.unstored, id)
-		case !sim.storeDown && sim.draw(4, "stored") == 0:
-			sim.store(id)
+		case 1, 2, 3, 4, 5:
+			if !sim.storeDown {
+				sim.store(id)
+			}
 		}
 	}
 }
--- a/core/cccell/persist.go
+++ b/core/cccell/persist.go
@@ -6,16 +6,21 @@
 	Progress Progress
 	// Revision is the revision of the record to be replaced, 0 when there is none.
 	Revision int64
-	// CancelRequested is true when a cancel request has to be removed together with the job.
-	CancelRequested bool
+	// CancelRequested is true when a cancel request has to be removed together with the job, EndsStored when ends have that
+	// were stored while the job was unknown.
+	CancelRequested, EndsStored bool
+	// Unknown is true for the ends of the tasks of an unknown job, which have a record of their own.
+	Unknown bool
 
+	// Either job or unknown is set.
 	job     *job
+	unknown *unknownJob
 	version int64
 }
 
 // NextWrites returns the records of the jobs with the oldest unwritten changes, as many as fit into a budget of store
-// rows. The caller must pass each to OnWritten or RequeueWrites. A record takes two rows, and one or two more when it
-// removes the job.
+// rows, and then those of unknown jobs. The caller must pass each to OnWritten or RequeueWrites. A record takes two rows,
+// and up to three more when it removes the job.
 func (c *Cell) NextWrites(budget int, nowUnix ms) []ProgressWrite {
 	var out []ProgressWrite
 	var kept []*job
@@ -30,27 +35,31 @@
 			if j.cancelRequested {
 				rows++
 			}
+			if j.endsStored {
+				rows++
+			}
 		}
 		if budget < rows {
 			kept = append(kept, c.dirty[i:]...)
+			budget = 0
 			break
 		}
 		budget -= rows
 		delete(c.inDirty, j)
 		out = append(out, ProgressWrite{
-			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelRequested: j.cancelRequested, job: j, version: j.version,
+			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelRequested: j.cancelRequested, EndsStored: j.endsStored, job: j, version: j.version,
 		})
 	}
 	c.dirty = kept
-	return out
+	return c.appendUnknownWrites(out, budget)
 }
 
-// PendingWrites returns the number of stored jobs with changes that NextWrites has not returned yet.
+// PendingWrites returns the number of records with changes that NextWrites has not returned yet.
 func (c *Cell) PendingWrites() int {
+	n := c.dueUnknownWrites()
 	if c.unstoredCount == 0 {
-		return len(c.dirty)
+		return n + len(c.dirty)
 	}
-	n := 0
 	for _, j := range c.dirty {
 		if !j.unstored {
 			n++
@@ -63,6 +72,10 @@
 func (c *Cell) OnWritten(writes []ProgressWrite, revision int64, now ms) {
 	for i := range writes {
 		p := &writes[i]
+		if p.Unknown {
+			p.unknown.onWritten(p.version, revision)
+			continue
+		}
 		j := p.job
 		j.revision = revision
 		j.persisted = max(j.persisted, p.version)
@@ -89,6 +102,10 @@
 // the revisions of the records that were read from the store, by job.
 func (c *Cell) RequeueWrites(writes []ProgressWrite, found map[string]int64) {
 	for i := range writes {
+		if u := writes[i].unknown; u != nil {
+			u.requeue(found)
+			continue
+		}
 		j := writes[i].job
 		if rev, ok := found[writes[i].Job]; ok {
 			j.revision = rev
@@ -105,7 +122,7 @@
 func (w *worker) advanceAck(now ms) {
 	for len(w.unackedEnds) > 0 {
 		e := w.unackedEnds[0]
-		if (e.job != nil && e.job.persisted < e.version) || now < e.orphanUntil {
+		if !e.stored() {
 			return
 		}
 		w.ackedEnd = e.number
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -55,6 +55,64 @@
 	Crashes []Crash `cbor:"2,keyasint"`
 }
 
+// addEnd adds the end of a task, and returns false if it was known. The record must not have a final state.
+func (p *Progress) addEnd(e *EndedTask) bool {
+	rp := p.Runs[e.Task.Run]
+	if rp.Stages == nil {
+		rp.Stages = map[int]StageProgress{}
+	}
+	sp := rp.Stages[e.Task.Stage]
+	added := false
+	if e.End == EndDone {
+		if added = !bitset(sp.Done).has(e.Task.Index); added {
+			done := newBitset(max(e.Task.Index+1, len(sp.Done)*wordBits))
+			copy(done, sp.Done)
+			done.add(e.Task.Index)
+			sp.Done = done
+		}
+	} else {
+		sp.Failures, added = addFailure(sp.Failures, e.Task.Index, e.Attempt)
+	}
+	rp.Stages[e.Task.Stage] = sp
+	p.Runs[e.Task.Run] = rp
+	return added
+}
+
+// addFailure returns the failures with one more failed attempt at a task, and false if it was among them.
+func addFailure(failures []Failure, index int, attempt int64) ([]Failure, bool) {
+	for i := range failures {
+		f := &failures[i]
+		if f.Index != index {
+			continue
+		}
+		if slices.Contains(f.Attempts, attempt) {
+			return failures, false
+		}
+		f.Attempts = append(f.Attempts, attempt)
+		return failures, true
+	}
+	return append(failures, Failure{Index: index, Attempts: []int64{attempt}}), true
+}
+
+// clone returns a copy that shares nothing with the record.
+func (p *Progress) clone() Progress {
+	out := *p
+	out.Runs = make(map[int]RunProgress, len(p.Runs))
+	for n, rp := range p.Runs {
+		stages := make(map[int]StageProgress, len(rp.Stages))
+		for i, sp := range rp.Stages {
+			sp.Done = slices.Clone(sp.Done)
+			sp.Failures = slices.Clone(sp.Failures)
+			for k := range sp.Failures {
+				sp.Failures[k].Attempts = slices.Clone(sp.Failures[k].Attempts)
+			}
+			stages[i] = sp
+		}
+		out.Runs[n] = RunProgress{Done: rp.Done, Stages: stages}
+	}
+	return out
+}
+
 // Check returns ErrBadProgress for an unknown state.
 func (p *Progress) Check() error {
 	if err := p.State.Check(); err != nil {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -270,7 +270,7 @@
 // adoptAttempt adds an attempt that a prior leader started. An attempt that is not needed any more is stopped.
 func (c *Cell) adoptAttempt(w *worker, t *RunningTask, now ms) *attempt {
 	a := &attempt{task: t.Task, number: t.Attempt, worker: w, state: running, sentAt: now, progressAt: now, confirmedAt: now, adopted: true}
-	s := c.stageOf(t.Task)
+	s := c.foundStage(t.Task, now)
 	if s == nil {
 		a.stopWanted = !c.cfg.PriorUnstored
 		c.orphansSeen = c.orphansSeen || c.unknown(t.Task.Job)
@@ -291,6 +291,15 @@
 	c.cfg.Log("task adopted", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", a.worker.info.ID, "Unneeded", unneeded)
 }
 
+// foundStage returns the stage of a task that a worker has listed, or nil when no job in memory has that task. It begins the
+// run of the task if need be.
+func (c *Cell) foundStage(t TaskID, now ms) *stage {
+	if j := c.jobs[t.Job]; j != nil {
+		c.runOf(j, t.Run, now)
+	}
+	return c.stageOf(t)
+}
+
 // stageOf returns the stage of a task, or nil when no job in memory has that task.
 func (c *Cell) stageOf(t TaskID) *stage {
 	s := c.stageByID(StageID{Job: t.Job, Run: t.Run, Stage: t.Stage})
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -37,6 +37,8 @@
 	found bool
 	// unstored is true until the submission is known to be in the store.
 	unstored bool
+	// endsStored is true when the store may hold ends of the job's tasks that were found before the job was known.
+	endsStored bool
 	// cancelRequested is true when the store holds a cancel request.
 	cancelRequested bool
 	// arrivedAt is when this process learned of the job. For an adopted job it is earlier by the job's age, up to
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -6,31 +6,20 @@
 // placed before its submission is in the store, but nothing of it is published or written until then, and the workers
 // go on listing the ends of its tasks: every later leader finds them.
 //
-// A leader that follows may find attempts of such jobs before it learns of the jobs. Their ends stay listed at the
-// workers for orphanHoldMs, in which callers repeat their submissions, and are remembered for longer, so that no task
-// that is done starts again.
+// A leader that follows may find attempts of such jobs before it learns of the jobs. It stores the ends of these attempts
+// before their workers forget them (unknown.go), so that no task that is done starts again.
 
 const (
 	// maxUnstored bounds the unstored jobs.
 	maxUnstored = 4096
-	// orphanHoldMs is the time from the start of a term in which the ends of tasks of unknown jobs are not acknowledged,
-	// and jobs that arrive count as started by a prior leader: callers repeat a submission for three seconds.
-	orphanHoldMs ms = 4000
-	// orphanMemoryMs is the time for which the ends of tasks of unknown jobs are remembered. A write of a submission is
-	// carried out later than that at no time.
-	orphanMemoryMs ms = 30_000
+	// returningMs is the time from the start of a term in which jobs that arrive count as started by a prior leader:
+	// callers repeat a submission for three seconds.
+	returningMs ms = 4000
 	// strayGraceMs is the time that a running task of an unknown job has before it is stopped, in which the process that
 	// holds the submission tells a new leader of the job.
 	strayGraceMs ms = 300
 )
 
-// orphanEnd is the end of a task of an unknown job.
-type orphanEnd struct {
-	w   *worker
-	end EndedTask
-	at  ms
-}
-
 // AddUnstored adds a job whose submission is being written. begun is true if a prior leader may have started tasks of
 // it. It returns false if the job is not run before it is stored.
 func (c *Cell) AddUnstored(spec *Job, begun bool, now, nowUnix ms) bool {
@@ -58,7 +47,7 @@
 	if j.adopted {
 		return true
 	}
-	doubtful := (j.found || j.spec.Returning) && c.cfg.PriorUnstored && j.arrivedAt-c.startedAt < orphanHoldMs
+	doubtful := (j.found || j.spec.Returning) && c.cfg.PriorUnstored && j.arrivedAt-c.startedAt < returningMs
 	return doubtful && (c.orphansSeen || !c.initialPollDone)
 }
 
@@ -113,18 +102,6 @@
 	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
 }
 
-// holdOrphanEnd remembers the end of a task whose job is unknown, and reports whether the worker has to go on listing it.
-func (c *Cell) holdOrphanEnd(w *worker, e *EndedTask, now ms) bool {
-	if !c.cfg.PriorUnstored || !c.unknown(e.Task.Job) || (e.End != EndDone && e.End != EndFailed) {
-		return false
-	}
-	c.orphansSeen = true
-	c.orphanEnds[e.Task.Job] = append(c.orphanEnds[e.Task.Job], orphanEnd{w, *e, now})
-	held := now-c.startedAt < orphanHoldMs
-	c.cfg.Log("end of an unknown job", "Job", e.Task.Job, "Task", e.Task, "Attempt", e.Attempt, "Worker", w.info.ID, "End", e.End, "Held", held)
-	return held
-}
-
 // unknown reports whether a job is neither in the cell nor known to have ended.
 func (c *Cell) unknown(id string) bool {
 	return c.jobs[id] == nil && (c.cfg.Ended == nil || !c.cfg.Ended(id))
@@ -138,8 +115,11 @@
 			continue
 		}
 		for _, a := range w.attempts {
-			s := c.stageOf(a.task)
-			if a.stage != nil || a.task.Job != id || s == nil {
+			if a.stage != nil || a.task.Job != id {
+				continue
+			}
+			s := c.foundStage(a.task, now)
+			if s == nil {
 				continue
 			}
 			w.removeAttempt(a)
@@ -147,29 +127,5 @@
 			c.confirmStart(a, now)
 		}
 	}
-	ends := c.orphanEnds[id]
-	delete(c.orphanEnds, id)
-	for i := range ends {
-		o := &ends[i]
-		s := c.stageOf(o.end.Task)
-		if s == nil {
-			continue
-		}
-		c.cfg.Log("end of a begun job found", "Job", id, "Task", o.end.Task, "Attempt", o.end.Attempt, "Worker", o.w.info.ID, "End", o.end.End)
-		c.endAttempt(&attempt{task: o.end.Task, number: o.end.Attempt, worker: o.w, stage: s, adopted: true}, o.end.End, o.end.Checkpoint, now)
-		for k := range o.w.unackedEnds {
-			if u := &o.w.unackedEnds[k]; u.number == o.end.Number && u.orphanUntil != 0 {
-				u.job, u.version, u.orphanUntil = j, j.version, 0
-			}
-		}
-	}
-}
-
-// forgetOrphanEnds drops the ends that are older than orphanMemoryMs.
-func (c *Cell) forgetOrphanEnds(now ms) {
-	for id, ends := range c.orphanEnds {
-		if now-ends[len(ends)-1].at > orphanMemoryMs {
-			delete(c.orphanEnds, id)
-		}
-	}
+	c.attachUnknownEnds(j, now)
 }
--- a/core/cccell/unstored_test.go
+++ b/core/cccell/unstored_test.go
@@ -105,8 +105,8 @@
 	assert.Equal(t, c.workers["w1"].ackedEnd, int64(1))
 }
 
-// The tasks of a job that nobody submits again are stopped, and their ends acknowledged, after a bounded time. A job
-// that comes even later is not repeated.
+// The tasks of a job that nobody submits again are stopped. Their ends are acknowledged once they are stored, and a job that
+// comes even later is not repeated, by the same leader or by one that follows.
 func TestUnknownWorkIsEnded(t *testing.T) {
 	const attempt = 1<<attemptBits + 1
 	done, running := TaskID{Job: "j"}, TaskID{Job: "k"}
@@ -119,14 +119,31 @@
 	out := runRound(c, 1000+strayGraceMs+1)
 	assert.Equal(t, len(out.Stops), 1)
 	assert.Equal(t, out.Stops[0].Task, running)
+	assert.Equal(t, c.PendingWrites(), 0)
+	now := 1000 + unknownWriteAfterMs
+	runRound(c, now)
+	assert.Equal(t, c.PendingWrites(), 1)
+	writes := c.NextWrites(31, now)
+	assert.Equal(t, len(writes), 1)
+	assert.Assert(t, writes[0].Unknown)
+	assert.Equal(t, c.PendingWrites(), 0)
 	w := c.workers["w1"]
-	w.advanceAck(1000 + orphanHoldMs - 1)
+	w.advanceAck(60_000)
 	assert.Equal(t, w.ackedEnd, int64(0))
-	w.advanceAck(1000 + orphanHoldMs)
+	c.RequeueWrites(writes, nil)
+	writes = c.NextWrites(31, now)
+	c.OnWritten(writes, 9, now)
 	assert.Equal(t, w.ackedEnd, int64(1))
-	now := 1000 + orphanHoldMs + 3000
-	c.AddReportedJob(testJob("j", 1), false, now, now)
-	assert.Equal(t, c.jobs["j"].final, Completed)
+
+	next := New(Config{Token: 3, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, now)
+	next.AdoptUnknownEnds("j", &writes[0].Progress, 9, now)
+	for _, c := range []*Cell{c, next} {
+		c.AddReportedJob(testJob("j", 1), false, now+30_000, now+30_000)
+		assert.Equal(t, c.jobs["j"].final, Completed)
+		final := c.NextWrites(31, now+30_000)
+		assert.Equal(t, len(final), 1)
+		assert.Assert(t, final[0].EndsStored) // The record is removed with the submission.
+	}
 }
 
 // A new leader does not know whether a job was begun before it was stored if it has found the job in the store, or if the
@@ -149,7 +166,7 @@
 		"ReturningBesideStray":       {lists: stray, reported: true, returning: true, want: 0},
 		"ReturningWithoutUnstored":   {lists: &TaskLists{}, reported: true, returning: true, want: 1},
 		"Begun":                      {lists: &TaskLists{}, reported: true, begun: true, want: 0},
-		"ReturningLongAfterTakeover": {lists: ended, reported: true, returning: true, later: orphanHoldMs, want: 1},
+		"ReturningLongAfterTakeover": {lists: ended, reported: true, returning: true, later: returningMs, want: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -237,7 +254,7 @@
 			c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
 			c.SetWorker(testWorker("w1"), 1000)
 			c.Adopt(StoredJob{Job: spec}, 1000, 9000)
-			for now := ms(1000); now < 3000; now += 100 {
+			for now := ms(1000); now < 2500; now += 100 { // The run is due at 2000.
 				c.Schedule(now, now+8000)
 				out := c.TakeOrders()
 				assert.Equal(t, len(out.Starts)+len(out.Stops), 0)
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -115,14 +115,24 @@
 	heldMs int64
 }
 
-// unackedEnd is an end that the worker may forget once the store has a version of a job. job is nil when the end
-// changed no job.
+// unackedEnd is an end that the worker may forget once the store has a version of a job, or of the ends of an unknown
+// job. Both are nil when there is nothing to be stored.
 type unackedEnd struct {
 	number  int64
 	job     *job
+	unknown *unknownJob
 	version int64
-	// orphanUntil is the time until which the worker has to list the end of a task of an unknown job, 0 for others.
-	orphanUntil ms
+}
+
+// stored reports whether the store has what the end has changed.
+func (e *unackedEnd) stored() bool {
+	switch {
+	case e.job != nil:
+		return e.job.persisted >= e.version
+	case e.unknown != nil:
+		return e.unknown.persisted >= e.version
+	}
+	return true
 }
 
 // newestIncarnation returns the newest incarnation that the worker or the store has reported.
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -29,6 +29,9 @@
 	prefixCancel      = prefixSubmissions + "x/"
 	// prefixProgress holds the progress and the final states of jobs.
 	prefixProgress = "cc/p/"
+	// prefixUnknown holds the ends of tasks of jobs that were unknown to the leader that found them, as progress records
+	// (cccell.AdoptUnknownEnds). Earlier releases ignore it.
+	prefixUnknown = "cc/u/"
 )
 
 // ErrBadRecord reports a record, written by a process of this system, that can't be decoded or is not valid.
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -10,14 +10,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// load reads the jobs, their progress, the roster and the workers into the cell. It returns the revisions from which
+// load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the revisions from which
 // the submissions and the directory are to be watched.
 func (l *leadership) load() (submissionsRev, directoryRev int64, err error) {
 	p := l.p
 	ctx, cancel := context.WithTimeout(l.ctx, 5*time.Second)
 	defer cancel()
 	var workers []cccell.WorkerInfo
-	var submissions, progress []Item
+	var submissions, progress, unknown []Item
 	var roster Item
 	// In parallel, since a slow store takes a fifth of a second for each reply.
 	var reads errgroup.Group
@@ -33,6 +33,10 @@
 		progress, _, err = p.cfg.Store.Range(ctx, prefixProgress, false)
 		return err
 	})
+	reads.Go(func() (err error) {
+		unknown, _, err = p.cfg.Store.Range(ctx, prefixUnknown, false)
+		return err
+	})
 	reads.Go(func() (err error) {
 		if roster, err = p.cfg.Store.Get(ctx, keyRoster); errors.Is(err, ErrNoKey) {
 			err = nil
@@ -60,6 +64,7 @@
 	}
 	l.updateConfig()
 	l.adoptJobs(submissions, progress, now)
+	l.adoptUnknownEnds(unknown, now)
 	return submissionsRev, directoryRev, nil
 }
 
@@ -103,3 +108,18 @@
 		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id]}, now, unixNow())
 	}
 }
+
+// adoptUnknownEnds adds the ends of tasks of jobs that a prior leader did not know.
+func (l *leadership) adoptUnknownEnds(items []Item, now ms) {
+	for i := range items {
+		id, _ := trimPrefix(items[i].Key, prefixUnknown)
+		pr := &cccell.Progress{}
+		if err := decode(items[i].Key, items[i].Value, pr); err != nil {
+			l.p.cfg.Log.Error("ends of an unknown job can't be decoded", "Job", id, "Error", err)
+			continue
+		}
+		if !l.p.stateCache.ended(id) {
+			l.cell.AdoptUnknownEnds(id, pr, items[i].Revision, now)
+		}
+	}
+}
--- a/io/cccontrol/progress.go
+++ b/io/cccontrol/progress.go
@@ -45,6 +45,9 @@
 	for i := range writes {
 		w := &writes[i]
 		key := prefixProgress + w.Job
+		if w.Unknown {
+			key = prefixUnknown + w.Job
+		}
 		t.If = append(t.If, Condition{key, w.Revision})
 		t.Puts = append(t.Puts, Put{Key: key, Value: encode(w.Progress)})
 		if w.Progress.State.Final() {
@@ -52,6 +55,9 @@
 			if w.CancelRequested {
 				t.Remove = append(t.Remove, prefixCancel+w.Job)
 			}
+			if w.EndsStored {
+				t.Remove = append(t.Remove, prefixUnknown+w.Job)
+			}
 		}
 	}
 	began := l.p.now()
