Tests: odd entries of another writer among those of the workers, and odd records elsewhere

Ruled out, with passing cases: deep nesting, numbers above int64 and bytes that can't be read end no process and hide no other entry, in the directory and in the records of this system.

--- a/io/cccmds/checkentry_test.go
+++ b/io/cccmds/checkentry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -106,6 +107,42 @@
 	assert.ErrorContains(t, readStore(context.Background(), store, &cclint.Input{InForce: in.InForce}, &output{err: &errs}), "reading the workers")
 }
 
+// One odd registration in a file of workers made the check fail, without naming the worker if it was deeply nested.
+func TestCheckEntryLeavesOddWorkersOut(t *testing.T) {
+	const good = `{"service":"render","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":64000,"mem_mb":128000}}`
+	tests := map[string]struct {
+		odd  string
+		code int
+	}{
+		"PortOutOfRange": {strings.Replace(good, ":80", ":99999", 1), ExitOK},
+		"NumberTooLarge": {strings.Replace(good, "64000", "9223372036854775808", 1), ExitOK},
+		"LargestNumber":  {strings.Replace(good, "64000", "9223372036854775807", 1), ExitOK},
+		"WrongType":      {`[[[]]]`, ExitOK},
+		"Null":           {`null`, ExitOK},
+		// What follows can't be read.
+		"DeeplyNested": {strings.Repeat("[", 1<<16) + strings.Repeat("]", 1<<16), ExitFailed},
+		"NotJSON":      {`nonsense`, ExitFailed},
+	}
+	dir := t.TempDir()
+	plain := filepath.Join(dir, "plain.json")
+	assert.NilError(t, os.WriteFile(plain, []byte(`{"w1":`+good+`,"w3":`+good+`}`), 0o644))
+	code, want, errs := run("check-entry", entryFile("good.json"), "--workers", plain)
+	assert.Equal(t, code, ExitOK, errs)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(dir, name+".json")
+			assert.NilError(t, os.WriteFile(file, []byte(`{"w1":`+good+`,"odd-2":`+test.odd+`,"w3":`+good+`}`), 0o644))
+			code, out, errs := run("check-entry", entryFile("good.json"), "--workers", file)
+			assert.Equal(t, code, test.code, errs)
+			assert.Assert(t, strings.Contains(errs, "odd-2"), "the worker is not named: %.300s", errs)
+			if test.code == ExitOK {
+				assert.Equal(t, out, want)
+				assert.Assert(t, strings.HasPrefix(errs, "coriandercross: worker odd-2 left out: "), errs)
+			}
+		})
+	}
+}
+
 // TestCheckEntryAgainstStore runs the command against a store on the loopback interface.
 func TestCheckEntryAgainstStore(t *testing.T) {
 	e, err := ccemulator.New(ccemulator.Config{})
