An odd entry among those of the workers names no worker

Cause: decodeRegistration took any text with a colon for an address, any capacity that is not negative, any born, any labels and any ID. Such an entry was called, put into the roster and awaited at each takeover. An empty ID is not sent in Expect-Instance, and spaces around an ID are trimmed there, so that a worker answered under a second ID and was filled twice. Sums of the largest numbers overflow, and a megabyte of labels in the roster is more than a value of the store may have. A roster that was read in part named workers. The line about a bad entry had the level debug. Ruled out: refusing an entry for its drain_remaining_ms, which is only compared with durations, while a worker that leaves has to be known; comparing born with the local clock, by which a process with a wrong clock would refuse all workers; refusing services that no route names, whose workers may still run tasks. An entry that looks right at an address where no worker is can't be told from that of a crashed worker. A bad entry is a warning with ID and reason, within the rate of the sampler, and counts in coriandercross_bad_registrations_total. check-entry leaves such workers out of a file and names them, as it does for those of the store; it fails and names the worker behind which the file can't be read.

--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -2,8 +2,12 @@
 
 import (
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"coriandercross/core/ccwork"
+
+	"github.com/cockroachdb/errors"
 )
 
 // WorkerInfo is the registration of a worker in the store. The roster stores it under these field names.
@@ -22,6 +26,53 @@
 	DrainLeftMs int64
 }
 
+// ErrBadWorker reports a registration that names no worker to use.
+var ErrBadWorker = errors.New("worker can't be used")
+
+const (
+	// maxNameBytes bounds each text of a registration, and maxLabels the number of labels, so that no registration makes
+	// the roster too large for the store.
+	maxNameBytes = 256
+	maxLabels    = 32
+	// maxIncarnationMs bounds the start time of a worker's process, in Unix milliseconds.
+	maxIncarnationMs = 1 << 42
+)
+
+// largestWorker bounds the capacity of a worker, so that sums over all workers don't overflow.
+var largestWorker = ccwork.Size{MilliCores: 1e9, MemoryMB: 1e9, Accelerators: 1e6}
+
+// Check returns ErrBadWorker for a registration that names no worker to use. It does not check that the address can be
+// called.
+func (w *WorkerInfo) Check() error {
+	for _, f := range []struct{ name, value string }{{"ID", w.ID}, {"address", w.Address}, {"service", w.Service}} {
+		if f.value == "" {
+			return errors.Wrapf(ErrBadWorker, "%s is empty", f.name)
+		}
+	}
+	for _, text := range append([]string{w.ID, w.Address, w.Service, w.Zone}, w.Labels...) {
+		if len(text) > maxNameBytes {
+			return errors.Wrapf(ErrBadWorker, "a text has %d bytes; use up to %d", len(text), maxNameBytes)
+		}
+	}
+	// A header of HTTP carries the ID. It is trimmed there, so that it could become that of another worker.
+	if strings.ContainsFunc(w.ID, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) || r == utf8.RuneError }) {
+		return errors.Wrapf(ErrBadWorker, "ID %q has a space, a control character or bytes that are not UTF-8", w.ID)
+	}
+	if len(w.Labels) > maxLabels {
+		return errors.Wrapf(ErrBadWorker, "%d labels; use up to %d", len(w.Labels), maxLabels)
+	}
+	if err := w.Capacity.Check(); err != nil {
+		return errors.Mark(errors.Wrapf(err, "capacity %+v", w.Capacity), ErrBadWorker)
+	}
+	if name := w.Capacity.TooLarge(largestWorker); name != "" {
+		return errors.Wrapf(ErrBadWorker, "capacity %+v: %s is too large", w.Capacity, name)
+	}
+	if w.IncarnationMs < 0 || w.IncarnationMs > maxIncarnationMs {
+		return errors.Wrapf(ErrBadWorker, "start time %d; use 0 to %d", w.IncarnationMs, int64(maxIncarnationMs))
+	}
+	return nil
+}
+
 // Rack returns the label that names the rack, or "". The label of a rack contains a dash.
 func (w *WorkerInfo) Rack() string {
 	for _, l := range w.Labels {
--- a/io/cccmds/checkentry.go
+++ b/io/cccmds/checkentry.go
@@ -36,7 +36,7 @@
 
 // run implements runner. It fails with ccsettings.ErrInvalid if the processes would refuse the configuration.
 func (c *checkEntryCommand) run(o *output) error {
-	in, err := c.input()
+	in, err := c.input(o)
 	if err != nil {
 		return err
 	}
@@ -55,8 +55,8 @@
 	return printFindings(o, c.Args.File, findings)
 }
 
-// input reads the files.
-func (c *checkEntryCommand) input() (*cclint.Input, error) {
+// input reads the files. It prints the workers whose registrations can't be used.
+func (c *checkEntryCommand) input(o *output) (*cclint.Input, error) {
 	in := &cclint.Input{}
 	raw, err := os.ReadFile(c.Args.File)
 	if err != nil {
@@ -75,7 +75,7 @@
 		if raw, err = os.ReadFile(c.Workers); err != nil {
 			return nil, errors.Wrap(err, "reading the workers")
 		}
-		if in.Workers, err = ccplatform.DecodeWorkers(raw); err != nil {
+		if in.Workers, err = ccplatform.DecodeWorkers(raw, o.workerLeftOut); err != nil {
 			return nil, errors.Wrap(err, c.Workers)
 		}
 	}
@@ -122,12 +122,15 @@
 		return nil
 	}
 	var err error
-	in.Workers, _, err = ccplatform.NewDirectory(store, func(id string, err error) {
-		_, _ = fmt.Fprintf(o.err, "coriandercross: worker %s left out: %v\n", id, err)
-	}).List(ctx)
+	in.Workers, _, err = ccplatform.NewDirectory(store, o.workerLeftOut).List(ctx)
 	return errors.Wrap(err, "reading the workers")
 }
 
+// workerLeftOut prints that the registration of a worker can't be used.
+func (o *output) workerLeftOut(id string, err error) {
+	_, _ = fmt.Fprintf(o.err, "coriandercross: worker %s left out: %v\n", id, err)
+}
+
 // printFindings prints the warnings and changes, then the errors as those of the command check. It fails with
 // ccsettings.ErrInvalid if there are errors.
 func printFindings(o *output, file string, findings []cclint.Finding) error {
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -121,13 +121,22 @@
 			logger.Warn("store lost", "SilentMs", silentMs)
 		}
 	})
+	badRegistrations := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "coriandercross_bad_registrations_total", Help: "Registrations of workers that were read and can't be used.",
+	})
+	reg.MustRegister(badRegistrations)
+	sampler := cclog.NewSampler(clock)
 	directory := ccplatform.NewDirectory(store, func(id string, err error) {
-		logger.Debug("worker registration is invalid", "Worker", id, "Error", err)
+		badRegistrations.Inc()
+		const line = "worker registration is invalid"
+		if ok, leftOut := sampler.Allow(line); ok {
+			logger.Warn(line, "Worker", id, "Error", err, "LeftOut", leftOut)
+		}
 	})
 	const msPerSecond = 1000
 	p := cccontrol.New(cccontrol.Config{
 		VM: s.VM, Region: s.Region, Address: s.Listen.Peers, Seeds: s.Seeds, Cores: s.Limits.CPUShare * float64(max(s.Limits.Cores, 1)),
-		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: cclog.NewSampler(clock), Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
+		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: sampler, Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -50,8 +50,13 @@
 	if roster.Revision > 0 {
 		if err := decode(keyRoster, roster.Value, &record); err != nil {
 			p.cfg.Log.Error("roster can't be decoded: leases at workers that are not listed are not awaited", "Revision", roster.Revision, "Error", err)
+			record = rosterRecord{}
 		}
 		for _, w := range record.Workers {
+			if err := w.Check(); err != nil {
+				p.cfg.Log.Warn("worker of the roster is invalid", "Worker", w.ID, "Error", err)
+				continue
+			}
 			l.cell.AddUnlistedWorker(w, now)
 		}
 		for id, incarnation := range record.Drained {
--- a/io/cccontrol/metrics_test.go
+++ b/io/cccontrol/metrics_test.go
@@ -17,8 +17,8 @@
 // platform, and no other.
 func TestEveryMetricIsOnTheOperatorsPage(t *testing.T) {
 	registered := ccharness.RegisteredMetrics(func(r prometheus.Registerer) { cccontrol.NewMetrics(r) })
-	// This metric is registered by the command, not by NewMetrics.
-	registered = append(registered, "coriandercross_store_calls_total")
+	// These metrics are registered by the command, not by NewMetrics.
+	registered = append(registered, "coriandercross_store_calls_total", "coriandercross_bad_registrations_total")
 	slices.Sort(registered)
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
