--- a/core/cccell/capacity_test.go
+++ b/core/cccell/capacity_test.go
@@ -185,7 +185,7 @@
 		},
 		"ReadAgain": func(c *Cell) {
 			c.SetWorker(testWorker("w"), 1000)
-			c.SetWorkers([]WorkerInfo{shrunk}, 1010)
+			c.SetWorkers([]WorkerInfo{shrunk}, nil, 1010)
 		},
 	}
 	for name, read := range tests {
--- a/core/cccell/crash_test.go
+++ b/core/cccell/crash_test.go
@@ -110,7 +110,7 @@
 				if at >= 0 && at%5000 == 4800 {
 					for _, w := range l.workers {
 						l.reached[w.Info.ID] = true
-						l.cell.SetWorkers(l.listed(), l.now)
+						l.cell.SetWorkers(l.listed(), nil, l.now)
 					}
 				}
 			})
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -190,7 +190,7 @@
 			infos = append(infos, x.Info)
 		}
 	}
-	l.cell.SetWorkers(infos, sim.now)
+	l.cell.SetWorkers(infos, nil, sim.now)
 	if l.token == sim.token && !sim.storeDown {
 		sim.roster = l.cell.Roster()
 	}
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -173,9 +173,12 @@
 	}
 }
 
-// SetWorkers replaces the list of registered workers.
-func (c *Cell) SetWorkers(list []WorkerInfo, now ms) {
+// SetWorkers replaces the list of registered workers. Workers whose registrations are invalid stay as they are.
+func (c *Cell) SetWorkers(list []WorkerInfo, invalid []string, now ms) {
 	listed := map[string]bool{}
+	for _, id := range invalid {
+		listed[id] = true
+	}
 	for i := range list {
 		listed[list[i].ID] = true
 		c.SetWorker(list[i], now)
--- a/core/cccell/worker_test.go
+++ b/core/cccell/worker_test.go
@@ -53,3 +53,16 @@
 	// A million of the largest workers don't overflow a sum, also when best-effort tasks count twice.
 	assert.NilError(t, largestWorker.Times(2_000_000).Check())
 }
+
+// A full reading during an odd registration of a worker took the worker for gone: its leases were not renewed.
+func TestInvalidRegistrationUnlistsNoWorker(t *testing.T) {
+	shrunk := testWorker("shrunk")
+	shrunk.Capacity.MilliCores = 250
+	c := readyCell(t, testWorker("good"), shrunk, testWorker("gone"))
+	c.SetWorkers([]WorkerInfo{testWorker("good")}, []string{"shrunk", "unknown"}, 1100)
+	assert.Assert(t, c.workers["good"].listed && c.workers["shrunk"].listed && !c.workers["gone"].listed)
+	assert.Equal(t, c.workers["shrunk"].info.Capacity.MilliCores, int64(250))
+	assert.Assert(t, c.workers["unknown"] == nil)
+	c.SetWorkers([]WorkerInfo{testWorker("good")}, nil, 1200)
+	assert.Assert(t, !c.workers["shrunk"].listed)
+}
--- a/io/cccmds/checkentry.go
+++ b/io/cccmds/checkentry.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	var err error
-	in.Workers, _, err = ccplatform.NewDirectory(store, o.workerLeftOut).List(ctx)
+	in.Workers, _, _, err = ccplatform.NewDirectory(store, o.workerLeftOut).List(ctx)
 	return errors.Wrap(err, "reading the workers")
 }
 
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -22,7 +22,7 @@
 	// In parallel, since a slow store takes a fifth of a second for each reply.
 	var reads errgroup.Group
 	reads.Go(func() (err error) {
-		workers, directoryRev, err = p.cfg.Directory.List(ctx)
+		workers, _, directoryRev, err = p.cfg.Directory.List(ctx)
 		return err
 	})
 	reads.Go(func() (err error) {
--- a/io/cccontrol/load_test.go
+++ b/io/cccontrol/load_test.go
@@ -26,8 +26,8 @@
 	workers []cccell.WorkerInfo
 }
 
-func (d fixedDirectory) List(context.Context) ([]cccell.WorkerInfo, int64, error) {
-	return d.workers, 1, nil
+func (d fixedDirectory) List(context.Context) ([]cccell.WorkerInfo, []string, int64, error) {
+	return d.workers, nil, 1, nil
 }
 
 // A new leader keeps the caps of the configuration that the process has from its first round on.
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -92,9 +92,10 @@
 
 // Directory lists the workers of the cell.
 type Directory interface {
-	// List returns the workers whose registrations can be decoded, and a revision from before the read.
-	List(ctx context.Context) ([]cccell.WorkerInfo, int64, error)
-	// Watch returns the changes after a revision, as Store.Watch does.
+	// List returns the workers whose registrations can be used, the IDs of the other registrations, and a revision from
+	// before the read.
+	List(ctx context.Context) (workers []cccell.WorkerInfo, invalid []string, revision int64, err error)
+	// Watch returns the changes after a revision, as Store.Watch does. A registration that can't be used is no change.
 	Watch(ctx context.Context, after int64, timeout ccclock.Millis) ([]WorkerChange, int64, error)
 }
 
--- a/io/cccontrol/succession_test.go
+++ b/io/cccontrol/succession_test.go
@@ -140,8 +140,8 @@
 	Directory
 }
 
-func (emptyDirectory) List(context.Context) ([]cccell.WorkerInfo, int64, error) {
-	return nil, 1, nil
+func (emptyDirectory) List(context.Context) ([]cccell.WorkerInfo, []string, int64, error) {
+	return nil, nil, 1, nil
 }
 
 func (emptyDirectory) Watch(ctx context.Context, after int64, _ ms) ([]WorkerChange, int64, error) {
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -86,11 +86,11 @@
 
 // relist reads all workers, since the history of the directory was compacted. It returns the revision to watch from.
 func (l *leadership) relist() (int64, error) {
-	workers, rev, err := l.p.cfg.Directory.List(l.ctx)
+	workers, invalid, rev, err := l.p.cfg.Directory.List(l.ctx)
 	if err != nil {
 		return 0, err
 	}
-	l.post(func(now ms) { l.cell.SetWorkers(workers, now) })
+	l.post(func(now ms) { l.cell.SetWorkers(workers, invalid, now) })
 	return rev, nil
 }
 
