Very many due runs of one job are started in part

One submission with a large repeat_count and a period of 0, or long in the past, could so take all memory of the leader and, since it is stored, of each next leader in turn (by reading; not run to that end). Ruled out: refusing such a job by its number of runs, since a job each minute for a year is one of 525,600 runs, of which few are due at a time, and jobs in the store would be lost. Change: at most 1,000 runs of a job, and the tasks of one run of the largest size, are started at a time; the next follow as runs are done. The search for the next run begins where it ended before.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -260,7 +260,35 @@
 	return j
 }
 
-// startDueRuns starts the runs of a job that are due.
+const (
+	// maxOpenRuns bounds the runs of a job that are started at a time, and maxOpenTasks the tasks of these runs. A single
+	// run of any size is started.
+	maxOpenRuns  = 1000
+	maxOpenTasks = maxStages * maxTasks
+)
+
+// openRunLimit returns how many runs of the job may be started at a time.
+func (j *job) openRunLimit() int {
+	tasks := 0
+	for i := range j.spec.Stages {
+		tasks += j.spec.Stages[i].Count
+	}
+	return max(1, min(maxOpenRuns, maxOpenTasks/tasks))
+}
+
+// openRuns returns the number of runs that have started and are not done.
+func (j *job) openRuns() int {
+	n := 0
+	for _, r := range j.runs {
+		if !r.done {
+			n++
+		}
+	}
+	return n
+}
+
+// startDueRuns starts the runs of a job that are due. If these are very many, the later ones start when earlier ones are
+// done.
 func (c *Cell) startDueRuns(j *job, now, nowUnix ms) {
 	if j.final != "" {
 		return
@@ -271,18 +299,20 @@
 		}
 		return
 	}
-	notDue := false
-	for n := 0; n < j.spec.ScheduledRuns; n++ {
-		if j.runs[n] != nil {
+	notYet := false
+	open, limit := j.openRuns(), j.openRunLimit()
+	for ; j.nextRun < j.spec.ScheduledRuns; j.nextRun++ {
+		if j.runs[j.nextRun] != nil {
 			continue
 		}
-		if int64(nowUnix) < j.spec.FirstRunMs+int64(n)*j.spec.PeriodMs {
-			notDue = true
+		if int64(nowUnix) < j.spec.FirstRunMs+int64(j.nextRun)*j.spec.PeriodMs || open >= limit {
+			notYet = true
 			break
 		}
-		c.advanceRun(c.newRun(j, n), now)
+		c.advanceRun(c.newRun(j, j.nextRun), now)
+		open++
 	}
-	if notDue {
+	if notYet {
 		c.scheduled[j] = struct{}{}
 	} else {
 		delete(c.scheduled, j)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -291,8 +291,12 @@
 	c.cfg.Log("task adopted", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", a.worker.info.ID, "Unneeded", unneeded)
 }
 
-// stageOf returns the stage of a task, or nil when no job in memory has that task.
+// stageOf returns the stage of a task, or nil when no job in memory has that task. It starts the run if only a prior
+// leader has.
 func (c *Cell) stageOf(t TaskID) *stage {
+	if j := c.jobs[t.Job]; j != nil && j.final == "" && j.runs[t.Run] == nil && t.Run >= 0 && t.Run < j.spec.ScheduledRuns {
+		c.advanceRun(c.newRun(j, t.Run), c.roundAt)
+	}
 	s := c.stageByID(StageID{Job: t.Job, Run: t.Run, Stage: t.Stage})
 	if s == nil || t.Index < 0 || t.Index >= s.spec.Count {
 		return nil
--- a/core/cccell/scheduled_test.go
+++ b/core/cccell/scheduled_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"coriandercross/core/ccwork"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -54,3 +56,52 @@
 	assert.Equal(t, c.jobs["a"].final, Completed)
 	assert.Equal(t, len(seen), runs)
 }
+
+// A task that a prior leader started in a run that this leader would start later is adopted, and its end counts.
+func TestLaterRunOfPriorLeaderIsKnown(t *testing.T) {
+	const later = 1400
+	task := TaskID{Job: "a", Run: later}
+	tests := map[string]struct {
+		lists  TaskLists
+		starts bool // A task of the run is started again.
+		known  bool
+	}{
+		"Running":     {TaskLists{Running: []RunningTask{{Task: task, Attempt: 1}}}, false, true},
+		"Done":        {TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: 1, End: EndDone}}}, false, true},
+		"Failed":      {TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: 1, End: EndFailed}}}, true, true},
+		"OutOfRange":  {TaskLists{Running: []RunningTask{{Task: TaskID{Job: "a", Run: 1500}, Attempt: 1}}}, false, false},
+		"NotListed":   {TaskLists{}, false, false},
+		"NegativeRun": {TaskLists{Running: []RunningTask{{Task: TaskID{Job: "a", Run: -1}, Attempt: 1}}}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetHandover(1000, 1000)
+			w := testWorker("w")
+			w.Capacity = ccwork.Size{MilliCores: 2_000_000, MemoryMB: 1_000_000}
+			c.SetWorker(w, 1000)
+			j := testJob("a", 1)
+			j.ScheduledRuns = 1500
+			j.Queue.MaxAttempts = 3
+			c.Adopt(StoredJob{Job: j}, 1000, 1000)
+			pollAll(t, c, 1010, map[string]*TaskLists{"w": &test.lists})
+			run := c.jobs["a"].runs[later]
+			assert.Equal(t, run != nil, test.known)
+			if test.known {
+				assert.Equal(t, run.done, name == "Done")
+			}
+			started := false
+			for now := ms(1050); now < 1500; now += 50 {
+				c.ExtendAuthority(now + 1000)
+				out := pollAll(t, c, now, map[string]*TaskLists{"w": &test.lists})
+				for i := range out.Starts {
+					started = started || out.Starts[i].Task == task
+				}
+				if test.known {
+					assert.Equal(t, len(out.Stops), 0)
+				}
+			}
+			assert.Equal(t, started, test.starts)
+		})
+	}
+}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -17,6 +17,8 @@
 	account *ccquota.Account
 	// runs holds the runs that have started, by number. A job without a schedule has only run 0.
 	runs map[int]*run
+	// All runs below nextRun have started.
+	nextRun int
 	// final is the final state as decided, or empty. It is published once it is persisted.
 	final State
 	// published is the final state as published to callers, or empty. It is persisted, or a majority of the voters knows
