--- /dev/null
+++ b/core/cccell/scheduled_test.go
@@ -0,0 +1,107 @@
+package cccell
+
+import (
+	"testing"
+
+	"coriandercross/core/ccwork"
+
+	"gotest.tools/v3/assert"
+)
+
+// A job of very many runs that are all due took all memory of the leader at once, and that of each next one.
+func TestRunsOfAJobAreOpenedInPart(t *testing.T) {
+	tests := map[string]struct {
+		runs, tasks int
+		// most is the largest number of runs that may be open.
+		most int
+	}{
+		"ManyRuns":  {20_000, 1, 2000},
+		"WideRuns":  {300, maxTasks, 100},
+		"AFewStill": {50, 4, 50},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			j := testJob("a", test.tasks)
+			j.ScheduledRuns = test.runs
+			assert.NilError(t, j.Check())
+			c.AddJob(j, 1100, 1100)
+			n := len(c.jobs["a"].runs)
+			assert.Assert(t, n <= test.most, "%d runs", n)
+			assert.Assert(t, n >= min(test.runs, 16), "%d runs", n)
+		})
+	}
+}
+
+// All runs of a job are carried out, also when more are due than are opened at once.
+func TestAllRunsOfAJobAreCarriedOut(t *testing.T) {
+	const runs = 1500
+	c := readyCell(t, testWorker("w"))
+	pollAll(t, c, 1000+minPollIntervalMs+10, nil) // The first poll was sent before the handover.
+	j := testJob("a", 1)
+	j.ScheduledRuns = runs
+	c.AddJob(j, 1100, 1100)
+	lists := &TaskLists{}
+	seen := map[int]bool{}
+	for now := ms(1200); c.jobs["a"].final == "" && now < 200_000; now += 50 {
+		out := pollAll(t, c, now, map[string]*TaskLists{"w": lists})
+		for i := range out.Starts {
+			o := &out.Starts[i]
+			assert.Assert(t, !seen[o.Task.Run], "run %d began twice", o.Task.Run)
+			seen[o.Task.Run] = true
+			c.OnStartReply(o, executedReply(now), now)
+			lists.Ended = append(lists.Ended, EndedTask{Number: int64(len(lists.Ended) + 1), Task: o.Task, Attempt: o.Attempt, End: EndDone})
+		}
+	}
+	assert.Equal(t, c.jobs["a"].final, Completed)
+	assert.Equal(t, len(seen), runs)
+}
+
+// A task that a prior leader started in a run that this leader would start later is adopted, and its end counts.
+func TestLaterRunOfPriorLeaderIsKnown(t *testing.T) {
+	const later = 1400
+	task := TaskID{Job: "a", Run: later}
+	tests := map[string]struct {
+		lists  TaskLists
+		starts bool // A task of the run is started again.
+		known  bool
+	}{
+		"Running":     {TaskLists{Running: []RunningTask{{Task: task, Attempt: 1}}}, false, true},
+		"Done":        {TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: 1, End: EndDone}}}, false, true},
+		"Failed":      {TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: 1, End: EndFailed}}}, true, true},
+		"OutOfRange":  {TaskLists{Running: []RunningTask{{Task: TaskID{Job: "a", Run: 1500}, Attempt: 1}}}, false, false},
+		"NotListed":   {TaskLists{}, false, false},
+		"NegativeRun": {TaskLists{Running: []RunningTask{{Task: TaskID{Job: "a", Run: -1}, Attempt: 1}}}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetHandover(1000, 1000)
+			w := testWorker("w")
+			w.Capacity = ccwork.Size{MilliCores: 2_000_000, MemoryMB: 1_000_000}
+			c.SetWorker(w, 1000)
+			j := testJob("a", 1)
+			j.ScheduledRuns = 1500
+			j.Queue.MaxAttempts = 3
+			c.Adopt(StoredJob{Job: j}, 1000, 1000)
+			pollAll(t, c, 1010, map[string]*TaskLists{"w": &test.lists})
+			run := c.jobs["a"].runs[later]
+			assert.Equal(t, run != nil, test.known)
+			if test.known {
+				assert.Equal(t, run.done, name == "Done")
+			}
+			started := false
+			for now := ms(1050); now < 1500; now += 50 {
+				c.ExtendAuthority(now + 1000)
+				out := pollAll(t, c, now, map[string]*TaskLists{"w": &test.lists})
+				for i := range out.Starts {
+					started = started || out.Starts[i].Task == task
+				}
+				if test.known {
+					assert.Equal(t, len(out.Stops), 0)
+				}
+			}
+			assert.Equal(t, started, test.starts)
+		})
+	}
+}
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -22,7 +22,7 @@
 	// In parallel, since a slow store takes a fifth of a second for each reply.
 	var reads errgroup.Group
 	reads.Go(func() (err error) {
-		workers, directoryRev, err = p.cfg.Directory.List(ctx)
+		workers, _, directoryRev, err = p.cfg.Directory.List(ctx)
 		return err
 	})
 	reads.Go(func() (err error) {
@@ -54,8 +54,13 @@
 	if roster.Revision > 0 {
 		if err := decode(keyRoster, roster.Value, &record); err != nil {
 			p.cfg.Log.Error("roster can't be decoded: leases at workers that are not listed are not awaited", "Revision", roster.Revision, "Error", err)
+			record = rosterRecord{}
 		}
 		for _, w := range record.Workers {
+			if err := w.Check(); err != nil {
+				p.cfg.Log.Warn("worker of the roster is invalid", "Worker", w.ID, "Error", err)
+				continue
+			}
 			l.cell.AddUnlistedWorker(w, now)
 		}
 		for id, incarnation := range record.Drained {
