--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -209,3 +209,149 @@
 		})
 	}
 }
+
+// A worker has restarted, and its next process has executed a start before the leader knows of the restart. The task is
+// done there. A poll that names an end of the earlier process would let the next one forget that unread. Seen in the soak (seed 92009).
+func TestNoEndIsNamedWhileAStartIsInDoubt(t *testing.T) {
+	c := readyCell(t, testWorker("w"))
+	w := c.workers["w"]
+	c.AddJob(testJob("a", 2), 1100, 1100)
+	c.Schedule(1100, 1100)
+	out := c.TakeOrders()
+	assert.Equal(t, len(out.Starts), 2)
+	assert.Equal(t, len(out.Polls), 1)
+	// The start in doubt may be that of the next process, and so may the one that was confirmed by a reply that names none.
+	lost := Reply{Outcome: ReplyLost, Sent: 1100, Received: 1400}
+	c.OnStartReply(&out.Starts[0], lost, 1400)
+	c.OnStartReply(&out.Starts[1], executedReply(1105), 1105)
+	w.ackedEnd = 13
+	c.Schedule(1600, 1600)
+	out = c.TakeOrders()
+	assert.Equal(t, len(out.Stops), 1)
+	c.OnStopReply(&out.Stops[0], executedReply(1605), 1605)
+	c.Schedule(1610, 1610)
+	out = c.TakeOrders()
+	assert.Equal(t, len(out.Polls), 1) // Beside the one in flight.
+	assert.Equal(t, out.Polls[0].AckedEnd, int64(0))
+	c.OnPollReply(&out.Polls[0], executedReply(1615), &TaskLists{}, 1615)
+	assert.Equal(t, len(w.attempts), 0)
+	w.pollInFlight = false
+	c.Schedule(2100, 2100)
+	out = c.TakeOrders()
+	assert.Equal(t, len(out.Polls), 1)
+	assert.Equal(t, out.Polls[0].AckedEnd, int64(13))
+}
+
+// What a reply says holds for the process that it comes from. Seen in the soak (seed 92009): a start that the next process of a crashed worker had executed was taken for
+// lost with the earlier one, and its task was started again.
+func TestRepliesOfTwoIncarnations(t *testing.T) {
+	reply := func(incarnation int64, clock, sent, received ms) Reply {
+		return Reply{Outcome: Executed, ClockMs: int64(clock), IncarnationMs: incarnation, Sent: sent, Received: received}
+	}
+	const earlier, next = 1000, 2000
+	tests := map[string]struct {
+		// start is the reply to the start, which is sent at 1100 and read at 1190 or, if late, at 1250. The restart is
+		// known from a poll sent at 1150 and read at 1200, when the clock of the next process is at 50.
+		start Reply
+		late  bool
+		// attempts is the number of attempts once the restart is known and the start is answered, running is true if the
+		// one that is left runs.
+		attempts int
+		running  bool
+	}{
+		"Earlier":             {start: reply(earlier, 1150, 1100, 1190), attempts: 0},
+		"Next":                {start: reply(next, 40, 1100, 1190), attempts: 1, running: true},
+		"UnnamedEarlierClock": {start: reply(0, 1150, 1100, 1190), attempts: 0},
+		"UnnamedNextClock":    {start: reply(0, 40, 1100, 1190), attempts: 1},
+		"LateEarlier":         {start: reply(earlier, 1150, 1100, 1250), late: true, attempts: 0},
+		"LateNext":            {start: reply(next, 40, 1100, 1250), late: true, attempts: 1, running: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			w := c.workers["w"]
+			c.AddJob(testJob("j", 1), 1100, 1100)
+			out := runRound(c, 1100)
+			assert.Equal(t, len(out.Starts), 1)
+			if !test.late {
+				c.OnStartReply(&out.Starts[0], test.start, test.start.Received)
+			}
+			// The next process had not executed the start when it answered.
+			c.OnPollReply(&PollOrder{worker: w, OrderHeader: OrderHeader{IncarnationMs: earlier}}, reply(next, 50, 1150, 1200), &TaskLists{}, 1200)
+			if test.late {
+				c.OnStartReply(&out.Starts[0], test.start, test.start.Received)
+			}
+			assert.Equal(t, w.incarnation, int64(next))
+			assert.Equal(t, len(w.attempts), test.attempts)
+			for _, a := range w.attempts {
+				assert.Equal(t, a.state == running, test.running)
+			}
+			clock, _ := w.clockNow(1250)
+			assert.Assert(t, clock < 1000, "the clock is that of the earlier process: %d", clock)
+			again := runRound(c, 1260)
+			assert.Equal(t, len(again.Starts), 1-test.attempts)
+			if test.attempts == 1 && !test.running {
+				assert.Equal(t, len(again.Stops), 1)
+			}
+		})
+	}
+}
+
+// A reply of the earlier process of a worker that arrives after one of the next process does not count.
+func TestRepliesOfAnEarlierIncarnationDontCount(t *testing.T) {
+	const earlier, next = 1000, 2000
+	// begin returns a cell that knows of the restart, with a start in doubt and the stop that was sent to the earlier process.
+	begin := func(t *testing.T) (*Cell, *worker, StopOrder) {
+		c := readyCell(t, testWorker("w"))
+		w := c.workers["w"]
+		c.AddJob(testJob("j", 1), 1100, 1100)
+		out := runRound(c, 1100)
+		assert.Equal(t, len(out.Starts), 1)
+		c.OnStartReply(&out.Starts[0], Reply{Outcome: ReplyLost, Sent: 1100, Received: 1400}, 1400)
+		out = runRound(c, 1600)
+		assert.Equal(t, len(out.Stops), 1)
+		c.OnPollReply(&PollOrder{worker: w, OrderHeader: OrderHeader{IncarnationMs: earlier}}, Reply{Outcome: Executed, ClockMs: 50, IncarnationMs: next, Sent: 1600, Received: 1620}, &TaskLists{}, 1620)
+		assert.Equal(t, len(w.attempts), 1)
+		return c, w, out.Stops[0]
+	}
+	tests := map[string]func(c *Cell, w *worker, stop *StopOrder){
+		"Stop": func(c *Cell, _ *worker, stop *StopOrder) {
+			c.OnStopReply(stop, Reply{Outcome: Executed, ClockMs: 1610, IncarnationMs: earlier, Sent: 1600, Received: 1630}, 1630)
+		},
+		"StopUnnamed": func(c *Cell, _ *worker, stop *StopOrder) {
+			c.OnStopReply(stop, Reply{Outcome: Executed, ClockMs: 1610, Sent: 1600, Received: 1630}, 1630)
+		},
+		"Poll": func(c *Cell, w *worker, _ *StopOrder) {
+			c.OnPollReply(&PollOrder{worker: w, OrderHeader: OrderHeader{IncarnationMs: earlier}}, Reply{Outcome: Executed, ClockMs: 1610, IncarnationMs: earlier, Sent: 1600, Received: 1630}, &TaskLists{}, 1630)
+		},
+	}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, w, stop := begin(t)
+			late(c, w, &stop)
+			assert.Equal(t, w.incarnation, int64(next))
+			clock, _ := w.clockNow(1640)
+			assert.Assert(t, clock < 1000, "the clock is that of the earlier process: %d", clock)
+			c.OnPollReply(&PollOrder{worker: w, OrderHeader: OrderHeader{IncarnationMs: next}}, Reply{Outcome: Executed, ClockMs: 90, IncarnationMs: next, Sent: 1650, Received: 1660}, &TaskLists{}, 1660)
+			assert.Equal(t, len(w.attempts), 1, "only a stop that the next process has confirmed voids the start")
+		})
+	}
+}
+
+// The registration of a worker was removed while it restarted. A start in doubt may still reach the next process, which has
+// given it no lease before. Seen in the soak (seed 92009): 12 such tasks were started elsewhere at once.
+func TestStartInDoubtOutlivesARestartOfAnUnlistedWorker(t *testing.T) {
+	c := readyCell(t, testWorker("w"), testWorker("x"))
+	c.AddJob(testJob("j", 1), 1100, 1100)
+	out := runRound(c, 1100)
+	assert.Equal(t, len(out.Starts), 1)
+	c.OnStartReply(&out.Starts[0], Reply{Outcome: ReplyLost, Sent: 1100, Received: 1400}, 1400)
+	w := c.workers[out.Starts[0].WorkerID]
+	w.priorLeasesEndAt = 0
+	c.MarkUnlisted(w.info.ID)
+	c.OnPollReply(&PollOrder{worker: w}, Reply{Outcome: Executed, ClockMs: 10_000, IncarnationMs: 2000, Sent: 1450, Received: 1455}, &TaskLists{}, 1455)
+	out = runRound(c, 1460)
+	assert.Equal(t, len(w.attempts), 1)
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Stops), 1)
+}
