No poll names an end while a start at the worker is in doubt

The worker had crashed during a long poll, and its next process answered stops of the starts that were in doubt. The poll that follows such a stop is sent beside the long poll, which was still unanswered, and named the same ends again. The next process executed it and forgot as many of its own ends, among them one that nobody had read, and the task was started again. Ruled out: naming ends in short polls only, or not while a start is under way: this costs a probe more for each end at busy workers, or delays starts there. Polls after a failed one named none before. Change: an end is withheld, as during the handover, while a start at the worker is in doubt: the lost reply is what a leader sees of a crash first. The poll after a confirmed stop does not wait for the slower polls of that time. Conclusion: mended for what the leader can see.

--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -92,11 +92,22 @@
 	return longPollTimeoutMs
 }
 
-// ackWithheld reports whether there is an end that the worker may not forget yet, although it is persisted: while the
+// ackWithheld reports whether there is an end that the worker may not forget yet, although it is persisted. While the
 // prior leader may still give orders, it could start the task again on the next incarnation of the worker, which has
-// neither the end nor this leader's token.
+// neither the end nor this leader's token. While a start is in doubt, the worker may have restarted, and the next
+// incarnation may have executed it and would forget its end unread.
 func (c *Cell) ackWithheld(w *worker, now ms) bool {
-	return now < c.handoverAt && w.ackedEnd > w.confirmedAck
+	return w.ackedEnd > w.confirmedAck && (now < c.handoverAt || w.startInDoubt())
+}
+
+// startInDoubt reports whether the reply to a start on the worker was lost and no list has shown the attempt since.
+func (w *worker) startInDoubt() bool {
+	for _, a := range w.attempts {
+		if a.state == inDoubt {
+			return true
+		}
+	}
+	return false
 }
 
 // quickPoll reports whether a poll that the worker does not answer is repeated at once.
@@ -104,8 +115,8 @@
 	return c.needsFreshPoll(w) && w.failedPolls < maxQuickPolls
 }
 
-// stopConfirmedDuringPoll reports whether a stop for a start in doubt was confirmed after the poll in flight was sent.
-// A new poll then shows whether the attempt exists; the one in flight may not.
+// stopConfirmedDuringPoll reports whether a stop for a start in doubt was confirmed after the last poll was sent. A new
+// poll then shows whether the attempt exists; the last one may not.
 func (w *worker) stopConfirmedDuringPoll() bool {
 	for _, a := range w.attempts {
 		if a.stopConfirmed && a.state == inDoubt && a.confirmedAt >= w.pollSentAt {
@@ -126,7 +137,7 @@
 	case !w.admitted || (c.needsFreshPoll(w) && now >= c.handoverAt):
 		return true
 	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
-		return since >= unackedPollIntervalMs
+		return since >= unackedPollIntervalMs || w.stopConfirmedDuringPoll()
 	}
 	return len(w.attempts) > 0 || w.ackedEnd > w.confirmedAck
 }
