A start in doubt outlives the restart of a worker

After a restart no lease is known for the new process, so that all leases of an unlisted worker counted as ended. But a start in doubt may run there, or still reach it. A start of the new process that is known was treated in the same way. Ruled out: the end of the leases by the earlier clock, since each process begins a new one. Change: what is left after a restart counts as held until the longest lease that a worker gives (hold_max_ms, which the cell now knows) has ended by the new clock, unless a list or a stop tells before.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -15,6 +15,8 @@
 	// LeaseMs is the length of a lease at a worker. With a longer lease, tasks survive a longer time without a leader;
 	// with a shorter one, the tasks of a worker that does not reply start elsewhere sooner.
 	LeaseMs ms
+	// MaxLeaseMs is the length to which workers shorten a lease; 0 stands for LeaseMs.
+	MaxLeaseMs ms
 	// PriorLeaseMs is the length of the leases that the prior leader gave.
 	PriorLeaseMs ms
 	// AuthorityMs is the time for which this leader may give orders. PriorAuthorityMs is the same for the prior leader,
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -283,6 +283,11 @@
 			a.state, a.confirmedAt, a.stopWanted, a.stopConfirmed = inDoubt, 0, true, false
 		}
 	}
+	if len(w.attempts) > 0 {
+		// The lease in a start that was meant for the earlier incarnation ends by the clock of that one, which may be far
+		// ahead. The worker shortens it.
+		w.leaseUntil = r.ClockMs + int64(max(c.cfg.LeaseMs, c.cfg.MaxLeaseMs))
+	}
 	c.confirmCrashes(w.info.Address, r.IncarnationMs, now)
 }
 
--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -355,3 +355,22 @@
 	assert.Equal(t, len(out.Starts), 0)
 	assert.Equal(t, len(out.Stops), 1)
 }
+
+// A start that was meant for the earlier process of a worker may give a longer lease in the next one, whose clock begins
+// anew: workers shorten it to a length of their own. Found by TestCellModelSameID.
+func TestLeaseOfANextIncarnationIsAwaited(t *testing.T) {
+	c := New(Config{Token: 1, LeaseMs: 4000, MaxLeaseMs: 6000, AuthorityMs: 1 << 30, RemoteFactor: 2}, 1000)
+	c.SetWorker(testWorker("w"), 1000)
+	w := c.workers["w"]
+	c.OnPollReply(&PollOrder{worker: w}, executedReply(1010), &TaskLists{}, 1010)
+	c.AddJob(testJob("j", 1), 1100, 1100)
+	out := runRound(c, 1100)
+	assert.Equal(t, len(out.Starts), 1)
+	c.OnStartReply(&out.Starts[0], Reply{Outcome: ReplyLost, Sent: 1100, Received: 1400}, 1400)
+	c.OnPollReply(&PollOrder{worker: w}, Reply{Outcome: Executed, ClockMs: 300, IncarnationMs: 2000, Sent: 1450, Received: 1455}, &TaskLists{}, 1455)
+	losePoll(c, w, 1500)
+	runRound(c, 7400)
+	assert.Equal(t, len(w.attempts), 1)
+	runRound(c, 7900)
+	assert.Equal(t, len(w.attempts), 0)
+}
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -130,7 +130,7 @@
 		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: cclog.NewSampler(clock), Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
-		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), RemoteFactor: max(s.Bounds.RemoteFactor, 1),
+		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), MaxLeaseMs: s.Bounds.MaxLeaseMs, RemoteFactor: max(s.Bounds.RemoteFactor, 1),
 		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: c.LearnRunTimes, StoreBeforeStart: c.StoreBeforeStart,
 	})
 	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -134,7 +134,7 @@
 		l.readRunTimes()
 	}
 	l.cell = cccell.New(cccell.Config{
-		Token: r.Token, LeaseMs: p.cfg.LeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
+		Token: r.Token, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
 		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, Ended: p.stateCache.ended,
 		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -43,6 +43,8 @@
 
 	// LeaseMs is the duration of the leases that this process, as leader, grants to workers.
 	LeaseMs ms
+	// MaxLeaseMs is the length to which workers shorten a lease.
+	MaxLeaseMs ms
 	// RemoteFactor is how many times longer a task takes on a worker away from its data.
 	RemoteFactor float64
 	// FinalRetentionMs is how long the final state of a job stays in memory. The store retains it for longer.
