Starts wait for the registrations after an outage of the store

Outages of the store followed each other; whenever the leader reached it in between, it had its authority at once and started tasks, while the watch of the registrations was still waiting for a reply that was lost, or for its next try. A worker that had shrunk 4.35 s before was filled to its old size. Ruled out: to end starts while the store is down (the product runs jobs in outages on purpose, and a leader can't know of a change then); the workers' replies (none tells a capacity, and workers that don't guard theirs start what they are told). Change: when the store is reached again, no task starts until a reading of the directory that was sent later has left no changes, for a second at most. The watch that waits is given up for it, and the directory is read at once, so that callers wait for a reply of the store. Leases are renewed meanwhile.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -84,6 +84,8 @@
 	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
 	authorityUntil ms
+	// startsHeld is true while no task may be started; see HoldStarts.
+	startsHeld bool
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
 	// jobs and start tasks.
 	handoverAt ms
@@ -159,6 +161,12 @@
 	c.authorityUntil = 0
 }
 
+// HoldStarts stops the starts of tasks, or permits them again. Leases are renewed meanwhile. It is called while the
+// registrations of the workers may have changed and can be read soon.
+func (c *Cell) HoldStarts(held bool) {
+	c.startsHeld = held
+}
+
 // Authority returns the time until which the leader may start tasks and renew leases.
 func (c *Cell) Authority() ms {
 	return c.authorityUntil
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -19,7 +19,7 @@
 	c.moveStragglers(now)
 	handedOver := c.handoverComplete(now)
 	c.initialPollDone = c.initialPollDone || c.initialPollComplete()
-	if now < c.authorityUntil {
+	if now < c.authorityUntil && !c.startsHeld {
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
 		c.unknownRunning = c.boundUnknownRunning(now)
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -39,6 +39,9 @@
 	// watchCatchUpChanges is the number of changes in a reply from which the next watch follows without delay: the
 	// store returns about 500 changes at most in a reply, and 3,000 workers make 2,000 changes a second.
 	watchCatchUpChanges = 200
+	// directoryWaitMs is the longest time for which starts wait for the registrations of the workers after an outage of
+	// the store.
+	directoryWaitMs ms = 1000
 	// rosterIntervalMs is the least interval between writes of the roster.
 	rosterIntervalMs ms = 1000
 )
@@ -92,6 +95,11 @@
 	offer atomic.Pointer[ccsuccession.Offer]
 	// suspendedTime is the last observed value of ccclock.SuspendedTime.
 	suspendedTime ms
+	// directoryAt is when the last reading of the directory that left no changes was sent. rereadDirectory tells watchDirectory to
+	// read the directory at once, and rereadFor is the return of the store for which it was told last.
+	directoryAt     ms
+	rereadDirectory chan struct{}
+	rereadFor       ms
 	// roster is the roster that this term persisted last, empty before the first write: the incarnation of each worker,
 	// by ID.
 	roster map[string]int64
@@ -118,7 +126,7 @@
 	began := p.now()
 	p.loadingToken.Store(r.Token)
 	defer p.loadingToken.Store(0)
-	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventQueueSize), ended: make(chan struct{}), roster: map[string]int64{}, storing: map[string]bool{}, suspendedTime: ccclock.SuspendedTime()}
+	l := &leadership{p: p, token: r.Token, record: r, events: make(chan event, eventQueueSize), ended: make(chan struct{}), roster: map[string]int64{}, storing: map[string]bool{}, rereadDirectory: make(chan struct{}, 1), suspendedTime: ccclock.SuspendedTime()}
 	l.announcement = ccpeer.AnnounceRequest{VM: r.VM, Address: r.Address, StartMs: r.StartMs, Token: r.Token, Revision: r.revision, Demoted: r.Demoted}
 	l.beganAt, l.hadAuthority = began, true
 	l.ctx, l.cancel = context.WithCancel(ctx)
@@ -143,6 +151,7 @@
 	var submissions, directory int64
 	var err error
 	for retries := 0; ; retries++ {
+		l.directoryAt = p.now()
 		if submissions, directory, err = l.load(); err == nil {
 			break
 		}
@@ -269,6 +278,7 @@
 		return
 	}
 	l.updateConfig()
+	l.cell.HoldStarts(l.awaitsDirectory(now))
 	l.cell.Schedule(now, unixNow())
 	l.publishEarly(now)
 	l.sendOrders(l.cell.TakeOrders(), now)
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -79,6 +79,12 @@
 	return int64(t.clock.Now()) - t.reachedSince.Load()
 }
 
+// ReachedSince returns when the store was reached again after the last outage, 0 if there was none, and whether it is
+// reached.
+func (t *MonitoredStore) ReachedSince() (at ccclock.Millis, reached bool) {
+	return ccclock.Millis(t.reachedSince.Load()), t.failures.Load() < storeLostCalls
+}
+
 // record records the outcome of a call. Only ccstore.ErrUnavailable and ccstore.ErrInDoubt count as failures; any other
 // error, such as a conflict, is a reply of the store and counts as success. Canceled calls are ignored.
 func (t *MonitoredStore) record(err error) {
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -1,7 +1,9 @@
 package cccontrol
 
 import (
+	"context"
 	"maps"
+	"time"
 
 	"coriandercross/core/cccell"
 
@@ -56,19 +58,27 @@
 
 // watchDirectory passes the changes of the directory to the cell.
 func (l *leadership) watchDirectory(after int64) {
-	p := l.p
+	timeout := watchTimeoutMs // Short when the directory has to be read at once, until that is done.
 	for l.ctx.Err() == nil {
-		changes, rev, err := p.cfg.Directory.Watch(l.ctx, after, watchTimeoutMs)
+		sent := l.p.now()
+		changes, rev, told, err := l.readChanges(after, timeout)
 		if errors.Is(err, ErrCompacted) {
 			rev, err = l.relist()
 		}
-		if err != nil {
-			sleep(l.ctx, jitter(retryDelayMs*3))
-			continue
+		caughtUp := err == nil && len(changes) < watchCatchUpChanges
+		var delay ms
+		switch {
+		case err != nil:
+			delay = jitter(retryDelayMs * 3)
+		case caughtUp:
+			delay, timeout = watchIntervalMs, watchTimeoutMs
 		}
-		after = max(after, rev)
-		if len(changes) > 0 {
+		if err == nil {
+			after = max(after, rev)
 			l.post(func(now ms) {
+				if caughtUp {
+					l.directoryAt = sent
+				}
 				for i := range changes {
 					if changes[i].Removed {
 						l.cell.MarkUnlisted(changes[i].ID)
@@ -78,10 +88,61 @@
 				}
 			})
 		}
-		if len(changes) < watchCatchUpChanges {
-			sleep(l.ctx, watchIntervalMs)
+		if told || l.sleepUnlessTold(delay) {
+			timeout = 1
+		}
+	}
+}
+
+// readChanges watches the directory, as Directory.Watch does. When the directory has to be read at once, it gives the watch
+// up, which may wait for a reply that an outage of the store has lost, and returns told as true.
+func (l *leadership) readChanges(after int64, timeout ms) (changes []WorkerChange, rev int64, told bool, err error) {
+	ctx, cancel := context.WithCancel(l.ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		changes, rev, err = l.p.cfg.Directory.Watch(ctx, after, timeout)
+	}()
+	select {
+	case <-done:
+	case <-l.rereadDirectory:
+		told = true
+		cancel()
+		<-done
+	}
+	return changes, rev, told, err
+}
+
+// sleepUnlessTold blocks for d. It returns true at once when the directory has to be read.
+func (l *leadership) sleepUnlessTold(d ms) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-l.rereadDirectory:
+		return true
+	case <-t.C:
+	case <-l.ctx.Done():
+	}
+	return false
+}
+
+// awaitsDirectory reports whether starts wait for the registrations of the workers: the store was down and is reached
+// again, and the directory was not read since. A worker may have shrunk meanwhile. While the store is down, starts go on.
+func (l *leadership) awaitsDirectory(now ms) bool {
+	back, reached := l.p.cfg.Store.ReachedSince()
+	if !reached || l.directoryAt >= back || now-back >= directoryWaitMs {
+		return false
+	}
+	if l.rereadFor != back {
+		l.rereadFor = back
+		l.p.cfg.Log.Info("starts wait for the registrations of the workers", "Token", l.token, "ReadMs", now-l.directoryAt)
+		select {
+		case l.rereadDirectory <- struct{}{}:
+		default:
 		}
 	}
+	return true
 }
 
 // relist reads all workers, since the history of the directory was compacted. It returns the revision to watch from.
