--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -15,6 +15,8 @@
 	// LeaseMs is the length of a lease at a worker. With a longer lease, tasks survive a longer time without a leader;
 	// with a shorter one, the tasks of a worker that does not reply start elsewhere sooner.
 	LeaseMs ms
+	// MaxLeaseMs is the length to which workers shorten a lease; 0 stands for LeaseMs.
+	MaxLeaseMs ms
 	// PriorLeaseMs is the length of the leases that the prior leader gave.
 	PriorLeaseMs ms
 	// AuthorityMs is the time for which this leader may give orders. PriorAuthorityMs is the same for the prior leader,
@@ -82,6 +84,8 @@
 	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
 	authorityUntil ms
+	// startsHeld is true while no task may be started; see HoldStarts.
+	startsHeld bool
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
 	// jobs and start tasks.
 	handoverAt ms
@@ -159,6 +163,12 @@
 	c.authorityUntil = 0
 }
 
+// HoldStarts stops the starts of tasks, or permits them again. Leases are renewed meanwhile. It is called while the
+// registrations of the workers may have changed and can be read soon.
+func (c *Cell) HoldStarts(held bool) {
+	c.startsHeld = held
+}
+
 // Authority returns the time until which the leader may start tasks and renew leases.
 func (c *Cell) Authority() ms {
 	return c.authorityUntil
