The model passes a new leader the roster of the prior one

Cause: takeOver of the model replaced the roster by that of the new leader before the new leader had read it. Ruled out: a fault of the product: a term reads the roster in the store before it writes its own (load, writeRoster). Change: the roster is read first. The check is the same, and sees takeovers as they are.

--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -153,10 +153,12 @@
 	sim.revision++
 	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
 	l := &leader{cell: c, token: sim.token}
+	roster := sim.roster // That of the prior leader, which the new one replaces.
 	sim.listWorkers(l)
-	for _, info := range sim.roster {
+	for _, info := range roster {
 		c.AddUnlistedWorker(info, sim.now)
 	}
+	sim.roster = c.Roster()
 	for _, id := range sim.jobIDs {
 		r := sim.progress[id]
 		if r.progress.State.Final() {
