A reply to a poll counts although it comes after the timeout

What callers saw: tasks that were done were run again (TWICE), and jobs took seconds longer, while the link between two regions was full. Cause: the leader gave up each poll after 0.7 s (a new leader after 0.3 s), closed its connection and dropped the reply. The worker had listed its ends in it, which the platform counts as told. With no reply the leader renewed no lease, took the attempts for lost when the leases had ended, and started their tasks again. Class: information that arrives is thrown away since it comes late, and its absence is acted upon. Ruled out: longer timeouts for all (a worker that is cut off would be noticed later); longer leases (the end would still be dropped); to wait for a silent worker beyond its leases (tasks of dead workers would wait). Polls of such a worker get twice the time that its reply has needed, so that its leases are renewed in time, and it gets no tasks until its replies are in time again. A reply that is older than a failed poll does not make a silent worker count as heard.

--- /dev/null
+++ b/core/cccell/late.go
@@ -0,0 +1,59 @@
+package cccell
+
+// Late replies. Load: the link to a region is full, so that replies of its workers come seconds late. A worker that has
+// told of an end counts as having been heard: its task must not be started again because the leader did not wait for the
+// reply. So a reply that comes after the timeout of its poll is read like others, later polls get the time that it has
+// needed, and the worker gets no tasks until its replies are in time again.
+
+const (
+	// lateReplyMs is the time from which a reply to a poll is late.
+	lateReplyMs ms = 700
+	// maxReplyDelayMs bounds the delay for which the timeout of polls is extended.
+	maxReplyDelayMs ms = 2000
+	// replyDelayMargin is the ratio of the extension of a timeout to the delay that was observed.
+	replyDelayMargin = 2
+)
+
+// OnLateReply handles a reply to a poll that OnPollReply was told to be lost.
+func (c *Cell) OnLateReply(o *PollOrder, r Reply, lists *TaskLists, now ms) {
+	w := o.worker
+	if r.Reason == Fenced {
+		c.depose(w)
+	}
+	if r.Outcome != Executed || c.workers[w.info.ID] != w || w.outlived(&r) {
+		return
+	}
+	c.cfg.Log("late reply", "Worker", w.info.ID, "AfterMs", r.Received-r.Sent, "Running", len(lists.Running), "Ended", len(lists.Ended))
+	if r.IncarnationMs != 0 && w.incarnation != r.IncarnationMs {
+		c.handleRestart(w, &r, now)
+	}
+	w.recordDelay(o, &r)
+	switch {
+	case w.clockAt == 0:
+		w.recordReply(&r)
+	case r.Sent >= w.failedPollSentAt: // Else the worker may have crashed since.
+		c.logHeard(w, now)
+		w.silentSince = 0
+	}
+	c.readLists(o, &r, lists, now)
+}
+
+// recordDelay records how long a worker has taken to reply to a poll. The reply to a long poll may have come early, so
+// that the delay decreases only gradually.
+func (w *worker) recordDelay(o *PollOrder, r *Reply) {
+	delay := r.Received - r.Sent - ms(o.WaitMs)
+	w.replyDelayMs = min(max(delay, w.replyDelayMs/2), maxReplyDelayMs)
+}
+
+// repliesLate reports whether replies of a worker to polls have been late. A start would remain in doubt.
+func (w *worker) repliesLate() bool {
+	return w.replyDelayMs >= lateReplyMs
+}
+
+// extraTimeoutMs returns the time by which the timeout of a poll is extended.
+func (w *worker) extraTimeoutMs() int64 {
+	if !w.repliesLate() {
+		return 0
+	}
+	return int64(replyDelayMargin * w.replyDelayMs)
+}
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -62,6 +62,8 @@
 	revision    int64
 	leaders     []*leader
 	lateCalls   []lateCall
+	// lateReplies is true when lost replies to polls arrive some time later.
+	lateReplies bool
 	storeDown   bool
 	published   map[string]cccell.State
 	// early holds the completions that a majority of the voters knows before they are written.
@@ -257,7 +259,8 @@
 }
 
 // call executes a call, or loses the call or its reply, or executes it late.
-func (sim *simulation) call(i int, do func(now ms) cccell.Reply, reply func(r cccell.Reply)) {
+// late is called with a lost reply some time after that if the simulation has late replies; it may be nil.
+func (sim *simulation) call(i int, do func(now ms) cccell.Reply, reply, late func(r cccell.Reply)) {
 	fault := 0
 	if !sim.faultsOff {
 		fault = sim.draw(12, "callFault")
@@ -270,13 +273,16 @@
 	case !sim.reaches(i) || fault == 1:
 		reply(cccell.Reply{Outcome: cccell.Unsent, Sent: sim.now, Received: sim.now})
 	case fault == 2:
-		do(sim.now)
+		r := do(sim.now)
 		reply(lost)
+		sim.deliverLate(i, r, late)
 	case fault == 3:
 		incarnation := sim.workers[i].Info.IncarnationMs
 		sim.lateCalls = append(sim.lateCalls, lateCall{at: sim.now + ms(100+sim.draw(12_000, "late")), worker: i, do: func(now ms) {
 			if !sim.sameID || sim.workers[i].Info.IncarnationMs == incarnation {
-				do(now)
+				r := do(now)
+				r.Sent = lost.Sent
+				sim.deliverLate(i, r, late)
 			}
 		}})
 		reply(lost)
@@ -285,6 +291,17 @@
 	}
 }
 
+// deliverLate passes a reply to late after up to five seconds, if the simulation has late replies.
+func (sim *simulation) deliverLate(i int, r cccell.Reply, late func(r cccell.Reply)) {
+	if !sim.lateReplies || late == nil || sim.faultsOff {
+		return
+	}
+	sim.lateCalls = append(sim.lateCalls, lateCall{at: sim.now + ms(sim.draw(5000, "lateReply")), worker: i, do: func(now ms) {
+		r.Received = now
+		late(r)
+	}})
+}
+
 // round runs one scheduling round of a leader and executes its orders.
 func (sim *simulation) round(l *leader) {
 	if l.token == sim.token {
@@ -322,12 +339,12 @@
 			sim.checker.Violations = append(sim.checker.Violations, fmt.Sprintf("Started: %s after it was published as %s", o.Task.Job, sim.published[o.Task.Job]))
 		}
 		i := sim.index(o.WorkerID)
-		sim.call(i, func(now ms) cccell.Reply { return sim.workers[i].Start(o, now) }, func(r cccell.Reply) { l.cell.OnStartReply(o, r, sim.now) })
+		sim.call(i, func(now ms) cccell.Reply { return sim.workers[i].Start(o, now) }, func(r cccell.Reply) { l.cell.OnStartReply(o, r, sim.now) }, nil)
 	}
 	for k := range out.Stops {
 		o := &out.Stops[k]
 		i := sim.index(o.WorkerID)
-		sim.call(i, func(now ms) cccell.Reply { return sim.workers[i].Stop(o, now) }, func(r cccell.Reply) { l.cell.OnStopReply(o, r, sim.now) })
+		sim.call(i, func(now ms) cccell.Reply { return sim.workers[i].Stop(o, now) }, func(r cccell.Reply) { l.cell.OnStopReply(o, r, sim.now) }, nil)
 	}
 	for k := range out.Polls {
 		o := &out.Polls[k]
@@ -337,7 +354,7 @@
 			r, listed := sim.workers[i].Poll(o, now)
 			lists = listed
 			return r
-		}, func(r cccell.Reply) { l.cell.OnPollReply(o, r, lists, sim.now) })
+		}, func(r cccell.Reply) { l.cell.OnPollReply(o, r, lists, sim.now) }, func(r cccell.Reply) { l.cell.OnLateReply(o, r, lists, sim.now) })
 	}
 	sim.writeProgress(l)
 }
@@ -553,9 +570,19 @@
 	rapid.Check(t, modelRun(modelOptions{learns: true}))
 }
 
+// TestCellModelLateReplies is TestCellModelUnstored with replies to polls that come late, also from an earlier incarnation.
+func TestCellModelLateReplies(t *testing.T) {
+	rapid.Check(t, modelRun(modelOptions{lateReplies: true, unstored: true}))
+}
+
+// TestCellModelLateRepliesSameID is TestCellModelLateReplies with incarnations that share an identifier.
+func TestCellModelLateRepliesSameID(t *testing.T) {
+	rapid.Check(t, modelRun(modelOptions{lateReplies: true, sameID: true}))
+}
+
 // modelOptions selects what a simulation has beside its faults.
 type modelOptions struct {
-	resizes, teams, learns, unstored, sameID bool
+	resizes, teams, learns, unstored, sameID, lateReplies bool
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
@@ -566,7 +593,7 @@
 			runTimes = ccruntimes.New()
 		}
 		sim := newSimulation(t, opts.teams, runTimes)
-		sim.resizes, sim.sameID = opts.resizes, opts.sameID
+		sim.resizes, sim.sameID, sim.lateReplies = opts.resizes, opts.sameID, opts.lateReplies
 		for _, x := range sim.workers {
 			if x.SameID = opts.sameID; x.SameID {
 				x.MaxLeaseMs = modelLeaseMs
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -51,6 +51,8 @@
 	WaitMs int64
 	// Quick marks a poll that is repeated at once if it is not answered soon.
 	Quick bool
+	// ExtraMs is added to the timeout of the poll, since the worker's replies were late.
+	ExtraMs int64
 
 	worker *worker
 	// urgent marks a second poll beside the one in flight; see worker.urgentPollInFlight.
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -49,7 +49,7 @@
 			}
 			firstPolls++
 		}
-		o := PollOrder{OrderHeader: c.header(w), AckedEnd: w.ackedEnd, Quick: c.quickPoll(w), worker: w, urgent: urgent}
+		o := PollOrder{OrderHeader: c.header(w), AckedEnd: w.ackedEnd, Quick: c.quickPoll(w), ExtraMs: w.extraTimeoutMs(), worker: w, urgent: urgent}
 		withheld := c.ackWithheld(w, now)
 		if w.incarnation != w.newestIncarnation() || w.ackedEnd <= w.confirmedAck || withheld || w.failedPolls > 0 {
 			// Each incarnation numbers its ends from 1. An end that the worker has forgotten is not named again: the
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -160,6 +160,8 @@
 	w.pollDoneAt = now
 	if r.Outcome != Executed {
 		w.failedPolls++
+		w.failedPollSentAt = max(w.failedPollSentAt, r.Sent)
+		w.replyDelayMs /= 2
 		switch {
 		case r.Reason == Fenced:
 			c.depose(w)
@@ -180,15 +182,27 @@
 	if w.outlived(&r) {
 		return
 	}
-	if w.silentSince != 0 {
-		c.cfg.Log("worker heard again", "Worker", w.info.ID, "SilentMs", now-w.silentSince)
-	}
+	c.logHeard(w, now)
 	if r.IncarnationMs != 0 && w.incarnation != r.IncarnationMs {
 		c.handleRestart(w, &r, now)
 	}
 	w.recordReply(&r)
-	c.withdrawCrashes(w)
+	w.recordDelay(o, &r)
 	w.failedPolls = 0
+	c.readLists(o, &r, lists, now)
+}
+
+// logHeard logs that a worker which was silent has replied.
+func (c *Cell) logHeard(w *worker, now ms) {
+	if w.silentSince != 0 {
+		c.cfg.Log("worker heard again", "Worker", w.info.ID, "SilentMs", now-w.silentSince)
+	}
+}
+
+// readLists handles the lists in a reply to a poll.
+func (c *Cell) readLists(o *PollOrder, r *Reply, lists *TaskLists, now ms) {
+	w := o.worker
+	c.withdrawCrashes(w)
 	w.confirmedAck = max(w.confirmedAck, o.AckedEnd)
 	w.answeredPollSentAt = max(w.answeredPollSentAt, r.Sent)
 	for i := range lists.Ended {
@@ -211,7 +225,7 @@
 		c.recordRunning(w, t, now)
 	}
 	if len(lists.Ended) < maxEndsListed {
-		c.endMissing(w, present, r, now)
+		c.endMissing(w, present, *r, now)
 	}
 	// A poll that was sent to an earlier incarnation acknowledges end numbers of that incarnation. When a restarted
 	// worker handles it, the worker drops ends of the same numbers that no leader has read. Its lists are then
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -150,6 +150,10 @@
 	pollDoneAt ms
 	// failedPolls counts the polls that failed since the last one that the worker executed.
 	failedPolls int
+	// failedPollSentAt is when the newest poll that failed was sent.
+	failedPollSentAt ms
+	// replyDelayMs is the time that replies to polls have needed lately, beyond what the poll allowed.
+	replyDelayMs ms
 	// silentSince is when a poll first failed, for any reason, or a start did not reach the worker. It is 0 again after
 	// the next poll or stop that the worker executes, or start that it replies to.
 	silentSince ms
@@ -201,7 +205,7 @@
 // usable reports whether tasks may be started on the worker. On a worker without cores even best-effort tasks would
 // make no progress.
 func (w *worker) usable(now ms) bool {
-	return w.listed && w.admitted && w.drainSince == 0 && w.silentSince == 0 && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
+	return w.listed && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
 }
 
 // addAttempt adds an attempt, which holds capacity from then on.
--- a/io/cccontrol/directory_test.go
+++ b/io/cccontrol/directory_test.go
@@ -64,7 +64,7 @@
 	return w.sim.Stop(o, w.clock.Now())
 }
 
-func (w *oneWorker) Poll(_ context.Context, o *cccell.PollOrder) (cccell.Reply, *cccell.TaskLists) {
+func (w *oneWorker) Poll(_ context.Context, o *cccell.PollOrder, _ func(cccell.Reply, *cccell.TaskLists)) (cccell.Reply, *cccell.TaskLists) {
 	time.Sleep(10 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -331,7 +331,9 @@
 		s := &o.Polls[i]
 		var lists *cccell.TaskLists
 		l.callWorker("look", func() (r cccell.Reply) { // "look" is the metric label of polls.
-			r, lists = p.cfg.Workers.Poll(l.ctx, s)
+			r, lists = p.cfg.Workers.Poll(l.ctx, s, func(r cccell.Reply, lists *cccell.TaskLists) {
+				l.post(func(now ms) { l.cell.OnLateReply(s, r, lists, now) })
+			})
 			return r
 		}, func(r cccell.Reply, now ms) { l.cell.OnPollReply(s, r, lists, now) })
 	}
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -113,8 +113,9 @@
 type Workers interface {
 	Start(ctx context.Context, o *cccell.StartOrder) cccell.Reply
 	Stop(ctx context.Context, o *cccell.StopOrder) cccell.Reply
-	// Poll renews the leases of all tasks on a worker, and returns its lists of running and ended tasks.
-	Poll(ctx context.Context, o *cccell.PollOrder) (cccell.Reply, *cccell.TaskLists)
+	// Poll renews the leases of all tasks on a worker, and returns its lists of running and ended tasks. A reply that comes
+	// after the timeout is passed to late, in another goroutine and at most once.
+	Poll(ctx context.Context, o *cccell.PollOrder, late func(cccell.Reply, *cccell.TaskLists)) (cccell.Reply, *cccell.TaskLists)
 }
 
 // PolicyService decides which workers may run a stage. It answers one call at a time from each VM.
