--- a/io/cccontrol/spread_test.go
+++ b/io/cccontrol/spread_test.go
@@ -122,21 +122,33 @@
 // startCell starts n processes with one store, which listen on the loopback interface, and waits until all of them have
 // version 1 of the configuration and one leads.
 func startCell(t *testing.T, store *ccstandin.CellStore, n int) []*fellow {
+	t.Helper()
+	return startCellWith(t, store, n, func(_ int, f *fellow, cfg *cccontrol.Config) {
+		f.store = &partialStore{CellStore: store}
+		cfg.Store = cccontrol.NewMonitoredStore(f.store, cfg.Clock, nil)
+		cfg.Peers = ccpeer.NewClient(peerConfig)
+	})
+}
+
+// peerConfig sets up the calls between the processes, as the command entry does.
+var peerConfig = ccpeer.ClientConfig{DialTimeout: 300 * time.Millisecond, ControlTimeout: time.Second, Connections: 4}
+
+// startCellWith is startCell with processes whose Store and Peers connect sets.
+func startCellWith(t *testing.T, store *ccstandin.CellStore, n int, connect func(i int, f *fellow, cfg *cccontrol.Config)) []*fellow {
 	t.Helper()
 	putConfig(t, store, 1, "old")
 	var cell []*fellow
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		clock := ccclock.NewSystem()
-		f := &fellow{store: &partialStore{CellStore: store}}
-		monitored := cccontrol.NewMonitoredStore(f.store, clock, nil)
-		f.Process = cccontrol.New(cccontrol.Config{
-			VM: fmt.Sprintf("vm-%d", i), Address: l.Addr().String(), Region: "r", Cores: 1, StartMs: time.Now().UnixMilli(), Clock: clock, Log: log.New(io.Discard),
-			Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()), Store: monitored, ConfigSource: ccplatform.NewConfigReader(monitored),
-			Directory: ccplatform.NewDirectory(monitored, nil), LeaseMs: 3000, RemoteFactor: 1, FinalRetentionMs: 10_000,
-			Peers: ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: 300 * time.Millisecond, ControlTimeout: time.Second, Connections: 4}),
-		})
+		f := &fellow{}
+		cfg := cccontrol.Config{
+			VM: fmt.Sprintf("vm-%d", i), Address: l.Addr().String(), Region: "r", Cores: 1, StartMs: time.Now().UnixMilli(), Clock: ccclock.NewSystem(), Log: log.New(io.Discard),
+			Metrics: cccontrol.NewMetrics(prometheus.NewRegistry()), LeaseMs: 3000, RemoteFactor: 1, FinalRetentionMs: 10_000,
+		}
+		connect(i, f, &cfg)
+		cfg.ConfigSource, cfg.Directory = ccplatform.NewConfigReader(cfg.Store), ccplatform.NewDirectory(cfg.Store, nil)
+		f.Process = cccontrol.New(cfg)
 		ctx, cancel := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		done.Add(2)
