A fetch of the configuration from a peer makes progress, compressed, one at a time

Cause: a process fetched the document from a peer within 600 ms, from the leader within 1 s and again with each of its replies, at the same time as from others. Ruled out: a longer fixed timeout: a peer that has gone silent would be waited for as long. Change: documents travel between processes of this release in the DEFLATE format (one of an earlier release neither asks for it nor sends it), on a connection of their own that fails after one second without a byte. The question for the version keeps its 600 ms. What the leader's reply says goes through the same door as what peers say: one fetch at a time. Conclusion: what remains is that each process reads the whole document from the store, over the link between regions.

--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"sync"
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/cckey"
@@ -24,8 +25,9 @@
 // activeConfig is a configuration in force.
 type activeConfig struct {
 	config *cccell.Configuration
-	// raw is the document as the operators wrote it, for peers that can't reach the store.
-	raw []byte
+	// raw is the document as the operators wrote it, for peers. deflated returns it as CellConfigReply.Deflated has it.
+	raw      []byte
+	deflated func() []byte
 	// revision is that of the document in the store.
 	revision int64
 	// keys are the keys of the teams, nil if the configuration has no teams.
@@ -75,21 +77,28 @@
 	}
 }
 
-// fetchConfig fetches the configuration of a peer and puts it in force if it is newer.
-func (p *Process) fetchConfig(ctx context.Context, address string) {
-	p.requestConfig(ctx, address, false)
-}
-
 // requestConfig asks a peer for a newer configuration, or only for its version, and puts the document in force if the
 // reply has one. It returns the version of the peer, 0 if it is not newer or not known.
 func (p *Process) requestConfig(ctx context.Context, address string, versionOnly bool) int64 {
-	out, err := p.cfg.Peers.CellConfig(ctx, address, &ccpeer.CellConfigRequest{KnownVersion: p.configVersion(), VersionOnly: versionOnly})
+	in := &ccpeer.CellConfigRequest{KnownVersion: p.configVersion(), VersionOnly: versionOnly, Deflate: true}
+	began := p.now()
+	out, err := p.cfg.Peers.CellConfig(ctx, address, in)
+	raw, size := []byte(nil), 0
+	if err == nil {
+		raw, size = out.Raw, len(out.Raw)+len(out.Deflated)
+		if len(out.Deflated) > 0 {
+			raw, err = inflate(out.Deflated)
+		}
+	}
+	if size > 0 || err != nil && !versionOnly {
+		p.recordTransfer("fellow", transferOutcome(err), size, p.now()-began) // "fellow" is the name of a peer in the log.
+	}
 	if err != nil {
 		p.cfg.Log.Debug("configuration not fetched from a peer", "Peer", address, "Error", err)
 		return 0
 	}
-	if len(out.Raw) > 0 {
-		p.activate(out.Raw, out.Revision, "fellow") // "fellow" is the name of a peer in the log.
+	if len(raw) > 0 {
+		p.activate(raw, out.Revision, "fellow")
 	}
 	return out.Version
 }
@@ -106,7 +115,7 @@
 		p.refuseConfig(raw, revision, source, err)
 		return
 	}
-	next := &activeConfig{config: c, raw: raw, revision: revision, keys: keys}
+	next := &activeConfig{config: c, raw: raw, revision: revision, keys: keys, deflated: sync.OnceValue(func() []byte { return deflate(raw) })}
 	for {
 		old := p.config.Load()
 		if old != nil && old.config.Version >= c.Version {
@@ -138,7 +147,11 @@
 		return &ccpeer.CellConfigReply{}, nil
 	}
 	out := &ccpeer.CellConfigReply{Revision: c.revision, Version: c.config.Version}
-	if !in.VersionOnly {
+	switch {
+	case in.VersionOnly:
+	case in.Deflate:
+		out.Deflated = c.deflated()
+	default:
 		out.Raw = c.raw
 	}
 	return out, nil
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -23,6 +23,10 @@
 	unknownKeys    *prometheus.CounterVec
 	refusedConfigs prometheus.Counter
 	teamSubmitted  *teamCounter
+	// transfers, transferBytes and transferMs are of documents of the configuration, by source and outcome.
+	transfers     *prometheus.CounterVec
+	transferBytes *prometheus.CounterVec
+	transferMs    *prometheus.HistogramVec
 	// runTimeErrors has the factors by which predicted run times and estimates were off.
 	runTimeErrors *prometheus.HistogramVec
 	// slowness is how many times slower than normally this VM runs.
@@ -74,6 +78,15 @@
 		teamSubmitted: &teamCounter{teams: map[string]bool{}, vec: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coriandercross_team_submissions_total", Help: "Answers to hand-ins, by team.",
 		}, []string{"team", "outcome"})},
+		transfers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_config_transfers_total", Help: "Transfers of configuration documents.",
+		}, []string{"source", "outcome"}),
+		transferBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coriandercross_config_transfer_bytes_total", Help: "Bytes received of configuration documents.",
+		}, []string{"source", "outcome"}),
+		transferMs: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "coriandercross_config_transfer_ms", Help: "Time of transfers of configuration documents.", Buckets: latencyBuckets,
+		}, []string{"source"}),
 		runTimeErrors: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "coriandercross_run_time_error", Help: "Factors by which predicted run times and callers' estimates were off.", Buckets: errorBuckets,
 		}, []string{"queue", "by"}),
@@ -82,7 +95,7 @@
 		}),
 	}
 	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.unstored, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
-	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec)
+	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec, m.transfers, m.transferBytes, m.transferMs)
 	return m
 }
 
--- a/io/cccontrol/spread.go
+++ b/io/cccontrol/spread.go
@@ -20,6 +20,9 @@
 	configAskPeersFirst = 8
 	// configAskTimeoutMs is the timeout of a question. A round does not wait for the one before it.
 	configAskTimeoutMs = ms(600)
+	// configFetchTimeoutMs bounds the transfer of a document that makes progress. One that makes none fails after
+	// ccpeer.ClientConfig.ControlTimeout.
+	configFetchTimeoutMs = ms(10_000)
 	// configStaleMs is the time since the last read of the configuration from which a process asks its peers: the longest
 	// watch, and the time that a slow store needs for its reply, twice. A store that is silent shows by nothing else.
 	configStaleMs = configWatchTimeoutMs + 400
@@ -76,9 +79,9 @@
 // askForConfig asks a peer for its version, within configAskTimeoutMs, and fetches the document if it is newer. A document
 // may be large, and many peers may have it.
 func (p *Process) askForConfig(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, configAskTimeoutMs.Duration())
+	question, cancel := context.WithTimeout(ctx, configAskTimeoutMs.Duration())
 	defer cancel()
-	p.fetchNewer(ctx, address, p.requestConfig(ctx, address, true))
+	p.fetchNewer(ctx, address, p.requestConfig(question, address, true))
 }
 
 // fetchNewer fetches the configuration of a peer that has a version, if it is newer and none is being fetched.
@@ -88,7 +91,9 @@
 	}
 	defer p.fetchingConfig.Store(false)
 	if version > p.configVersion() { // Else it was fetched just now.
-		p.fetchConfig(ctx, address)
+		ctx, cancel := context.WithTimeout(ctx, configFetchTimeoutMs.Duration())
+		defer cancel()
+		p.requestConfig(ctx, address, false)
 	}
 }
 
@@ -104,11 +109,7 @@
 	if address == "" {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), configAskTimeoutMs.Duration())
-		defer cancel()
-		p.fetchNewer(ctx, address, version)
-	}()
+	go p.fetchNewer(context.Background(), address, version)
 }
 
 // configVersion returns the version of the configuration in force, 0 for none.
--- /dev/null
+++ b/io/cccontrol/transfer_test.go
@@ -0,0 +1,67 @@
+package cccontrol
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"coriandercross/io/ccpeer"
+
+	"gotest.tools/v3/assert"
+)
+
+// earlierPeer replies as a process of an earlier release does, which knows no compressed documents.
+type earlierPeer struct {
+	*Process
+}
+
+func (p earlierPeer) CellConfig(ctx context.Context, in *ccpeer.CellConfigRequest) (*ccpeer.CellConfigReply, error) {
+	return p.Process.CellConfig(ctx, &ccpeer.CellConfigRequest{KnownVersion: in.KnownVersion, VersionOnly: in.VersionOnly})
+}
+
+// TestDocumentTravelsCompressed checks that processes of this release send each other documents compressed, and that one
+// of an earlier release is understood and gets the document as it was written.
+func TestDocumentTravelsCompressed(t *testing.T) {
+	document := append([]byte{2}, bytes.Repeat([]byte("route"), 100_000)...)
+	for name, earlier := range map[string]bool{"Same": false, "Earlier": true} {
+		t.Run(name, func(t *testing.T) {
+			has, p := newFollower(t, nil), newFollower(t, nil)
+			has.cfg.ConfigSource, p.cfg.ConfigSource = &numberSource{}, &numberSource{}
+			has.activate(document, 7, "test")
+			var peer ccpeer.CellHandler = has
+			if earlier {
+				peer = earlierPeer{has}
+			}
+			p.fetchNewer(context.Background(), servePeer(t, peer), 2)
+			assert.DeepEqual(t, p.config.Load().raw, document)
+			assert.Equal(t, p.config.Load().revision, int64(7))
+			out, err := peer.CellConfig(context.Background(), &ccpeer.CellConfigRequest{Deflate: true})
+			assert.NilError(t, err)
+			assert.Equal(t, len(out.Raw) > 0, earlier)
+			assert.Assert(t, earlier || len(out.Deflated) < len(document)/10)
+		})
+	}
+	t.Run("Malformed", func(t *testing.T) {
+		_, err := inflate([]byte("not compressed"))
+		assert.Assert(t, err != nil)
+		_, err = inflate(deflate(make([]byte, maxDocumentBytes+1)))
+		assert.ErrorIs(t, err, errDocumentTooLarge)
+	})
+}
+
+// TestTransferThatStallsIsGivenUp checks that a peer which accepts the connection and sends nothing does not keep a process
+// from fetching the document elsewhere.
+func TestTransferThatStallsIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	p := newFollower(t, nil)
+	p.cfg.ConfigSource = &numberSource{}
+	began := time.Now()
+	p.fetchNewer(context.Background(), l.Addr().String(), 2)
+	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
+	p.fetchNewer(context.Background(), servePeer(t, &versionPeer{version: 2}), 2)
+	assert.Equal(t, p.configVersion(), int64(2))
+}
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -267,6 +267,8 @@
 	KnownVersion int64 `cbor:"1,keyasint"`
 	// VersionOnly asks for the version without the document. Processes of earlier releases return the document.
 	VersionOnly bool `cbor:"2,keyasint,omitempty"`
+	// Deflate is true if the sender reads CellConfigReply.Deflated. Processes of earlier releases do not.
+	Deflate bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -276,12 +278,14 @@
 
 // CellConfigReply is the reply to a CellConfigRequest.
 type CellConfigReply struct {
-	// Raw is the document as the operators wrote it.
+	// Raw is the document as the operators wrote it. It is empty if Deflated has the document, in the DEFLATE format of
+	// RFC 1951.
 	Raw []byte `cbor:"1,keyasint,omitempty"`
 	// Revision is the revision of the document in the store.
 	Revision int64 `cbor:"2,keyasint,omitempty"`
 	// Version is the version of the configuration, if it is newer than that of the sender of the request.
-	Version int64 `cbor:"3,keyasint,omitempty"`
+	Version  int64  `cbor:"3,keyasint,omitempty"`
+	Deflated []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -325,9 +329,22 @@
 	return call[LeaderContactRequest, LeaderContactReply](ctx, c, c.control, address, methodLeaderContact, in)
 }
 
-// CellConfig asks a peer for the configuration in force.
+// CellConfig asks a peer for the configuration in force. A document, which may be large, is received on a connection of
+// its own, which fails after ControlTimeout without a byte; only ctx bounds the time for the whole.
 func (c *Client) CellConfig(ctx context.Context, address string, in *CellConfigRequest) (*CellConfigReply, error) {
-	return call[CellConfigRequest, CellConfigReply](ctx, c, c.control, address, methodCellConfig, in)
+	if in.VersionOnly {
+		return call[CellConfigRequest, CellConfigReply](ctx, c, c.control, address, methodCellConfig, in)
+	}
+	conn, err := c.dialDocument(ctx, address)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnreachable)
+	}
+	defer func() { _ = conn.Close() }()
+	out := &CellConfigReply{}
+	if err := conn.Invoke(ctx, methodCellConfig, encoding{}, in, out); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "calling %s", methodCellConfig), ErrInDoubt)
+	}
+	return out, nil
 }
 
 // Announce announces a new leader to a peer.
--- a/io/ccpeer/rpc.go
+++ b/io/ccpeer/rpc.go
@@ -125,7 +125,7 @@
 	ControlTimeout time.Duration
 	// Connections is the largest number of idle connections to one peer, in each of the two pools.
 	Connections int
-	// OnBytes, unless nil, is called with the number of bytes of control calls, sent and received.
+	// OnBytes, unless nil, is called with the number of bytes of control calls and of documents, sent and received.
 	OnBytes func(n int)
 }
 
@@ -213,6 +213,29 @@
 	return out, nil
 }
 
+// progressConn is a connection that fails if a read receives no byte within stall.
+type progressConn struct {
+	net.Conn
+	stall time.Duration
+}
+
+// Read implements net.Conn.
+func (c *progressConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.stall)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// dialDocument opens a connection to a peer for one call with a large reply.
+func (c *Client) dialDocument(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := cccount.Dialer(c.cfg.DialTimeout, c.cfg.OnBytes)(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dialing a peer")
+	}
+	return drpcconn.NewWithOptions(&progressConn{Conn: conn, stall: c.cfg.ControlTimeout}, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
 // dial opens a connection to a peer.
 func (c *Client) dial(ctx context.Context, address string, control bool) (drpcpool.Conn, error) {
 	onBytes := c.cfg.OnBytes
