A large document is left at the store until peers had time to send it

Cause: each process reads each version of the document whole from the store, also where its link or that between regions needs long for it. Ruled out: a watch by some processes only: if the store turns those away, the others learn of a version only by reading it all the same. Watching something smaller: the store has nothing smaller. Change: a process whose watch begins to return a large document leaves the rest unread for half to all of the time that the rest would take (600 ms at most, at the rate last measured or the link's speed from the settings), and asks its peers, its region's first. Those with the fastest way to the store read first; the others give the store's answer up for a peer's. It goes on asking while it reads, and doesn't read while a peer sends. Without peers there is no wait. Fetches from other regions wait up to 300 ms by chance, so that a region's processes get it from each other. ReplyGate, ErrDeclined; outcome 'declined' of the transfers.

--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -124,9 +124,9 @@
 	directory := ccplatform.NewDirectory(store, func(id string, err error) {
 		logger.Debug("worker registration is invalid", "Worker", id, "Error", err)
 	})
-	const msPerSecond = 1000
+	const msPerSecond, bytesPerMsOfMbps = 1000, 125
 	p := cccontrol.New(cccontrol.Config{
-		VM: s.VM, Region: s.Region, Address: s.Listen.Peers, Seeds: s.Seeds, Cores: s.Limits.CPUShare * float64(max(s.Limits.Cores, 1)),
+		VM: s.VM, Region: s.Region, Address: s.Listen.Peers, Seeds: s.Seeds, Cores: s.Limits.CPUShare * float64(max(s.Limits.Cores, 1)), LinkBytesPerMs: s.Limits.LinkMbps * bytesPerMsOfMbps,
 		StartMs: time.Now().UnixMilli(), Clock: clock, Log: logger, Sampler: cclog.NewSampler(clock), Metrics: cccontrol.NewMetrics(reg), Store: store, Directory: directory,
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
--- a/io/cccontrol/configuration.go
+++ b/io/cccontrol/configuration.go
@@ -42,12 +42,19 @@
 		var raw []byte
 		var rev int64
 		var err error
+		r := &reception{p: p, ctx: ctx, version: p.configVersion()}
+		gated := WithReplyGate(ctx, r.gate)
 		if after == 0 {
-			raw, rev, err = p.cfg.ConfigSource.Read(ctx)
+			raw, rev, err = p.cfg.ConfigSource.Read(gated)
 		} else {
-			raw, rev, err = p.cfg.ConfigSource.Watch(ctx, after, configWatchTimeoutMs)
+			raw, rev, err = p.cfg.ConfigSource.Watch(gated, after, configWatchTimeoutMs)
 		}
+		r.end(err)
 		switch {
+		case errors.Is(err, ErrDeclined):
+			p.configReads.succeeded(p.now())
+			after = max(after, p.config.Load().revision)
+			continue
 		case errors.Is(err, ErrNoKey):
 			p.configReads.succeeded(p.now())
 			sleep(ctx, configRetryDelayMs)
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -188,7 +188,7 @@
 		go p.adviseLeader(ctx, request)
 	}
 	if out.Version > p.configVersion() {
-		go p.fetchNewer(ctx, leader.Address, out.Version)
+		go p.fetchNewer(ctx, p.memberOf(leader), out.Version)
 	}
 	switch {
 	case out.Successor && out.Token == leader.Token:
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -163,6 +163,13 @@
 	return members[r.VM].Region
 }
 
+// memberOf returns the member that leads, with no region if it is not listed.
+func (p *Process) memberOf(leader leaderRecord) member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return member{VM: leader.VM, Address: leader.Address, Region: leader.Region(p.members)}
+}
+
 // memberCount returns the number of known members, this process included, 0 before the first read of the membership.
 func (p *Process) memberCount() int {
 	p.mu.Lock()
--- a/io/cccontrol/narrow_test.go
+++ b/io/cccontrol/narrow_test.go
@@ -14,6 +14,7 @@
 	"coriandercross/platform/ccemulator"
 	"coriandercross/platform/ccplatform"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
 
@@ -122,6 +123,7 @@
 			links := make([]*link, len(rates))
 			cell := startCellWith(t, e.Store, len(rates), func(i int, _ *fellow, cfg *cccontrol.Config) {
 				links[i] = &link{rate: rates[i]}
+				cfg.LinkBytesPerMs = rates[i] / 1000
 				store := ccplatform.NewStoreClient(links[i].proxy(t, e.StoreAddress), func(string, int) {})
 				cfg.Store = cccontrol.NewMonitoredStore(store, cfg.Clock, nil)
 				peers := peerConfig
@@ -150,12 +152,79 @@
 				last = max(last, time.Since(acknowledged))
 			}
 			time.Sleep(configApply - time.Since(acknowledged)) // Nothing may be transferred for nothing afterwards.
-			var most int64
+			var most, mostNarrow int64
 			for i, l := range links {
-				most = max(most, l.bytes.Load()-before[i])
+				n := l.bytes.Load() - before[i]
+				most = max(most, n)
+				if rates[i] <= narrow {
+					mostNarrow = max(mostNarrow, n)
+				}
 			}
 			assert.Assert(t, most < 2*versions*documentBytes, "a VM has received %d KB", most>>10)
-			t.Logf("in force everywhere after %s, at most %d KB to a VM", last.Round(time.Millisecond), most>>10)
+			t.Logf("in force everywhere after %s, at most %d KB to a VM, %d KB to a narrow one", last.Round(time.Millisecond), most>>10, mostNarrow>>10)
+		})
+	}
+}
+
+// TestLargeDocumentIsLeftAtTheStore checks that a process whose link needs long for a document gets it from a peer that has
+// it, without the rest of what the store sends, and that it reads on if no peer has it, or if it has no peers.
+func TestLargeDocumentIsLeftAtTheStore(t *testing.T) {
+	const documentBytes, mostRead = 900 << 10 / 4, 64 << 10
+	tests := map[string]struct {
+		// processes is their number; the first one has a slow link. peersRead is false if the store turns the others away.
+		processes int
+		peersRead bool
+		outcome   string
+	}{
+		"FromPeer": {3, true, "declined"},
+		"NoPeer":   {1, true, "done"},
+		"PeerAway": {2, false, "done"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, err := ccemulator.New(ccemulator.Config{})
+			assert.NilError(t, err)
+			t.Cleanup(e.Close)
+			registry := prometheus.NewRegistry()
+			cell := startCellWith(t, e.Store, test.processes, func(i int, f *fellow, cfg *cccontrol.Config) {
+				f.store = &partialStore{CellStore: e.Store}
+				cfg.Store, cfg.LinkBytesPerMs = cccontrol.NewMonitoredStore(f.store, cfg.Clock, nil), 1e6
+				if i == 0 {
+					cfg.Store = cccontrol.NewMonitoredStore(ccplatform.NewStoreClient(e.StoreAddress, func(string, int) {}), cfg.Clock, nil)
+					cfg.Metrics, cfg.LinkBytesPerMs = cccontrol.NewMetrics(registry), 25
+				}
+				cfg.Peers = ccpeer.NewClient(peerConfig)
+			})
+			if !test.peersRead {
+				for _, f := range cell[1:] {
+					f.store.mode.Store(int32(refused))
+				}
+			}
+			putLargeConfig(t, e, 2, documentBytes)
+			acknowledged := time.Now()
+			for cell[0].Dump().Version != 2 {
+				assert.Assert(t, time.Since(acknowledged) < configApply)
+				time.Sleep(5 * time.Millisecond)
+			}
+			time.Sleep(2 * time.Second) // The document is not read again.
+			families, err := registry.Gather()
+			assert.NilError(t, err)
+			counts, bytes := map[string]float64{}, map[string]float64{}
+			for _, family := range families {
+				into := map[string]map[string]float64{"coriandercross_config_transfers_total": counts, "coriandercross_config_transfer_bytes_total": bytes}[family.GetName()]
+				for _, m := range family.GetMetric() {
+					if into != nil {
+						into[m.GetLabel()[0].GetValue()+" "+m.GetLabel()[1].GetValue()] += m.GetCounter().GetValue()
+					}
+				}
+			}
+			want := map[string]float64{test.outcome + " store": 1}
+			if test.outcome == "declined" {
+				want["done fellow"] = 1
+				assert.Assert(t, bytes["declined store"] < mostRead, "%v", bytes)
+			}
+			assert.DeepEqual(t, counts, want)
+			t.Logf("in force after %s, %v", time.Since(acknowledged).Round(time.Millisecond)-2*time.Second, bytes)
 		})
 	}
 }
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -21,8 +21,29 @@
 	ErrCompacted = errors.New("store has compacted the history of this revision")
 	// ErrLeaseExpired reports a store lease that has expired.
 	ErrLeaseExpired = errors.New("store lease has expired")
+	// ErrDeclined reports a call whose response a ReplyGate did not want to receive to its end.
+	ErrDeclined = errors.New("the rest of the response is not needed")
 )
 
+// ReplyGate is called while a large response of the store arrives: with the number of bytes received so far, and the size
+// of the response, -1 if it is not known. Nothing more is read until it returns. If it returns an error, the call is
+// given up and fails with that error.
+type ReplyGate func(ctx context.Context, received, size int64) error
+
+// replyGateKey is the key of a ReplyGate in a context.
+type replyGateKey struct{}
+
+// WithReplyGate returns a context for calls to the store that have a gate.
+func WithReplyGate(ctx context.Context, gate ReplyGate) context.Context {
+	return context.WithValue(ctx, replyGateKey{}, gate)
+}
+
+// ReplyGateOf returns the gate of a call to the store, nil for none.
+func ReplyGateOf(ctx context.Context) ReplyGate {
+	gate, _ := ctx.Value(replyGateKey{}).(ReplyGate)
+	return gate
+}
+
 // Item is a key of the store with its value, or, from a watch, a change of the key.
 type Item struct {
 	Key      string
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -26,6 +26,8 @@
 	Seeds []string
 	// Cores is the processor time available to the process, in cores.
 	Cores float64
+	// LinkBytesPerMs is the speed of the VM's link in bytes per millisecond, 0 if it is not known.
+	LinkBytesPerMs float64
 	// StartMs is the Unix time at which the process started, in milliseconds.
 	StartMs int64
 
@@ -86,6 +88,8 @@
 	// is fetched from a peer that is known to have it.
 	configReads    configReads
 	fetchingConfig atomic.Bool
+	// documentRate is the rate at which the last large document came from the store, in bytes per millisecond, 0 for none.
+	documentRate atomic.Int64
 	// refusedConfig is the digest of the last configuration that was refused, nil for none.
 	refusedConfig atomic.Pointer[[sha256.Size]byte]
 	// storeCheckedAt is when probeStore last read from the store.
--- a/io/cccontrol/spread.go
+++ b/io/cccontrol/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 )
 
@@ -51,7 +52,7 @@
 
 // spreadConfig asks peers for a newer configuration while the store does not answer reads of it.
 func (p *Process) spreadConfig(ctx context.Context) {
-	var left []string // Peers that were not asked yet, in random order.
+	var left []member // Peers that were not asked yet, in random order.
 	asking, perRound := false, 0
 	for sleep(ctx, jitter(configAskIntervalMs)) {
 		stale := p.configReads.stale(p.now())
@@ -64,11 +65,12 @@
 			continue
 		}
 		if len(left) == 0 {
-			left = p.peerAddresses()
+			left = p.otherMembers()
+			rand.Shuffle(len(left), func(a, b int) { left[a], left[b] = left[b], left[a] })
 		}
 		n := min(perRound, len(left))
-		for _, address := range left[:n] {
-			go p.askForConfig(ctx, address)
+		for _, m := range left[:n] {
+			go p.askForConfig(ctx, m)
 		}
 		if left = left[n:]; len(left) == 0 {
 			perRound = configAskPeers
@@ -78,14 +80,21 @@
 
 // askForConfig asks a peer for its version, within configAskTimeoutMs, and fetches the document if it is newer. A document
 // may be large, and many peers may have it.
-func (p *Process) askForConfig(ctx context.Context, address string) {
+func (p *Process) askForConfig(ctx context.Context, peer member) {
 	question, cancel := context.WithTimeout(ctx, configAskTimeoutMs.Duration())
 	defer cancel()
-	p.fetchNewer(ctx, address, p.requestConfig(question, address, true))
+	p.fetchNewer(ctx, peer, p.requestConfig(question, peer.Address, true))
 }
 
-// fetchNewer fetches the configuration of a peer that has a version, if it is newer and none is being fetched.
-func (p *Process) fetchNewer(ctx context.Context, address string, version int64) {
+// fetchNewer fetches the configuration of a peer that has a version, if it is newer and none is being fetched. It waits up
+// to farFetchDelayMs before it fetches from another region.
+func (p *Process) fetchNewer(ctx context.Context, peer member, version int64) {
+	if version <= p.configVersion() || p.fetchingConfig.Load() {
+		return
+	}
+	if peer.Region != "" && peer.Region != p.cfg.Region && !sleep(ctx, ms(rand.Float64()*float64(farFetchDelayMs))) {
+		return
+	}
 	if version <= p.configVersion() || !p.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
@@ -93,7 +102,7 @@
 	if version > p.configVersion() { // Else it was fetched just now.
 		ctx, cancel := context.WithTimeout(ctx, configFetchTimeoutMs.Duration())
 		defer cancel()
-		p.requestConfig(ctx, address, false)
+		p.requestConfig(ctx, peer.Address, false)
 	}
 }
 
@@ -104,12 +113,12 @@
 		return
 	}
 	p.mu.Lock()
-	address := p.members[vm].Address
+	peer := p.members[vm]
 	p.mu.Unlock()
-	if address == "" {
+	if peer.Address == "" {
 		return
 	}
-	go p.fetchNewer(context.Background(), address, version)
+	go p.fetchNewer(context.Background(), peer, version)
 }
 
 // configVersion returns the version of the configuration in force, 0 for none.
--- a/io/cccontrol/transfer_test.go
+++ b/io/cccontrol/transfer_test.go
@@ -34,7 +34,7 @@
 			if earlier {
 				peer = earlierPeer{has}
 			}
-			p.fetchNewer(context.Background(), servePeer(t, peer), 2)
+			p.fetchNewer(context.Background(), member{Address: servePeer(t, peer)}, 2)
 			assert.DeepEqual(t, p.config.Load().raw, document)
 			assert.Equal(t, p.config.Load().revision, int64(7))
 			out, err := peer.CellConfig(context.Background(), &ccpeer.CellConfigRequest{Deflate: true})
@@ -60,8 +60,8 @@
 	p := newFollower(t, nil)
 	p.cfg.ConfigSource = &numberSource{}
 	began := time.Now()
-	p.fetchNewer(context.Background(), l.Addr().String(), 2)
+	p.fetchNewer(context.Background(), member{Address: l.Addr().String()}, 2)
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
-	p.fetchNewer(context.Background(), servePeer(t, &versionPeer{version: 2}), 2)
+	p.fetchNewer(context.Background(), member{Address: servePeer(t, &versionPeer{version: 2})}, 2)
 	assert.Equal(t, p.configVersion(), int64(2))
 }
