Fetches that fail one after the other don't hold a document for good

The store's answer is not read while a peer sends the document; peers that accept the fetch and stall, one after the other, would keep a process from reading it at all. Change: two seconds after its begin a document is read beside a fetch.

--- a/io/cccontrol/transfer.go
+++ b/io/cccontrol/transfer.go
@@ -14,7 +14,8 @@
 // each process that watches. So a process whose watch begins to return a large document leaves the rest of it at the store
 // for a time that grows with the time that the rest would take, and asks its peers meanwhile. Those with the fastest way to
 // the store read first, and the others get it from a peer, compressed. If no peer has it in time, the process reads on.
-// A process receives from one source at a time, and a transfer fails only when nothing arrives any more.
+// A process receives from one source at a time, as long as that makes progress, and a transfer fails only when nothing
+// arrives any more.
 
 const (
 	// maxHoldMs is the longest time for which a process leaves a document at the store.
@@ -23,6 +24,9 @@
 	// holdAskNear peers of the own region and holdAskFar others.
 	holdAskIntervalMs       = ms(100)
 	holdAskNear, holdAskFar = 2, 1
+	// maxPauseMs is the time from the begin of a document from which it is read beside a fetch from a peer, so that fetches
+	// which fail one after the other don't keep the process from reading it.
+	maxPauseMs = ms(2000)
 	// holdPollMs is the interval at which a held document looks whether it was fetched.
 	holdPollMs = ms(10)
 	// farFetchDelayMs bounds the random delay before a document is fetched from another region, so that the processes of a
@@ -63,7 +67,7 @@
 		if p.configVersion() > r.version {
 			return ErrDeclined
 		}
-		if !p.fetchingConfig.Load() {
+		if !p.fetchingConfig.Load() || now-r.beganAt >= maxPauseMs {
 			if r.askedAt == 0 || now-r.askedAt >= holdAskIntervalMs {
 				r.askedAt = now
 				p.askNearby(r.ctx)
