--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -56,7 +56,7 @@
 mutant capacity-is-not-held core/ccledger/pool.go 'e.free = e.free.Minus(c.Size)' '' ./core/ccjob "$jobs"
 cell="-run=TestCellModel|TestFirstPolls|TestWorkersAre|TestTickets|TestRoster|TestAdopted|TestLostAdvice|TestFailures|TestNoOrders|TestPollsBefore|TestPollReplies|TestFailureCounts -rapid.checks=4000 -rapid.shrinktime=1s -rapid.nofailfile"
 cells=core/cccell
-mutant leader-needs-no-authority $cells/place.go 'if now < c.authorityUntil {' 'if true {' ./$cells "$cell"
+mutant leader-needs-no-authority $cells/place.go 'if now < c.authorityUntil &&' 'if' ./$cells "$cell"
 mutant handover-is-not-awaited $cells/cell.go 'handoverAt: now + cfg.PriorAuthorityMs,' 'handoverAt: now,' ./$cells "$cell"
 mutant reads-before-the-handover-count $cells/registry.go 'c.needsFreshPoll(w) && now < w.priorLeasesEndAt' '!w.admitted && now < w.priorLeasesEndAt' ./$cells "$cell"
 mutant lease-of-a-renewal-is-forgotten $cells/polls.go 'w.leaseUntil = max(w.leaseUntil, o.LeaseUntilMs)' '' ./$cells "$cell"
@@ -65,6 +65,11 @@
 mutant older-list-is-believed $cells/replies.go 'if r.ClockMs < w.listsClock {' 'if false {' ./$cells "$cell"
 mutant failure-counts-twice $cells/ends.go 'if slices.Contains(s.failures[i], a.number) {' 'if slices.Contains(s.failures[i], a.number) && false {' ./$cells "$cell"
 mutant adopted-jobs-do-not-wait $cells/place.go 'if s.job.adopted && !handedOver {' 'if false {' ./$cells "$cell"
+mutant registrations-after-an-outage-are-not-awaited io/cccontrol/watches.go 'now-back >= directoryWaitMs {' 'true {' ./io/cccontrol "-run=TestStartsAfterAnOutage"
+same="-run=TestCellModelSameID -rapid.checks=8000 -rapid.shrinktime=1s -rapid.nofailfile"
+mutant ends-named-while-in-doubt $cells/polls.go '|| w.startInDoubt()' '' ./$cells "$same"
+mutant start-of-the-next-process-is-lost $cells/replies.go 'case a.incarnation == r.IncarnationMs:' 'case false:' ./$cells "$same"
+mutant lease-of-the-next-process-is-forgotten $cells/replies.go 'w.leaseUntil = r.ClockMs + int64' 'w.leaseUntil = 0 * int64' ./$cells "$same"
 mutant emptied-though-not-read $cells/registry.go '&& !c.needsFreshPoll(w) && len(w.attempts) == 0' '&& len(w.attempts) == 0' ./$cells "$cell"
 mutant early-completions-forgotten $cells/early.go 'j := c.jobs[id]
 		if j == nil || j.final == Completed {' 'j := c.jobs[id]
--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -69,6 +69,7 @@
 		{cellPkg, "TestCellModel", 9, true},
 		{cellPkg, "TestCellModelResizes", 10, true},
 		{cellPkg, "TestCellModelLearns", 9, true},
+		{cellPkg, "TestCellModelSameID", 9, true},
 		{quorumPkg, "TestOneLeaderActs", 6, true},
 		{soakPkg, "TestSoak", 10, false},
 	}},
