Whether a reply may be an earlier process's is asked of the worker

Cause: maybeEarlier was a method of the cell that used nothing of it. No change of behaviour: go vet, staticcheck and the tests of replies and TestCellModelSameID passed.

--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -26,7 +26,7 @@
 		case r.Outcome == Executed:
 			a.confirmedClock = r.ClockMs
 		}
-		if !c.maybeEarlier(w, &o.OrderHeader, &r) {
+		if !w.maybeEarlier(&o.OrderHeader, &r) {
 			c.recordNewer(w, &r, now)
 			w.recordReply(&r)
 		}
@@ -131,7 +131,7 @@
 	a := o.attempt
 	a.stopInFlight = false
 	switch {
-	case r.Outcome == Executed && c.maybeEarlier(a.worker, &o.OrderHeader, &r):
+	case r.Outcome == Executed && a.worker.maybeEarlier(&o.OrderHeader, &r):
 		// The start may still reach the present incarnation.
 	case r.Outcome == Executed:
 		c.recordNewer(a.worker, &r, now)
@@ -236,7 +236,7 @@
 
 // maybeEarlier reports whether the reply to an order may come from an earlier incarnation than the present one. On the
 // platform, only polls are known to have replies that name the incarnation.
-func (c *Cell) maybeEarlier(w *worker, h *OrderHeader, r *Reply) bool {
+func (w *worker) maybeEarlier(h *OrderHeader, r *Reply) bool {
 	return w.outlived(r) || (r.IncarnationMs == 0 && h.IncarnationMs < w.incarnation && r.Sent < w.incarnationAt)
 }
 
