--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the revisions from which
-// the submissions and the directory are to be watched.
+// load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the
+// revisions from which the submissions and the directory are to be watched.
 func (l *leadership) load() (submissionsRev, directoryRev int64, err error) {
 	p := l.p
 	ctx, cancel := context.WithTimeout(l.ctx, 5*time.Second)
