--- a/core/cccell/late_test.go
+++ b/core/cccell/late_test.go
@@ -81,3 +81,100 @@
 	assert.Assert(t, c.workers["w1"].usable(now))
 	assert.Equal(t, poll(20, false), int64(0))
 }
+
+// A worker without attempts was not polled any more after a late reply, so that it got no tasks for the rest of the term.
+func TestIdleWorkerRecoversFromLateReply(t *testing.T) {
+	tests := map[string]struct {
+		delay ms
+		lost  bool // Whether the poll had timed out when the reply came.
+	}{
+		"InTime":            {delay: 20},
+		"JustLate":          {delay: 800, lost: true},
+		"Late":              {delay: 3000, lost: true},
+		"LateBeforeTimeout": {delay: 800}, // The process was suspended: its timer has not fired yet.
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(1, 1000)
+			c.SetHandover(1000, 1000)
+			c.ExtendAuthority(1 << 40)
+			c.SetWorker(testWorker("w1"), 1000)
+			c.Schedule(1000, 1000)
+			polls := c.TakeOrders().Polls
+			assert.Equal(t, len(polls), 1)
+			now := 1000 + test.delay
+			r := Reply{Outcome: Executed, ClockMs: 1010, IncarnationMs: 1000, Sent: 1000, Received: now}
+			if test.lost {
+				c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
+				c.OnLateReply(&polls[0], r, &TaskLists{}, now)
+			} else {
+				c.OnPollReply(&polls[0], r, &TaskLists{}, now)
+			}
+			c.AddJob(testJob("j", 1), now, now)
+			for deadline := now + 2000; now < deadline && c.jobs["j"].liveAttempts == 0; now += 40 {
+				pollAll(t, c, now, nil)
+			}
+			assert.Equal(t, c.jobs["j"].liveAttempts, 1)
+		})
+	}
+}
+
+// The clock of a machine was set back before its worker started again, so that the present incarnation has a lower number.
+// A late reply of the earlier one must not end what runs.
+func TestLateReplyOfEarlierIncarnationWithHigherNumber(t *testing.T) {
+	c := readyCell(t, testWorker("w1"))
+	c.AddJob(testJob("j", 1), 1100, 1100)
+	w := c.workers["w1"]
+	header := OrderHeader{WorkerID: "w1", IncarnationMs: 1000}
+	late := &PollOrder{OrderHeader: header, worker: w}
+	c.OnPollReply(late, Reply{Outcome: ReplyLost, Sent: 1110, Received: 1810}, &TaskLists{}, 1810)
+	c.OnPollReply(&PollOrder{OrderHeader: header, worker: w}, Reply{Outcome: Executed, ClockMs: 50, IncarnationMs: 900, Sent: 2000, Received: 2002}, &TaskLists{}, 2002)
+	var starts []StartOrder
+	for now := ms(2030); now < 2500 && len(starts) == 0; now += 40 {
+		c.Schedule(now, now)
+		orders := c.TakeOrders()
+		for i := range orders.Polls {
+			c.OnPollReply(&orders.Polls[i], Reply{Outcome: Executed, ClockMs: int64(now) - 1950, IncarnationMs: 900, Sent: now, Received: now + 2}, &TaskLists{}, now+2)
+		}
+		starts = orders.Starts
+	}
+	assert.Equal(t, len(starts), 1)
+	c.OnStartReply(&starts[0], Reply{Outcome: Executed, ClockMs: 552, IncarnationMs: 900, Sent: 2500, Received: 2502}, 2502)
+	assert.Equal(t, len(w.attempts), 1)
+	c.OnLateReply(late, Reply{Outcome: Executed, ClockMs: 1112, IncarnationMs: 1000, Sent: 1110, Received: 2600}, &TaskLists{}, 2600)
+	assert.Equal(t, w.incarnation, int64(900))
+	assert.Equal(t, len(w.attempts), 1)
+}
+
+// A reply that is older than a failed poll withdrew the crash that its worker was suspected of, which may have come after it.
+func TestLateReplyOlderThanFailureKeepsSuspicion(t *testing.T) {
+	tests := map[string]struct {
+		failed    ms // When a later poll was sent that has failed, 0 for none.
+		suspected bool
+	}{
+		"Newest":           {suspected: false},
+		"OtherFailedSince": {failed: 2300, suspected: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w1"))
+			c.AddJob(testJob("j", 1), 1100, 1100)
+			starts := runStarts(c, 1110)
+			assert.Equal(t, len(starts), 1)
+			c.Schedule(1200, 1200)
+			polls := c.TakeOrders().Polls
+			assert.Equal(t, len(polls), 1)
+			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1200, Received: 1900}, &TaskLists{}, 1900)
+			assert.Equal(t, len(c.suspects["w1:1"]), 1)
+			if test.failed != 0 {
+				c.Schedule(test.failed, test.failed)
+				later := c.TakeOrders().Polls
+				assert.Equal(t, len(later), 1)
+				c.OnPollReply(&later[0], Reply{Outcome: Unsent, Sent: test.failed, Received: test.failed}, &TaskLists{}, test.failed)
+			}
+			lists := &TaskLists{Running: []RunningTask{{Task: starts[0].Task, Attempt: starts[0].Attempt}}}
+			c.OnLateReply(&polls[0], Reply{Outcome: Executed, ClockMs: 1210, IncarnationMs: 1000, Sent: 1200, Received: 2700}, lists, 2700)
+			assert.Equal(t, len(c.suspects["w1:1"]) == 1, test.suspected)
+		})
+	}
+}
