A worker without attempts is polled until its replies are in time again

What callers would see: a worker whose reply was late once, while it ran nothing, got no tasks for the rest of the leader's term. A leader whose VM is slow for a second while it reads the workers, or which reads those of a region over a full link, lost all of them. Cause: replyDelayMs changes with replies to polls only, and workers that run nothing and have no end to forget are not polled. Ruled out: to forget the delay after a time (the next start would be in doubt again); long polls (each would take a second).

--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -50,6 +50,12 @@
 	return w.replyDelayMs >= lateReplyMs
 }
 
+// probed reports whether a worker has to be polled, although it has no attempts, to learn whether its replies are in time
+// again.
+func (w *worker) probed() bool {
+	return len(w.attempts) == 0 && w.repliesLate()
+}
+
 // extraTimeoutMs returns the time by which the timeout of a poll is extended.
 func (w *worker) extraTimeoutMs() int64 {
 	if !w.repliesLate() {
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -17,8 +17,8 @@
 	// adopted job starts before every worker was read.
 	quickPollIntervalMs ms  = 30
 	maxQuickPolls       int = 5
-	// maxFirstPolls bounds the concurrent first polls, those of workers for which needsFreshPoll is true. A poll costs
-	// about 0.3 ms of processor time; thousands at once would delay the replies to peers and callers by a second.
+	// maxFirstPolls bounds the concurrent first polls, those of workers for which needsFreshPoll or probed is true. A poll
+	// costs about 0.3 ms of processor time; thousands at once would delay the replies to peers and callers by a second.
 	maxFirstPolls = 256
 	// stopRetryIntervalMs is the interval between two stops of one attempt.
 	stopRetryIntervalMs ms = 400
@@ -34,7 +34,7 @@
 func (c *Cell) schedulePolls(now ms) {
 	firstPolls := 0
 	for _, w := range c.workers {
-		if w.pollInFlight && c.needsFreshPoll(w) {
+		if w.pollInFlight && (c.needsFreshPoll(w) || w.probed()) {
 			firstPolls++
 		}
 	}
@@ -43,7 +43,7 @@
 		if !urgent && (w.pollInFlight || now-w.pollDoneAt < minPollIntervalMs || !c.pollDue(w, now)) {
 			continue
 		}
-		if c.needsFreshPoll(w) && !urgent {
+		if (c.needsFreshPoll(w) || w.probed()) && !urgent {
 			if firstPolls == maxFirstPolls {
 				continue
 			}
@@ -84,7 +84,7 @@
 	switch {
 	case now < c.handoverAt:
 		return min(longPollTimeoutMs, int64(c.handoverAt-now))
-	case c.needsFreshPoll(w):
+	case c.needsFreshPoll(w), w.probed():
 		return 0
 	case w.slowdown.current(now) > stragglerFactor || w.trialJob() != "":
 		return slowWorkerPollTimeoutMs
@@ -139,7 +139,7 @@
 	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
 		return since >= unackedPollIntervalMs || w.stopConfirmedDuringPoll()
 	}
-	return len(w.attempts) > 0 || w.ackedEnd > w.confirmedAck
+	return len(w.attempts) > 0 || w.ackedEnd > w.confirmedAck || (w.probed() && since >= silentPollIntervalMs)
 }
 
 // scheduleStops orders the stops that are due.
