A late reply of an earlier incarnation with a higher number is dropped

What callers would see: tasks that run are started again after a worker, whose machine's clock was set back, has restarted. Cause: outlived takes a reply with a higher number for a restart, which is right for replies that come one after the other. A late reply can come after several newer ones: the leader then believed that the worker had gone back to its earlier process, and took the attempts of the present one for lost. Ruled out: to change outlived for polls in time, of which one is in flight (a restart would be found by the second poll only). Change: a late reply that was sent before the present incarnation was known counts only if it is of that incarnation. Before and after: TestLateReplyOfEarlierIncarnationWithHigherNumber failed, and passes.

--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -20,9 +20,12 @@
 	if r.Reason == Fenced {
 		c.depose(w)
 	}
-	if r.Outcome != Executed || c.workers[w.info.ID] != w || w.outlived(&r) {
+	if r.Outcome != Executed || c.workers[w.info.ID] != w {
 		return
 	}
+	if r.IncarnationMs != 0 && r.IncarnationMs != w.incarnation && r.Sent < w.incarnationAt {
+		return // Of an earlier incarnation, whose number may be higher, or of a later one, which the next poll finds.
+	}
 	c.cfg.Log("late reply", "Worker", w.info.ID, "AfterMs", r.Received-r.Sent, "Running", len(lists.Running), "Ended", len(lists.Ended))
 	if r.IncarnationMs != 0 && w.incarnation != r.IncarnationMs {
 		c.handleRestart(w, &r, now)
