A reply older than a failed poll withdraws no suspicion of a crash

What callers would see: a task that crashes its workers is started more often than allowed before it is given up. Cause: readLists withdrew the crashes that the worker was suspected of also for a late reply which does not make it count as heard, since it may have crashed after it had sent that reply. When the worker's next process is found, nothing is left to be confirmed. Change: they are withdrawn only where the worker counts as heard; otherwise by its next reply. Before and after: TestLateReplyOlderThanFailureKeepsSuspicion/OtherFailedSince failed, and passes; the tests of crashes pass.

--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -37,6 +37,7 @@
 	case r.Sent >= w.failedPollSentAt: // Else the worker may have crashed since.
 		c.logHeard(w, now)
 		w.silentSince = 0
+		c.withdrawCrashes(w)
 	}
 	c.readLists(o, &r, lists, now)
 }
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -189,6 +189,7 @@
 	w.recordReply(&r)
 	w.recordDelay(o, &r)
 	w.failedPolls = 0
+	c.withdrawCrashes(w)
 	c.readLists(o, &r, lists, now)
 }
 
@@ -202,7 +203,6 @@
 // readLists handles the lists in a reply to a poll.
 func (c *Cell) readLists(o *PollOrder, r *Reply, lists *TaskLists, now ms) {
 	w := o.worker
-	c.withdrawCrashes(w)
 	w.confirmedAck = max(w.confirmedAck, o.AckedEnd)
 	w.answeredPollSentAt = max(w.answeredPollSentAt, r.Sent)
 	for i := range lists.Ended {
