--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -20,9 +20,12 @@
 	if r.Reason == Fenced {
 		c.depose(w)
 	}
-	if r.Outcome != Executed || c.workers[w.info.ID] != w || w.outlived(&r) {
+	if r.Outcome != Executed || c.workers[w.info.ID] != w {
 		return
 	}
+	if r.IncarnationMs != 0 && r.IncarnationMs != w.incarnation && r.Sent < w.incarnationAt {
+		return // Of an earlier incarnation, whose number may be higher, or of a later one, which the next poll finds.
+	}
 	c.cfg.Log("late reply", "Worker", w.info.ID, "AfterMs", r.Received-r.Sent, "Running", len(lists.Running), "Ended", len(lists.Ended))
 	if r.IncarnationMs != 0 && w.incarnation != r.IncarnationMs {
 		c.handleRestart(w, &r, now)
@@ -34,6 +37,7 @@
 	case r.Sent >= w.failedPollSentAt: // Else the worker may have crashed since.
 		c.logHeard(w, now)
 		w.silentSince = 0
+		c.withdrawCrashes(w)
 	}
 	c.readLists(o, &r, lists, now)
 }
@@ -50,6 +54,12 @@
 	return w.replyDelayMs >= lateReplyMs
 }
 
+// probed reports whether a worker has to be polled, although it has no attempts, to learn whether its replies are in time
+// again.
+func (w *worker) probed() bool {
+	return len(w.attempts) == 0 && w.repliesLate()
+}
+
 // extraTimeoutMs returns the time by which the timeout of a poll is extended.
 func (w *worker) extraTimeoutMs() int64 {
 	if !w.repliesLate() {
