--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -374,3 +374,30 @@
 	runRound(c, 7900)
 	assert.Equal(t, len(w.attempts), 0)
 }
+
+// A worker was found to have started again while a start was on its way. The start did not reach it, and a crash under the
+// task counted all the same: a task with two other crashes was given up.
+func TestStartThatDidNotHappenIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		reply   Reply
+		crashes int
+	}{
+		"Unsent":           {reply: Reply{Outcome: Unsent, Sent: 1110, Received: 1130}},
+		"OtherIncarnation": {reply: Reply{Outcome: Refused, Reason: OtherIncarnation, Sent: 1110, Received: 1130}},
+		"InDoubt":          {reply: Reply{Outcome: ReplyLost, Sent: 1110, Received: 1130}, crashes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w1"))
+			c.AddJob(testJob("j", 1), 1100, 1100)
+			c.Schedule(1110, 1110)
+			starts := c.TakeOrders().Starts
+			assert.Equal(t, len(starts), 1)
+			s := c.stageOf(starts[0].Task)
+			restarted := Reply{Outcome: Executed, ClockMs: 5, IncarnationMs: 2000, Sent: 1115, Received: 1120}
+			c.OnPollReply(&PollOrder{worker: c.workers["w1"]}, restarted, &TaskLists{}, 1120)
+			c.OnStartReply(&starts[0], test.reply, 1130)
+			assert.Equal(t, len(s.crashes[0]), test.crashes)
+		})
+	}
+}
