A start that did not reach its worker is no crash under its task

What callers would see: a job that is given up as one that crashes workers, while fewer workers have crashed under it. Cause: when a worker is found to have started again, its attempts are suspected, also those whose starts are on their way. If such a start is then refused or could not be sent, the attempt is removed, and its crash stayed and counted towards three. Ruled out: to suspect only confirmed attempts (a task that crashes its worker at once is never confirmed). Change: the crash of an attempt whose start is known not to have happened is removed. A start in doubt keeps it. Before and after: TestStartThatDidNotHappenIsNoCrash failed in two of three cases, and passes.

--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -70,6 +70,10 @@
 func (c *Cell) startRefused(a *attempt, r Reply, now ms) {
 	w, s := a.worker, a.stage
 	w.removeAttempt(a)
+	if s.crash(a.task.Index, a.number) != nil { // Recorded for a restart of the worker that was found meanwhile.
+		s.removeCrash(a.task.Index, a.number)
+		c.markDirty(s.job)
+	}
 	c.cfg.Log("start refused", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "Outcome", r.Outcome, "Reason", r.Reason)
 	switch r.Reason {
 	case Fenced:
