The timeout of a poll is handled before its late reply

What callers saw: a worker whose replies come just after the timeout counted as silent each time, so that its leases were not renewed. Change: the late reply waits until the timeout is posted.

--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -313,6 +313,18 @@
 	}()
 }
 
+// poll makes a poll. The event loop gets the outcome, and then the reply if that is late.
+func (l *leadership) poll(o *cccell.PollOrder) {
+	posted := make(chan struct{})
+	defer close(posted)
+	r, lists := l.p.cfg.Workers.Poll(l.ctx, o, func(r cccell.Reply, lists *cccell.TaskLists) {
+		<-posted
+		l.post(func(now ms) { l.cell.OnLateReply(o, r, lists, now) })
+	})
+	l.p.cfg.Metrics.observeCall("look", r) // "look" is the metric label of polls.
+	l.post(func(now ms) { l.cell.OnPollReply(o, r, lists, now) })
+}
+
 // sendOrders publishes the state changes, and sends the orders to the workers and to the policy service.
 func (l *leadership) sendOrders(o cccell.Orders, now ms) {
 	p := l.p
@@ -329,13 +341,7 @@
 	}
 	for i := range o.Polls {
 		s := &o.Polls[i]
-		var lists *cccell.TaskLists
-		l.callWorker("look", func() (r cccell.Reply) { // "look" is the metric label of polls.
-			r, lists = p.cfg.Workers.Poll(l.ctx, s, func(r cccell.Reply, lists *cccell.TaskLists) {
-				l.post(func(now ms) { l.cell.OnLateReply(s, r, lists, now) })
-			})
-			return r
-		}, func(r cccell.Reply, now ms) { l.cell.OnPollReply(s, r, lists, now) })
+		go l.poll(s)
 	}
 	l.dispatcher.dispatch(o.AdviceRequests, now)
 }
