A first reply that is late does not make a worker heard that failed since

Cause: the branch for a worker without a known clock took the reply for one in time. Change: the clock is taken, and the worker counts as heard under the same condition as others. Before and after: TestFirstReplyIsLate/OtherFailedSince failed, and passes.

--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -31,10 +31,10 @@
 		c.handleRestart(w, &r, now)
 	}
 	w.recordDelay(o, &r)
-	switch {
-	case w.clockAt == 0:
-		w.recordReply(&r)
-	case r.Sent >= w.failedPollSentAt: // Else the worker may have crashed since.
+	if w.clockAt == 0 {
+		w.clock, w.clockAt = r.ClockMs, r.Received
+	}
+	if r.Sent >= w.failedPollSentAt { // Else the worker may have crashed since.
 		c.logHeard(w, now)
 		w.silentSince = 0
 		c.withdrawCrashes(w)
--- a/core/cccell/late_test.go
+++ b/core/cccell/late_test.go
@@ -178,3 +178,27 @@
 		})
 	}
 }
+
+// A new leader's first reply of a worker was late, and older than a poll that had failed; the worker counted as heard.
+func TestFirstReplyIsLate(t *testing.T) {
+	for name, failed := range map[string]bool{"NoneFailedSince": false, "OtherFailedSince": true} {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetWorker(testWorker("w1"), 1000)
+			c.Schedule(1000, 1000)
+			polls := c.TakeOrders().Polls
+			assert.Equal(t, len(polls), 1)
+			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
+			if failed {
+				c.Schedule(1400, 1400)
+				next := c.TakeOrders().Polls
+				assert.Equal(t, len(next), 1)
+				c.OnPollReply(&next[0], Reply{Outcome: Unsent, Sent: 1400, Received: 1401}, &TaskLists{}, 1401)
+			}
+			c.OnLateReply(&polls[0], Reply{Outcome: Executed, ClockMs: 1010, IncarnationMs: 1000, Sent: 1000, Received: 1900}, &TaskLists{}, 1900)
+			w := c.workers["w1"]
+			assert.Equal(t, w.silentSince != 0, failed)
+			assert.Assert(t, w.clockAt != 0)
+		})
+	}
+}
