--- a/core/cccell/late.go
+++ b/core/cccell/late.go
@@ -6,8 +6,8 @@
 // needed, and the worker gets no tasks until its replies are in time again.
 
 const (
-	// lateReplyMs is the time from which a reply to a poll is late.
-	lateReplyMs ms = 700
+	// PollTimeoutMs is the time, beyond what a poll allows for, from which its reply is late.
+	PollTimeoutMs ms = 700
 	// maxReplyDelayMs bounds the delay for which the timeout of polls is extended.
 	maxReplyDelayMs ms = 2000
 	// replyDelayMargin is the ratio of the extension of a timeout to the delay that was observed.
@@ -51,7 +51,7 @@
 
 // repliesLate reports whether replies of a worker to polls have been late. A start would remain in doubt.
 func (w *worker) repliesLate() bool {
-	return w.replyDelayMs >= lateReplyMs
+	return w.replyDelayMs >= PollTimeoutMs
 }
 
 // probed reports whether a worker has to be polled, although it has no attempts, to learn whether its replies are in time
