A log line after the end of the log is dropped

What callers saw: nothing but a process that ended by a panic, 'send on closed channel', in place of its planned end. Cause: a caller's request may outlast the grace period, and its handler logs after the log was closed. Ruled out: to wait for the handlers (the grace period is over). Change: Close no longer closes the channel of the lines; what comes after it counts as dropped.

--- a/io/cclog/bounded.go
+++ b/io/cclog/bounded.go
@@ -13,7 +13,8 @@
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed by Close, done when the buffered lines are written after that.
+	closing, done chan struct{}
 }
 
 // asyncBufferLines is the capacity of the buffer in lines, about one second of the log of a busy leader.
@@ -21,19 +22,40 @@
 
 // NewAsyncWriter returns a writer that passes its lines to out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{lines: make(chan []byte, asyncBufferLines), done: make(chan struct{})}
-	go func() {
-		defer close(w.done)
-		for line := range w.lines {
-			// The error is ignored: there is no other place to report that the log can't be written.
+	w := &AsyncWriter{lines: make(chan []byte, asyncBufferLines), closing: make(chan struct{}), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// run writes the lines to out until Close, and then those that are buffered. Errors are ignored: there is no other place to
+// report that the log can't be written.
+func (w *AsyncWriter) run(out io.Writer) {
+	defer close(w.done)
+	for {
+		select {
+		case line := <-w.lines:
 			_, _ = out.Write(line)
+		case <-w.closing:
+			for {
+				select {
+				case line := <-w.lines:
+					_, _ = out.Write(line)
+				default:
+					return
+				}
+			}
 		}
-	}()
-	return w
+	}
 }
 
-// Write implements io.Writer. It copies the line and reports success even if the line is dropped.
+// Write implements io.Writer. It copies the line and reports success even if the line is dropped, as lines after Close are.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case <-w.closing:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -47,9 +69,9 @@
 	return w.dropped.Swap(0)
 }
 
-// Close writes the buffered lines. Write must not be called after it.
+// Close writes the buffered lines.
 func (w *AsyncWriter) Close() {
-	close(w.lines)
+	close(w.closing)
 	<-w.done
 }
 
--- a/io/cclog/bounded_test.go
+++ b/io/cclog/bounded_test.go
@@ -1,6 +1,8 @@
 package cclog
 
 import (
+	"strings"
+	"sync"
 	"testing"
 
 	"coriandercross/core/ccclock"
@@ -56,3 +58,29 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, suppressed, int64(5000-burstLines))
 }
+
+// A caller's request outlasted the end of the process, and its log line ended the process with a panic (soak, seed 96015).
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	for name, before := range map[string]int{"Empty": 0, "Buffered": 3} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			w := NewAsyncWriter(&out)
+			for range before {
+				_, err := w.Write([]byte("line\n"))
+				assert.NilError(t, err)
+			}
+			var late sync.WaitGroup
+			late.Add(1)
+			go func() { // Beside Close and after it.
+				defer late.Done()
+				for range 1000 {
+					_, err := w.Write([]byte("late\n"))
+					assert.Check(t, err)
+				}
+			}()
+			w.Close()
+			late.Wait()
+			assert.Equal(t, strings.Count(out.String(), "line"), before)
+		})
+	}
+}
