--- a/core/cccell/late_test.go
+++ b/core/cccell/late_test.go
@@ -26,19 +26,15 @@
 			starts := runStarts(c, 1110)
 			assert.Equal(t, len(starts), 1)
 			c.OnStartReply(&starts[0], executedReply(1112), 1112)
-			c.Schedule(1200, 1200)
-			polls := c.TakeOrders().Polls
-			assert.Equal(t, len(polls), 1)
-			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1200, Received: 1900}, &TaskLists{}, 1900)
+			poll := schedulePoll(t, c, 1200)
+			c.OnPollReply(&poll, Reply{Outcome: ReplyLost, Sent: 1200, Received: 1900}, &TaskLists{}, 1900)
 			w := c.workers["w1"]
 			assert.Assert(t, w.silentSince != 0)
 			if test.failed != 0 {
-				c.Schedule(test.failed, test.failed)
-				polls := c.TakeOrders().Polls
-				assert.Equal(t, len(polls), 1)
-				c.OnPollReply(&polls[0], Reply{Outcome: Unsent, Sent: test.failed, Received: test.failed}, &TaskLists{}, test.failed)
+				later := schedulePoll(t, c, test.failed)
+				c.OnPollReply(&later, Reply{Outcome: Unsent, Sent: test.failed, Received: test.failed}, &TaskLists{}, test.failed)
 			}
-			c.OnLateReply(&polls[0], test.reply, doneList(starts), 2700)
+			c.OnLateReply(&poll, test.reply, doneList(starts), 2700)
 			assert.Equal(t, c.jobs["j"].final == Completed, test.done)
 			assert.Equal(t, w.silentSince != 0, test.silent)
 			assert.Equal(t, w.failedPolls > 0, true)
@@ -53,19 +49,17 @@
 	poll := func(delay ms, late bool) int64 {
 		t.Helper()
 		now += 500
-		c.Schedule(now, now)
-		polls := c.TakeOrders().Polls
-		assert.Equal(t, len(polls), 1)
+		o := schedulePoll(t, c, now)
 		sent := now
-		now += ms(polls[0].WaitMs) + delay
+		now += ms(o.WaitMs) + delay
 		r := Reply{Outcome: Executed, ClockMs: int64(now), IncarnationMs: 1000, Sent: sent, Received: now}
 		if late {
-			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: sent, Received: now}, &TaskLists{}, now)
-			c.OnLateReply(&polls[0], r, &TaskLists{}, now)
+			c.OnPollReply(&o, Reply{Outcome: ReplyLost, Sent: sent, Received: now}, &TaskLists{}, now)
+			c.OnLateReply(&o, r, &TaskLists{}, now)
 		} else {
-			c.OnPollReply(&polls[0], r, &TaskLists{}, now)
+			c.OnPollReply(&o, r, &TaskLists{}, now)
 		}
-		return polls[0].ExtraMs
+		return o.ExtraMs
 	}
 	c.AddJob(testJob("j", 1), now, now)
 	starts := runStarts(c, now+10)
@@ -99,16 +93,14 @@
 			c.SetHandover(1000, 1000)
 			c.ExtendAuthority(1 << 40)
 			c.SetWorker(testWorker("w1"), 1000)
-			c.Schedule(1000, 1000)
-			polls := c.TakeOrders().Polls
-			assert.Equal(t, len(polls), 1)
+			poll := schedulePoll(t, c, 1000)
 			now := 1000 + test.delay
 			r := Reply{Outcome: Executed, ClockMs: 1010, IncarnationMs: 1000, Sent: 1000, Received: now}
 			if test.lost {
-				c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
-				c.OnLateReply(&polls[0], r, &TaskLists{}, now)
+				c.OnPollReply(&poll, Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
+				c.OnLateReply(&poll, r, &TaskLists{}, now)
 			} else {
-				c.OnPollReply(&polls[0], r, &TaskLists{}, now)
+				c.OnPollReply(&poll, r, &TaskLists{}, now)
 			}
 			c.AddJob(testJob("j", 1), now, now)
 			for deadline := now + 2000; now < deadline && c.jobs["j"].liveAttempts == 0; now += 40 {
@@ -161,19 +153,15 @@
 			c.AddJob(testJob("j", 1), 1100, 1100)
 			starts := runStarts(c, 1110)
 			assert.Equal(t, len(starts), 1)
-			c.Schedule(1200, 1200)
-			polls := c.TakeOrders().Polls
-			assert.Equal(t, len(polls), 1)
-			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1200, Received: 1900}, &TaskLists{}, 1900)
+			poll := schedulePoll(t, c, 1200)
+			c.OnPollReply(&poll, Reply{Outcome: ReplyLost, Sent: 1200, Received: 1900}, &TaskLists{}, 1900)
 			assert.Equal(t, len(c.suspects["w1:1"]), 1)
 			if test.failed != 0 {
-				c.Schedule(test.failed, test.failed)
-				later := c.TakeOrders().Polls
-				assert.Equal(t, len(later), 1)
-				c.OnPollReply(&later[0], Reply{Outcome: Unsent, Sent: test.failed, Received: test.failed}, &TaskLists{}, test.failed)
+				later := schedulePoll(t, c, test.failed)
+				c.OnPollReply(&later, Reply{Outcome: Unsent, Sent: test.failed, Received: test.failed}, &TaskLists{}, test.failed)
 			}
 			lists := &TaskLists{Running: []RunningTask{{Task: starts[0].Task, Attempt: starts[0].Attempt}}}
-			c.OnLateReply(&polls[0], Reply{Outcome: Executed, ClockMs: 1210, IncarnationMs: 1000, Sent: 1200, Received: 2700}, lists, 2700)
+			c.OnLateReply(&poll, Reply{Outcome: Executed, ClockMs: 1210, IncarnationMs: 1000, Sent: 1200, Received: 2700}, lists, 2700)
 			assert.Equal(t, len(c.suspects["w1:1"]) == 1, test.suspected)
 		})
 	}
@@ -185,20 +173,25 @@
 		t.Run(name, func(t *testing.T) {
 			c := testCell(2, 1000)
 			c.SetWorker(testWorker("w1"), 1000)
-			c.Schedule(1000, 1000)
-			polls := c.TakeOrders().Polls
-			assert.Equal(t, len(polls), 1)
-			c.OnPollReply(&polls[0], Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
+			poll := schedulePoll(t, c, 1000)
+			c.OnPollReply(&poll, Reply{Outcome: ReplyLost, Sent: 1000, Received: 1300}, &TaskLists{}, 1300)
 			if failed {
-				c.Schedule(1400, 1400)
-				next := c.TakeOrders().Polls
-				assert.Equal(t, len(next), 1)
-				c.OnPollReply(&next[0], Reply{Outcome: Unsent, Sent: 1400, Received: 1401}, &TaskLists{}, 1401)
+				next := schedulePoll(t, c, 1400)
+				c.OnPollReply(&next, Reply{Outcome: Unsent, Sent: 1400, Received: 1401}, &TaskLists{}, 1401)
 			}
-			c.OnLateReply(&polls[0], Reply{Outcome: Executed, ClockMs: 1010, IncarnationMs: 1000, Sent: 1000, Received: 1900}, &TaskLists{}, 1900)
+			c.OnLateReply(&poll, Reply{Outcome: Executed, ClockMs: 1010, IncarnationMs: 1000, Sent: 1000, Received: 1900}, &TaskLists{}, 1900)
 			w := c.workers["w1"]
 			assert.Equal(t, w.silentSince != 0, failed)
 			assert.Assert(t, w.clockAt != 0)
 		})
 	}
 }
+
+// schedulePoll plans a round at now, in ms, and returns the poll that it orders, which must be the only one.
+func schedulePoll(t *testing.T, c *Cell, now ms) PollOrder {
+	t.Helper()
+	c.Schedule(now, now)
+	polls := c.TakeOrders().Polls
+	assert.Equal(t, len(polls), 1)
+	return polls[0]
+}
