A job is shown as completed only when the store has it

Cause: completions were published once a majority of the voters had them in memory. Ruled out: a start before the lists of the remaining workers are read, and ends acknowledged before they are stored: both would repeat tasks without a lost worker, and none are. Change: a final state is published when the store has it. Conclusion: callers hear of completions after an outage, and nothing that was told is taken back.

--- a/_scripts/ablate.sh
+++ b/_scripts/ablate.sh
@@ -27,8 +27,6 @@
 cell=core/cccell
 off none README.md '#' '#'
 off unstored-starts deploy/system.toml 'coriandercross entry' 'coriandercross entry --store-before-start'
-off quick-early-completions $cell/early.go 'min(after, maxEarlyAfterMs)' 'maxEarlyAfterMs'
-off early-completions $cell/early.go '!j.early && !j.unstored' 'false && !j.unstored'
 off drained-roster $cell/registry.go 'w.priorLeasesEndAt = now' '_ = now'
 off await-configuration io/cccontrol/configuration.go 'p.config.Load() == nil && p.now' 'false && p.now'
 off holds $cell/place.go 'c.holdWorkers(s, now)' ''
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -63,17 +63,11 @@
 	// scheduled holds the jobs with scheduled runs that are not due yet.
 	scheduled map[*job]struct{}
 	// dirty holds the jobs with changes that NextWrites has not returned yet, oldest change first.
-	dirty   []*job
-	inDirty map[*job]bool
-	// unwritten holds the completed jobs whose final states are not written; see UnwrittenCompletions. earlyCount is the
-	// number of those that were returned.
-	unwritten    map[*job]struct{}
-	earlyCount   int
+	dirty        []*job
+	inDirty      map[*job]bool
 	orders       Orders
 	attemptCount int64
 	deposed      bool
-	// earlyAfterMs is the age from which UnwrittenCompletions returns a job.
-	earlyAfterMs ms
 	// orphansSeen is true once a worker has listed a task of an unknown job: a prior leader has run jobs that were not
 	// stored.
 	orphansSeen bool
@@ -89,9 +83,6 @@
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
 	// jobs and start tasks.
 	handoverAt ms
-	// informedAt is the time from which the early completions of the prior leaders are known; see AdoptCompletions. No
-	// task of an adopted job starts before it.
-	informedAt ms
 	// initialPollDone is true once every worker was admitted or is silent.
 	initialPollDone bool
 	// roundAt is the time of the current round, or of the last one.
@@ -145,8 +136,8 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, unwritten: map[*job]struct{}{}, suspects: map[string][]suspect{},
-		unknownJobs: map[string]*unknownJob{}, startedAt: now, earlyAfterMs: maxEarlyAfterMs,
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{},
+		unknownJobs: map[string]*unknownJob{}, startedAt: now,
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
@@ -174,10 +165,8 @@
 	return c.authorityUntil
 }
 
-// SetHandover sets the time at which the authority of the prior leaders ends, and that from which their early
-// completions are known. A later end of the authority than that known is ignored.
-func (c *Cell) SetHandover(at, informedAt ms) {
-	c.informedAt = informedAt
+// SetHandover sets the time at which the authority of the prior leaders ends. A later time than that known is ignored.
+func (c *Cell) SetHandover(at ms) {
 	if at >= c.handoverAt {
 		return
 	}
@@ -413,10 +402,7 @@
 	if j.final != "" {
 		return
 	}
-	j.final, j.decidedAt = state, now
-	if state == Completed {
-		c.unwritten[j] = struct{}{}
-	}
+	j.final = state
 	delete(c.scheduled, j)
 	for _, r := range j.runs {
 		for _, s := range r.stages {
@@ -492,7 +478,7 @@
 		c.forgetSuspects(address)
 	}
 	for id, j := range c.jobs {
-		if _, unwritten := c.unwritten[j]; !unwritten && j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
+		if j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
 			delete(c.jobs, id)
 		}
 	}
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -77,10 +77,6 @@
 type StateChange struct {
 	Job   string `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
-	// Early tells the processes to remember that the job has completed, before the completion is published; State is
-	// Running then. Written tells them that they need not remember it any longer.
-	Early   bool `cbor:"3,keyasint,omitempty"`
-	Written bool `cbor:"4,keyasint,omitempty"`
 	// Team is the name of the team that submitted the job. Between processes, only the first change of a job in a term
 	// carries it.
 	Team string `cbor:"5,keyasint,omitempty"`
--- a/core/cccell/persist.go
+++ b/core/cccell/persist.go
@@ -79,14 +79,6 @@
 		j := p.job
 		j.revision = revision
 		j.persisted = max(j.persisted, p.version)
-		if p.Progress.State.Final() {
-			delete(c.unwritten, j)
-			if j.early {
-				j.early = false
-				c.earlyCount--
-				c.orders.Changes = append(c.orders.Changes, StateChange{Job: p.Job, State: Completed, Written: true})
-			}
-		}
 		if p.Progress.State.Final() && j.published == "" {
 			j.published = p.Progress.State
 			c.publishState(j)
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -116,7 +116,7 @@
 // is known or its lease has ended. Until handoverAt the prior leader can start tasks on a worker that has seen no token
 // of this leader: on a new worker, or on one that has just restarted.
 func (c *Cell) handoverComplete(now ms) bool {
-	if now < c.handoverAt || now < c.informedAt {
+	if now < c.handoverAt {
 		return false
 	}
 	for _, w := range c.workers {
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -21,12 +21,8 @@
 	nextRun int
 	// final is the final state as decided, or empty. It is published once it is persisted.
 	final State
-	// published is the final state as published to callers, or empty. It is persisted, or a majority of the voters knows
-	// it.
+	// published is the final state as published to callers, or empty. It is persisted.
 	published State
-	// decidedAt is when final was set. early is true once UnwrittenCompletions has returned the job.
-	decidedAt ms
-	early     bool
 	// started is true once a task was started.
 	started bool
 	// revision is the store revision of the progress record, 0 when there is none.
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -97,7 +97,6 @@
 	c.unstoredCount--
 	// Nothing of it is written, so that nothing has to be awaited before its ends are acknowledged.
 	j.published, j.persisted = Cancelled, j.version
-	delete(c.unwritten, j)
 	delete(c.inDirty, j)
 	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
 }
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -28,9 +28,6 @@
 	// MaxWithoutStoreAllMs is the same bound while all voters confirm the leader. A successor that reaches none of the
 	// voters waits that long: an outage of the store may last for an hour.
 	MaxWithoutStoreAllMs ms = 3_600_000
-	// voterReplyMs is the time for which a new leader waits for the reports of the voters when the prior leader is known
-	// to have ended. Those that run reply within a round trip between regions.
-	voterReplyMs ms = 250
 )
 
 // Voter is a process that can confirm a leader.
@@ -119,22 +116,6 @@
 	return until
 }
 
-// Majority reports whether a majority of each set of voters, the leader included, fulfils a condition.
-func (t *Term) Majority(fulfils func(Voter) bool) bool {
-	for _, voters := range t.voterSets {
-		n := 0
-		for _, v := range voters {
-			if v == t.self || fulfils(v) {
-				n++
-			}
-		}
-		if len(voters) < MinVoters || n < majority(voters) {
-			return false
-		}
-	}
-	return true
-}
-
 // confirmations returns the latest times at which a majority, and all, of each set of voters followed the leader, 0 for
 // never. The leader itself always follows.
 func (t *Term) confirmations() (majorityAt, allAt ms) {
@@ -172,7 +153,6 @@
 	wonAt       ms
 	released    map[Voter]bool
 	endsAt      ms
-	informedAt  ms
 }
 
 // NewHandover returns the handover to a leader that won the leader record at a time. voters are those of the record that
@@ -180,7 +160,6 @@
 // which a leader of these voters may act after a confirmation.
 func NewHandover(voters []Voter, settled bool, priorAuthorityMs, wonAt ms) *Handover {
 	h := &Handover{voters: voters, settled: settled, authorityMs: priorAuthorityMs, wonAt: wonAt, released: map[Voter]bool{}, endsAt: wonAt + MaxWithoutStoreAllMs + priorAuthorityMs}
-	h.informedAt = h.endsAt
 	if len(voters) < MinVoters {
 		h.endsAt = wonAt + priorAuthorityMs // Only the store has confirmed the prior leader.
 	}
@@ -209,12 +188,10 @@
 	}
 	if len(h.released) > 0 {
 		// From now on, the prior leader has no confirmation by all voters.
-		at := max(h.wonAt+MaxWithoutStoreMs, now) + h.authorityMs
-		h.endsAt, h.informedAt = min(h.endsAt, at), min(h.informedAt, at)
+		h.endsAt = min(h.endsAt, max(h.wonAt+MaxWithoutStoreMs, now)+h.authorityMs)
 	}
 	if len(h.released) >= blocking(h.voters) {
 		h.endsAt = min(h.endsAt, now+h.authorityMs)
-		h.informedAt = min(h.informedAt, now)
 	}
 }
 
@@ -223,7 +200,6 @@
 func (h *Handover) PriorLeaderEnded(now ms) {
 	if h.settled {
 		h.endsAt = min(h.endsAt, now)
-		h.informedAt = min(h.informedAt, now+voterReplyMs)
 	}
 }
 
@@ -232,12 +208,3 @@
 func (h *Handover) EndsAt() ms {
 	return h.endsAt
 }
-
-// InformedAt returns the time from which the voters have reported what they know of the prior leaders, as far as they can
-// be reached. It becomes earlier when so many have replied that the others are no majority.
-func (h *Handover) InformedAt() ms {
-	if len(h.voters) < MinVoters {
-		return h.endsAt
-	}
-	return h.informedAt
-}
--- a/core/ccworkersim/checker.go
+++ b/core/ccworkersim/checker.go
@@ -153,3 +153,8 @@
 func (c *Checker) Started(t cccell.TaskID) bool {
 	return len(c.startedAt[t]) > 0
 }
+
+// StartCount returns the number of attempts at a task that were started.
+func (c *Checker) StartCount(t cccell.TaskID) int {
+	return len(c.startedAt[t])
+}
--- a/io/cccontrol/advice.go
+++ b/io/cccontrol/advice.go
@@ -39,10 +39,9 @@
 	// repliedAt is the time of the last reply to the peer, or of the peer's first call if there was no reply yet.
 	repliedAt ms
 	// voter is the process that runs on the VM, empty until it follows this leader. confirmedAt is the time of the last
-	// reply that it has received while it followed this leader, and seq its position in the changes of job states.
+	// reply that it has received while it followed this leader.
 	voter       ccquorum.Voter
 	confirmedAt ms
-	seq         int64
 	// slowTenths is SyncRequest.SlowTenths of the peer's last call.
 	slowTenths int64
 	reports    ccsuccession.Reports
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -6,7 +6,6 @@
 	"strings"
 	"syscall"
 
-	"coriandercross/core/ccadmit"
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccquorum"
 	"coriandercross/io/ccstore"
@@ -91,7 +90,6 @@
 		case refused:
 			l.handover.Ended(ccquorum.Voter{VM: m.VM, StartMs: m.StartMs}, at)
 		case out.Token >= l.token:
-			l.cell.AdoptCompletions(out.Completed, at)
 			l.handover.Follows(ccquorum.Voter{VM: out.VM, StartMs: out.StartMs}, at)
 		}
 		if m.Address == prior.Address {
@@ -99,7 +97,7 @@
 			p.cfg.Log.Info("leader before has ended", "Leader", prior.VM, "Token", prior.Token, "Refused", refused)
 			l.handover.PriorLeaderEnded(at)
 		}
-		l.cell.SetHandover(l.handover.EndsAt(), l.handover.InformedAt())
+		l.cell.SetHandover(l.handover.EndsAt())
 	})
 	return true
 }
@@ -116,7 +114,7 @@
 	l.dispatcher.forEachVoter(func(v ccquorum.Voter, confirmedAt ms) {
 		l.quorum.Confirm(v, confirmedAt)
 	})
-	l.cell.SetHandover(l.handover.EndsAt(), l.handover.InformedAt())
+	l.cell.SetHandover(l.handover.EndsAt())
 	l.cell.ExtendAuthority(l.quorum.Authority())
 	l.logAuthority(now)
 	if l.cell.Authority()-now > confirmAheadMs || l.confirming {
@@ -143,7 +141,7 @@
 // logAuthority logs the end of the handover, and each loss and return of the authority.
 func (l *leadership) logAuthority(now ms) {
 	p := l.p
-	if now >= max(l.handover.EndsAt(), l.handover.InformedAt()) && !l.handedOver.Swap(true) {
+	if now >= max(l.handover.EndsAt()) && !l.handedOver.Swap(true) {
 		p.cfg.Log.Info("handover complete", "Token", l.token, "TookMs", now-l.beganAt, "Voters", len(l.record.Voters))
 	}
 	if has := now < l.cell.Authority(); has != l.hadAuthority {
@@ -258,47 +256,12 @@
 	return out
 }
 
-// earlyBatch holds jobs whose early completion is sent to the peers, with the position after it.
-type earlyBatch struct {
-	seq  int64
-	jobs []string
-}
-
-// publishEarly sends the completions that are not written in time to the peers, and publishes those that a majority of
-// the voters has.
-func (l *leadership) publishEarly(now ms) {
-	l.cell.SetEarlyAfter(flushIntervalMs + ccadmit.BeginAfter(l.p.cfg.Store.UsualWriteMs()))
-	if jobs := l.cell.UnwrittenCompletions(now); len(jobs) > 0 {
-		l.early = append(l.early, earlyBatch{l.p.stateCache.rememberEarly(jobs, now), jobs})
-	}
-	for len(l.early) > 0 && l.quorum.Majority(func(v ccquorum.Voter) bool { return l.dispatcher.position(v) >= l.early[0].seq }) {
-		l.cell.PublishCompletions(l.early[0].jobs, now)
-		l.early = l.early[1:]
-	}
-}
-
-// position returns the position up to which a voter that follows this leader has the changes of job states.
-func (d *adviceDispatcher) position(v ccquorum.Voter) int64 {
-	d.mu.Lock()
-	s := d.peers[v.VM]
-	d.mu.Unlock()
-	if s == nil {
-		return 0
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.voter != v {
-		return 0
-	}
-	return s.seq
-}
-
 // confirm records a call of a process that follows this leader. receivedMs is the time of the last reply that it has
-// received as a follower of this leader, 0 for none; seq is the position up to which it has the changes of this term.
-func (s *peerState) confirm(v ccquorum.Voter, receivedMs ms, seq int64) {
+// received as a follower of this leader, 0 for none.
+func (s *peerState) confirm(v ccquorum.Voter, receivedMs ms) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.voter, s.confirmedAt, s.seq = v, receivedMs, seq
+	s.voter, s.confirmedAt = v, receivedMs
 }
 
 // forEachVoter calls do with each process that has called this leader as its follower.
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -377,7 +377,7 @@
 func (p *Process) Announce(_ context.Context, in *ccpeer.AnnounceRequest) (*ccpeer.AnnounceReply, error) {
 	p.observeLeader(leaderRecord{VM: in.VM, Address: in.Address, StartMs: in.StartMs, Token: in.Token, Demoted: in.Demoted, revision: in.Revision}, "announcement")
 	leader, _ := p.currentLeader()
-	return &ccpeer.AnnounceReply{VM: p.cfg.VM, StartMs: p.cfg.StartMs, Token: leader.Token, Completed: p.stateCache.completions(nil)}, nil
+	return &ccpeer.AnnounceReply{VM: p.cfg.VM, StartMs: p.cfg.StartMs, Token: leader.Token}, nil
 }
 
 // LeaderContact implements ccpeer.CellHandler: it returns the age of the leader's last reply to this process.
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -84,8 +84,6 @@
 	configVersion int64
 	// confirming is true while the leader record is read from the store.
 	confirming bool
-	// early holds the early completions that a majority of the voters may not have, oldest first.
-	early []earlyBatch
 	// lag is that of the event loop, and resignation decides whether this leader hands over because it is slow.
 	lag         ccsuccession.Lag
 	resignation ccsuccession.Resignation
@@ -161,7 +159,6 @@
 			return
 		}
 	}
-	l.cell.AdoptCompletions(p.stateCache.completions(l.cell.States()), p.now())
 	l.cell.AdoptExcess(p.stateCache.excessJobs())
 	p.stateCache.beginTerm(r.Token, l.cell.States(), p.now()) // Before peers can sync: Sync replies from this cache.
 	p.mu.Lock()
@@ -280,7 +277,6 @@
 	l.updateConfig()
 	l.cell.HoldStarts(l.awaitsDirectory(now))
 	l.cell.Schedule(now, unixNow())
-	l.publishEarly(now)
 	l.sendOrders(l.cell.TakeOrders(), now)
 	l.flush(now)
 	l.writeRoster(now)
--- a/io/cccontrol/members.go
+++ b/io/cccontrol/members.go
@@ -32,7 +32,7 @@
 	var renewedAt, polledAt ms
 	for {
 		now, lost := p.now(), p.cfg.Store.Lost()
-		p.stateCache.expire(p.cfg.FinalRetentionMs, now, lost)
+		p.stateCache.expire(p.cfg.FinalRetentionMs, now)
 		if !lost && (lease == 0 || now-renewedAt >= memberRenewIntervalMs) {
 			lease = p.renewMembership(ctx, lease)
 			if lease != 0 {
--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -25,9 +25,6 @@
 	teams map[string]jobTeam
 	// finalAt holds the time at which the final state of a job became known to this process.
 	finalAt map[string]ms
-	// early holds the jobs that have completed but may not be written yet, with the time at which this became known. The
-	// next leader needs them.
-	early map[string]ms
 	// excess holds the jobs that have not ended and are beyond the budgets of their teams. The next leader needs them.
 	excess map[string]bool
 	// recent holds the changes with the numbers seq-len(recent)+1 to seq.
@@ -53,7 +50,7 @@
 
 func newStateCache() *stateCache {
 	return &stateCache{
-		states: map[string]cccell.State{}, teams: map[string]jobTeam{}, finalAt: map[string]ms{}, early: map[string]ms{}, excess: map[string]bool{},
+		states: map[string]cccell.State{}, teams: map[string]jobTeam{}, finalAt: map[string]ms{}, excess: map[string]bool{},
 		changed: make(chan struct{}),
 	}
 }
@@ -109,20 +106,12 @@
 	sc.broadcast()
 }
 
-// setState sets the state of a job, and reports whether it changed. A final state never changes. An early completion is
-// only remembered. The caller holds mu.
+// setState sets the state of a job, and reports whether it changed. A final state never changes. The caller
+// holds mu.
 func (sc *stateCache) setState(c cccell.StateChange, now ms) bool {
 	if c.Team != "" && sc.teams[c.Job].name == "" {
 		sc.teams[c.Job] = jobTeam{name: c.Team}
 	}
-	switch {
-	case c.Early:
-		sc.early[c.Job] = now
-		return true
-	case c.Written:
-		delete(sc.early, c.Job)
-		return true
-	}
 	old := sc.states[c.Job]
 	if old.Final() {
 		return false
@@ -209,37 +198,9 @@
 	for job, s := range sc.states {
 		changes = append(changes, cccell.StateChange{Job: job, State: s, Team: sc.teams[job].name, Excess: sc.excess[job]})
 	}
-	for job := range sc.early {
-		changes = append(changes, cccell.StateChange{Job: job, State: cccell.Running, Early: true})
-	}
 	return sc.seq, true, changes, sc.changed
 }
 
-// rememberEarly sends early completions to the peers, and returns the position after them.
-func (sc *stateCache) rememberEarly(jobs []string, now ms) int64 {
-	changes := make([]cccell.StateChange, 0, len(jobs))
-	for _, id := range jobs {
-		changes = append(changes, cccell.StateChange{Job: id, State: cccell.Running, Early: true})
-	}
-	sc.apply(changes, now)
-	_, seq := sc.position()
-	return seq
-}
-
-// completions returns the jobs that are known to have completed, of which the store may have no record: the early
-// completions, and those of the given jobs that were published as completed.
-func (sc *stateCache) completions(jobs []cccell.StateChange) []string {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	out := slices.Collect(maps.Keys(sc.early))
-	for i := range jobs {
-		if id := jobs[i].Job; sc.states[id] == cccell.Completed && !jobs[i].State.Final() {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // excessJobs returns the jobs that a leader has found to be beyond the budgets of their teams, and that have not ended.
 func (sc *stateCache) excessJobs() []string {
 	sc.mu.Lock()
@@ -247,16 +208,10 @@
 	return slices.Collect(maps.Keys(sc.excess))
 }
 
-// expire removes final states that are older than retention. They can still be read from the store. It also removes the
-// early completions of that age unless the store is lost.
-func (sc *stateCache) expire(retention, now ms, storeLost bool) {
+// expire removes final states that are older than retention. They can still be read from the store.
+func (sc *stateCache) expire(retention, now ms) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	for job, at := range sc.early {
-		if !storeLost && now-at > retention {
-			delete(sc.early, job)
-		}
-	}
 	for job, at := range sc.finalAt {
 		if now-at > retention {
 			delete(sc.finalAt, job)
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -31,11 +31,7 @@
 	peer := l.dispatcher.peer(in.VM, in.Draining)
 	l.dispatcher.recordSlowness(peer, in.SlowTenths)
 	if in.Following == l.token {
-		seq := in.Seq
-		if in.Token != l.token {
-			seq = 0 // The position is of an earlier term.
-		}
-		peer.confirm(ccquorum.Voter{VM: in.VM, StartMs: in.StartMs}, ms(in.ReceivedMs), seq)
+		peer.confirm(ccquorum.Voter{VM: in.VM, StartMs: in.StartMs}, ms(in.ReceivedMs))
 	}
 	members := p.memberCount()
 	heartbeat := heartbeatMs(members)
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -189,8 +189,6 @@
 	StartMs int64  `cbor:"3,keyasint,omitempty"`
 	// Token is that of the leader which the receiver follows after the announcement.
 	Token int64 `cbor:"4,keyasint,omitempty"`
-	// Completed are the jobs that the receiver knows to have completed, of which the store may have no record.
-	Completed []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Check implements Message.
