A job that is cancelled before it is stored is never stored

Ruled out: a cancellation that is lost at a change of the leader (there was none), and a late start of the worker: the second stage is placed seconds after the answer, and no `cancellation accepted` is logged. Change: the cancellation writes a record under the key and the condition of the submission. If it wins, the submission conflicts with it and the job is dropped, by the leader at once; if the submission wins, the job is cancelled like a stored one. A later submission of the ID is refused, or unknown if a leader may have begun it. The record does not keep another team from its job of the same ID. Conclusion: 410 to a cancellation is true. Each cancellation of an unknown ID costs a write and leaves a record.

--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -24,6 +24,9 @@
 	// Owner is the owner of the job, nil if it belongs to no team or has not ended: the submission, which has the owner as
 	// well, is removed when the job ends.
 	Owner *Owner `cbor:"4,keyasint,omitempty"`
+	// Withdrawn is true for a job that was cancelled before its submission was stored. The submission is then never stored,
+	// and callers read that there is no such job. State is Cancelled, and Owner that of the caller who cancelled.
+	Withdrawn bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RunProgress is the progress of one run.
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -101,6 +101,13 @@
 	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
 }
 
+// Withdraw drops an unstored job of a team that was cancelled: its submission will not be stored.
+func (c *Cell) Withdraw(id, team string, now ms) {
+	if j := c.jobs[id]; j != nil && j.spec.Team == team {
+		c.DropUnstored(id, now)
+	}
+}
+
 // unknown reports whether a job is neither in the cell nor known to have ended.
 func (c *Cell) unknown(id string) bool {
 	return c.jobs[id] == nil && (c.cfg.Ended == nil || !c.cfg.Ended(id))
--- a/core/cccell/unstored_test.go
+++ b/core/cccell/unstored_test.go
@@ -15,6 +15,27 @@
 	return l
 }
 
+// An unstored job that its team has cancelled is dropped and its tasks are stopped; that of another team runs on.
+func TestWithdrawnJobIsStopped(t *testing.T) {
+	for name, test := range map[string]struct {
+		team string
+		want bool
+	}{"SameTeam": {"", true}, "OtherTeam": {"other", false}} {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w1"))
+			assert.Assert(t, c.AddUnstored(testJob("j", 2), false, 1100, 1100))
+			starts := runStarts(c, 1110)
+			assert.Equal(t, len(starts), 2)
+			c.Withdraw("j", test.team, 1200)
+			c.Withdraw("unknown", test.team, 1200)
+			out := runRound(c, 1210)
+			assert.Equal(t, len(out.Stops) > 0, test.want)
+			assert.Equal(t, c.UnstoredCount() == 0, test.want)
+			assert.Equal(t, len(c.NextWrites(31, 1300)), 0)
+		})
+	}
+}
+
 // A job that is not stored yet runs, but callers and the store learn nothing of it, and its worker goes on listing the
 // ends of its tasks. Once it is stored, all of that follows.
 func TestUnstoredJobRunsUnseen(t *testing.T) {
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -136,6 +136,9 @@
 			if !p.checkOwner(caller, j.ID, &stored.owner) {
 				return ErrOtherTeam
 			}
+			if stored.withdrawn {
+				return refuseWithdrawn(s)
+			}
 			return nil // The job was accepted before: it has ended, or the leader has it.
 		}
 		if errors.Is(err, ccstore.ErrInDoubt) || s.Answer() == ccadmit.Unknown {
@@ -196,6 +199,8 @@
 	state cccell.State
 	// owner is the zero value if the job belongs to no team. That of a job that has not ended is set only if asked for.
 	owner cccell.Owner
+	// withdrawn is cccell.Progress.Withdrawn.
+	withdrawn bool
 }
 
 // readState reads the state of a job from the store, and also its owner if withOwner is set. It fails with ErrNoJob,
@@ -237,8 +242,8 @@
 	return j.Owner(), nil
 }
 
-// readProgress reads the state of a job from its progress record. It fails with ErrNoKey if there is none, and with
-// ErrStateUnknown or ErrBadRecord.
+// readProgress reads the state of a job from its progress record. It fails with ErrNoKey if there is none, with ErrNoJob if the
+// job was withdrawn, and with ErrStateUnknown or ErrBadRecord.
 func (p *Process) readProgress(ctx context.Context, id string) (storedState, error) {
 	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
 	if errors.Is(err, ErrNoKey) {
@@ -247,7 +252,11 @@
 	if err != nil {
 		return storedState{}, errors.Mark(err, ErrStateUnknown)
 	}
-	return decodeState(&item)
+	state, err := decodeState(&item)
+	if err == nil && state.withdrawn {
+		return storedState{}, ErrNoJob
+	}
+	return state, err
 }
 
 // decodeState decodes the state of a job in its progress record, and the owner if the job has ended. It fails with
@@ -257,7 +266,7 @@
 	if err := decode(item.Key, item.Value, &pr); err != nil {
 		return storedState{}, err
 	}
-	out := storedState{state: cccell.Running}
+	out := storedState{state: cccell.Running, withdrawn: pr.Withdrawn}
 	if pr.State.Final() {
 		out.state = pr.State
 	}
@@ -268,8 +277,8 @@
 }
 
 // Cancel cancels a job: it returns nil once the request to cancel is in the store, or if the job has ended. It fails
-// with ErrNoJob, also for a job that the caller may not access, with ErrBadRecord, or with ErrStateUnknown if the
-// request may not be in the store.
+// with ErrNoJob for a job that is not stored and never will be, also for one that the caller may not access, with
+// ErrBadRecord, or with ErrStateUnknown if the request may not be in the store.
 func (p *Process) Cancel(ctx context.Context, caller Caller, id string) error {
 	s, team, known := p.stateCache.job(id)
 	if known {
@@ -281,6 +290,12 @@
 		}
 	} else {
 		stored, err := p.readState(ctx, id, caller.keys != nil)
+		if errors.Is(err, ErrNoJob) {
+			if err = p.withdraw(ctx, &caller, id); !errors.Is(err, errStoredMeanwhile) {
+				return err
+			}
+			stored, err = p.readState(ctx, id, caller.keys != nil)
+		}
 		if err != nil {
 			return err
 		}
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
-		if pr.State.Final() {
+		if pr.State.Final() && !pr.Withdrawn {
 			var team string
 			if pr.Owner != nil {
 				team = pr.Owner.Team
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -46,6 +46,7 @@
 	jobs          []*cccell.Job
 	begun         []string // The IDs of those jobs that a leader may have run before they were stored.
 	cancels       []string
+	withdrawn     []ccpeer.Withdrawal
 	adviceReplies []cccell.AdviceReply
 }
 
@@ -119,12 +120,12 @@
 		out := n.outbox
 		n.outbox = outbox{}
 		n.mu.Unlock()
-		if len(out.jobs)+len(out.cancels)+len(out.adviceReplies) == 0 {
+		if len(out.jobs)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
-		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Begun: out.begun, Cancels: out.cancels, AdviceReplies: out.adviceReplies}
+		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Begun: out.begun, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
 		if !n.deliver(ctx, in) {
-			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Answers", len(in.AdviceReplies))
+			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Withdrawn", len(in.Withdrawn), "Answers", len(in.AdviceReplies))
 		}
 	}
 }
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -45,6 +45,8 @@
 		return errors.Mark(errors.Wrapf(ccstore.ErrInDoubt, "through %s", leader.VM), ccstore.ErrInDoubt)
 	case out.Outcome == ccwork.NotRun:
 		return errors.Wrapf(ccstore.ErrUnavailable, "through %s", leader.VM)
+	case out.Withdrawn:
+		return &alreadyStored{owner: cccell.Owner{Team: in.Job.Team}, ended: true, withdrawn: true}
 	case out.Owner != nil:
 		return &alreadyStored{owner: *out.Owner}
 	}
@@ -69,7 +71,7 @@
 	case err == nil:
 		return &ccpeer.RelayWriteReply{Outcome: ccwork.Ran}, nil
 	case errors.As(err, &stored):
-		out := &ccpeer.RelayWriteReply{Outcome: ccwork.Ran}
+		out := &ccpeer.RelayWriteReply{Outcome: ccwork.Ran, Withdrawn: stored.withdrawn}
 		if stored.owner.Team != in.Job.Team {
 			out.Owner = &stored.owner
 		}
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -28,6 +28,8 @@
 	deadline ms
 	// inDoubt is true once a write of the job has failed with an unknown outcome.
 	inDoubt bool
+	// replaces is the revision of a record by which another team has withdrawn a job of the same ID, 0 for none.
+	replaces int64
 	// persistent is true once a leader runs the job: it is then written, however long that takes.
 	persistent atomic.Bool
 	// done receives the result.
@@ -50,8 +52,8 @@
 type alreadyStored struct {
 	// owner is the owner of the stored job, the zero value if it belongs to no team.
 	owner cccell.Owner
-	// ended is true if the job has ended.
-	ended bool
+	// ended is true if the job has ended, withdrawn if its team has cancelled it before it was stored.
+	ended, withdrawn bool
 }
 
 // Error implements error.
@@ -110,13 +112,17 @@
 }
 
 // distinct returns the length of the longest prefix, up to limit, in which no two submissions have the same ID. Of two
-// such submissions, which may be of different teams, the second has to find the first in the store.
+// such submissions, which may be of different teams, the second has to find the first in the store. A submission that replaces
+// a record takes one row more, so it is written alone.
 func distinct(pending []*submission, limit int) int {
 	seen := map[string]bool{}
 	for i, sub := range pending {
-		if i == limit || seen[sub.job.ID] {
+		if i == limit || seen[sub.job.ID] || (sub.replaces != 0 && i > 0) {
 			return i
 		}
+		if sub.replaces != 0 {
+			return 1
+		}
 		seen[sub.job.ID] = true
 	}
 	return len(pending)
@@ -126,7 +132,10 @@
 func (s *submitter) write(batch []*submission) []*submission {
 	t := &Txn{}
 	for _, sub := range batch {
-		t.If = append(t.If, Condition{Key: prefixJobs + sub.job.ID}, Condition{Key: prefixProgress + sub.job.ID})
+		t.If = append(t.If, Condition{Key: prefixJobs + sub.job.ID}, Condition{Key: prefixProgress + sub.job.ID, Revision: sub.replaces})
+		if sub.replaces != 0 {
+			t.Remove = append(t.Remove, prefixProgress+sub.job.ID)
+		}
 		t.Puts = append(t.Puts, Put{Key: prefixJobs + sub.job.ID, Value: sub.data})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
@@ -179,11 +188,15 @@
 			retry = append(retry, sub)
 			continue
 		}
-		owner, ended := s.storedOwner(job, progress)
-		if sub.inDoubt && owner.Team == sub.job.Team {
+		stored := s.storedOwner(job, progress)
+		switch sameTeam := stored.owner.Team == sub.job.Team; {
+		case stored.withdrawn && !sameTeam:
+			sub.replaces = progress.Revision
+			retry = append(retry, sub)
+		case sub.inDoubt && sameTeam && !stored.withdrawn:
 			sub.done <- nil // An earlier write of this submission was carried out.
-		} else {
-			sub.done <- &alreadyStored{owner, ended}
+		default:
+			sub.done <- stored
 		}
 	}
 	return retry
@@ -191,17 +204,18 @@
 
 // storedOwner returns the owner of a job whose submission or progress, or both, are in the store, and whether the job
 // has ended. Either may be nil.
-func (s *submitter) storedOwner(job, progress *Item) (owner cccell.Owner, ended bool) {
+func (s *submitter) storedOwner(job, progress *Item) *alreadyStored {
+	var out alreadyStored
 	var err error
 	if job != nil {
-		owner, err = jobOwner(job)
+		out.owner, err = jobOwner(job)
 	} else {
 		var state storedState
 		state, err = decodeState(progress)
-		owner, ended = state.owner, state.state.Final()
+		out = alreadyStored{state.owner, state.state.Final(), state.withdrawn}
 	}
 	if err != nil {
 		s.p.cfg.Log.Error("owner of a stored job can't be decoded", "Error", err)
 	}
-	return owner, ended
+	return &out
 }
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -98,6 +98,9 @@
 		for _, id := range in.Cancels {
 			l.cell.Cancel(id, now)
 		}
+		for _, w := range in.Withdrawn {
+			l.cell.Withdraw(w.Job, w.Team, now)
+		}
 		for i := range in.AdviceReplies {
 			l.dispatcher.complete(in.VM, &in.AdviceReplies[i], now)
 		}
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -114,6 +114,14 @@
 	AdviceReplies []cccell.AdviceReply `cbor:"4,keyasint,omitempty"`
 	// Begun are the IDs of those Jobs that a leader may have run before they were written.
 	Begun []string `cbor:"5,keyasint,omitempty"`
+	// Withdrawn are jobs that were cancelled before they were stored. Earlier releases find that when they write them.
+	Withdrawn []Withdrawal `cbor:"6,keyasint,omitempty"`
+}
+
+// Withdrawal names a job that was cancelled before it was stored, and the team of the caller.
+type Withdrawal struct {
+	Job  string `cbor:"1,keyasint"`
+	Team string `cbor:"2,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -226,6 +234,8 @@
 	// Owner is the owner of the job that was in the store before, nil if there was none or it is of the same team. The
 	// sender decides whether the caller may repeat the submission.
 	Owner *cccell.Owner `cbor:"2,keyasint,omitempty"`
+	// Withdrawn is true if the job was cancelled before it was stored. It is not, and won't be.
+	Withdrawn bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Check implements Message.
