Workers that register after the handover don't hold up adopted jobs

Cause: the time at which the leases of prior leaders end at a worker was counted from when this leader learned of the worker. Ruled out: capacity, tickets and polls: new jobs start on the same workers meanwhile. Change: these leases end at a fixed time after the end of the prior leader's authority. Test: TestNewWorkersDoNotReopenTheHandover failed before; its second case checks that a worker that registers right after the handover is still awaited.

--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -6,8 +6,8 @@
 	if w == nil {
 		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}}
 		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
-		// end after that.
-		w.priorLeasesEndAt = max(now, c.handoverAt) + maxLeaseDuration(c.cfg.PriorLeaseMs)
+		// end after that. It gives none to a worker that registers later.
+		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
 		c.workers[info.ID] = w
 	} else if w.info.Capacity != info.Capacity {
 		c.cfg.Log("worker capacity changed", "Worker", info.ID, "Before", w.info.Capacity, "Capacity", info.Capacity, "Used", w.used, "Attempts", len(w.attempts))
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -208,6 +208,51 @@
 	}
 }
 
+// A worker that registered long after the handover, and went down before it was polled, held up every adopted job for the
+// length of a lease, and a worker that went down and up by turns all the time (review/5).
+func TestNewWorkersDoNotReopenTheHandover(t *testing.T) {
+	const handover, lease = ms(1000), ms(4500)
+	tests := map[string]struct {
+		registeredAt ms
+		want         bool // The second stage of the adopted job starts.
+	}{
+		"LongAfterTheHandover": {handover + lease + 5000, true},
+		// The prior leader may have started tasks there before this leader learned of the worker.
+		"RightAfterTheHandover": {handover + 10, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, handover)
+			c.SetHandover(handover)
+			c.SetWorker(testWorker("w"), handover)
+			job := testJob("j", 1)
+			job.Stages = append(job.Stages, Stage{Count: 1, Size: job.Stages[0].Size, EstimateMs: 500, After: []int{0}})
+			c.Adopt(StoredJob{Job: job}, handover, handover)
+			running := &TaskLists{Running: []RunningTask{{Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 1}}}
+			pollAll(t, c, handover+5, map[string]*TaskLists{"w": running})
+			now := test.registeredAt
+			c.ExtendAuthority(now + 1000)
+			c.SetWorker(testWorker("flapping"), now)
+			started := false
+			for ; now < test.registeredAt+500; now += 50 {
+				c.Schedule(now, now)
+				out := c.TakeOrders()
+				for i := range out.Starts {
+					started = started || out.Starts[i].Task.Stage == 1
+				}
+				for i := range out.Polls {
+					r, lists := executedReply(now+10), &TaskLists{Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 1, End: EndDone}}}
+					if out.Polls[i].WorkerID == "flapping" {
+						r, lists = Reply{Outcome: ReplyLost}, nil
+					}
+					c.OnPollReply(&out.Polls[i], r, lists, now+10)
+				}
+			}
+			assert.Equal(t, started, test.want)
+		})
+	}
+}
+
 // The prior leader was lost without notice. When its authority has ended, all workers are polled at once, so that
 // missing tasks start a round trip later. Seen on the test bench: adopted jobs started 2 s later, after two long polls
 // in sequence.
