Loading the state goes on as long as it makes progress

Cause: a new leader broke off all its reads 5 s after the first had begun, and began all of them again. A range of many pages counted as a reply of the store only at its end, so that such a leader was replaced as one that does not reach the store. Ruled out for these terms: a handover that waits for voters. Change: each read is bounded by its own progress and repeated by itself; the load ends when another leader is elected; each page counts as a reply. That a process behind a full link replaces a living leader is suspected, not fixed.

--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -110,6 +110,8 @@
 	writingRoster  bool
 	rosterRevision int64
 	priorRoster    ccquorum.Incarnations
+	// loaded holds what was read from the store until load has used it.
+	loaded loadedState
 	// workersCheckedAt is when the replies of the workers were last counted as confirmations.
 	workersCheckedAt ms
 	// storing holds the IDs of the jobs that storeBegun is writing.
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
@@ -11,50 +10,84 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the
-// revisions from which the submissions and the directory are to be watched.
-func (l *leadership) load() (submissionsRev, directoryRev int64, err error) {
-	p := l.p
-	ctx, cancel := context.WithTimeout(l.ctx, 5*time.Second)
-	defer cancel()
-	var workers []cccell.WorkerInfo
-	var submissions, progress, unknown []Item
-	var roster Item
-	// In parallel, since a slow store takes a fifth of a second for each reply.
+// loadedState is what a new leader reads from the store. Each read is repeated by itself until it succeeds, so that reads which
+// a narrow or a full link allows only one after the other all come to their end.
+type loadedState struct {
+	workers                        []cccell.WorkerInfo
+	submissions, progress, unknown []Item
+	roster                         Item
+	submissionsRev, directoryRev   int64
+	hasWorkers, hasRoster          bool
+	hasSubmissions, hasProgress    bool
+	hasUnknown                     bool
+}
+
+// read makes the reads that have not succeeded yet, in parallel, since a slow store takes a fifth of a second for each reply. A
+// call of the store is bounded by itself as long as it makes progress, so there is no bound for all of them.
+func (s *loadedState) read(ctx context.Context, p *Process) error {
 	var reads errgroup.Group
-	reads.Go(func() (err error) {
-		workers, _, directoryRev, err = p.cfg.Directory.List(ctx)
+	once := func(done *bool, read func() error) {
+		if *done {
+			return
+		}
+		reads.Go(func() error {
+			err := read()
+			*done = err == nil
+			return err
+		})
+	}
+	once(&s.hasWorkers, func() (err error) {
+		s.workers, _, s.directoryRev, err = p.cfg.Directory.List(ctx)
 		return err
 	})
-	reads.Go(func() (err error) {
-		submissions, submissionsRev, err = p.cfg.Store.Range(ctx, prefixSubmissions, false)
+	once(&s.hasSubmissions, func() (err error) {
+		s.submissions, s.submissionsRev, err = p.cfg.Store.Range(ctx, prefixSubmissions, false)
 		return err
 	})
-	reads.Go(func() (err error) {
-		progress, _, err = p.cfg.Store.Range(ctx, prefixProgress, false)
+	once(&s.hasProgress, func() (err error) {
+		s.progress, _, err = p.cfg.Store.Range(ctx, prefixProgress, false)
 		return err
 	})
-	reads.Go(func() (err error) {
-		unknown, _, err = p.cfg.Store.Range(ctx, prefixUnknown, false)
+	once(&s.hasUnknown, func() (err error) {
+		s.unknown, _, err = p.cfg.Store.Range(ctx, prefixUnknown, false)
 		return err
 	})
-	reads.Go(func() (err error) {
-		if roster, err = p.cfg.Store.Get(ctx, keyRoster); errors.Is(err, ErrNoKey) {
+	once(&s.hasRoster, func() (err error) {
+		if s.roster, err = p.cfg.Store.Get(ctx, keyRoster); errors.Is(err, ErrNoKey) {
 			err = nil
 		}
 		return err
 	})
-	if err := reads.Wait(); err != nil {
+	return reads.Wait()
+}
+
+// load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the
+// revisions from which the submissions and the directory are to be watched. It fails if a read has failed, and may then be
+// called again, or if another leader was elected.
+func (l *leadership) load() (submissionsRev, directoryRev int64, err error) {
+	p, s := l.p, &l.loaded
+	ctx, cancel := context.WithCancel(l.ctx)
+	defer cancel()
+	go func() {
+		for sleep(ctx, loadPollMs) {
+			if current, _ := p.currentLeader(); current.Token > l.token {
+				cancel()
+			}
+		}
+	}()
+	if err := s.read(ctx, p); err != nil {
 		return 0, 0, err
 	}
 	now := p.now()
-	for _, w := range workers {
+	for _, w := range s.workers {
 		l.cell.SetWorker(w, now)
 	}
-	l.adoptRoster(&roster, now)
+	l.adoptRoster(&s.roster, now)
 	l.updateConfig()
-	l.adoptJobs(submissions, progress, now)
-	l.adoptUnknownEnds(unknown, now)
+	l.adoptJobs(s.submissions, s.progress, now)
+	l.adoptUnknownEnds(s.unknown, now)
+	submissionsRev, directoryRev = s.submissionsRev, s.directoryRev
+	*s = loadedState{}
 	return submissionsRev, directoryRev, nil
 }
 
--- a/io/cccontrol/load_test.go
+++ b/io/cccontrol/load_test.go
@@ -5,12 +5,16 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccquota"
 	"coriandercross/core/ccwork"
+	"coriandercross/io/ccstore"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -142,3 +146,105 @@
 	assert.NilError(t, decode(prefixProgress+"j", store.items[prefixProgress+"j"], &pr))
 	assert.Equal(t, pr.State, cccell.Completed)
 }
+
+// failingReads is a store whose first reads of each kind fail or take long.
+type failingReads struct {
+	emptyStore
+	mu     sync.Mutex
+	fails  int
+	delay  time.Duration
+	ranges map[string]int
+}
+
+func (s *failingReads) Range(ctx context.Context, prefix string, stale bool) ([]Item, int64, error) {
+	s.mu.Lock()
+	s.ranges[prefix]++
+	fail := prefix == prefixProgress && s.ranges[prefix] <= s.fails
+	s.mu.Unlock()
+	if prefix == prefixProgress && !sleep(ctx, ms(s.delay.Milliseconds())) {
+		return nil, 0, ctx.Err()
+	}
+	if fail {
+		return nil, 0, errors.Mark(errors.New("no reply"), ccstore.ErrUnavailable)
+	}
+	return s.emptyStore.Range(ctx, prefix, stale)
+}
+
+// A new leader whose link was full broke off all its reads after five seconds and began again, so that it never led (incident
+// inc1 of razorez grown).
+func TestLoadComesToItsEnd(t *testing.T) {
+	tests := map[string]struct {
+		fails int
+		delay time.Duration
+		// replaced is true if another leader is elected meanwhile.
+		replaced bool
+		want     bool
+	}{
+		"RepeatsOnlyWhatFailed": {fails: 2, want: true},
+		"TakesLong":             {delay: 5200 * time.Millisecond, want: true},
+		"Replaced":              {delay: 5200 * time.Millisecond, replaced: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &failingReads{fails: test.fails, delay: test.delay, ranges: map[string]int{}}
+			p := newFollower(t, store)
+			p.cfg.Directory = fixedDirectory{}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l := &leadership{p: p, token: 2, ctx: ctx, cell: cccell.New(cccell.Config{Token: 2, LeaseMs: 3000, AuthorityMs: 1000}, 1000)}
+			if test.replaced {
+				time.AfterFunc(200*time.Millisecond, func() { p.observeLeader(leaderRecord{VM: "other", Token: 3}, "test") })
+			}
+			began := time.Now()
+			var err error
+			for range test.fails + 1 {
+				_, _, err = l.load()
+			}
+			assert.Equal(t, err == nil, test.want, "%v", err)
+			assert.Equal(t, store.ranges[prefixProgress], test.fails+1)
+			assert.Equal(t, store.ranges[prefixSubmissions], 1)
+			if test.replaced {
+				assert.Assert(t, time.Since(began) < time.Second, "the load went on for %s", time.Since(began))
+			}
+		})
+	}
+}
+
+// pagedStore returns a range in pages, some time after each other on the given clock, and records what page sees.
+type pagedStore struct {
+	Store
+	clock *steppedClock
+	page  func()
+}
+
+// steppedClock is a clock that a test advances.
+type steppedClock struct{ now ms }
+
+func (c *steppedClock) Now() ms { return c.now }
+
+const (
+	testPages     = 30
+	testPageDelay = ms(200)
+)
+
+func (s *pagedStore) Range(ctx context.Context, _ string, _ bool) ([]Item, int64, error) {
+	for range testPages {
+		s.clock.now += testPageDelay
+		s.page()
+		PageReceived(ctx)
+	}
+	return nil, 1, nil
+}
+
+// A leader that read many pages counted as one that does not reach the store, and was replaced.
+func TestEachPageShowsThatTheStoreIsReached(t *testing.T) {
+	clock := &steppedClock{now: 1000}
+	store := &pagedStore{clock: clock}
+	monitored := NewMonitoredStore(store, clock, nil)
+	var oldest int64
+	store.page = func() { oldest = max(oldest, monitored.AgeMs()) }
+	_, _, err := monitored.Range(context.Background(), "p", false)
+	assert.NilError(t, err)
+	assert.Equal(t, oldest, int64(testPageDelay))
+}
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -116,7 +116,8 @@
 
 // Range implements Store.
 func (t *MonitoredStore) Range(ctx context.Context, prefix string, stale bool) ([]Item, int64, error) {
-	items, rev, err := t.Store.Range(ctx, prefix, stale)
+	// Each page shows that the store is reached. A range of many pages takes seconds.
+	items, rev, err := t.Store.Range(withPageHook(ctx, func() { t.record(nil) }), prefix, stale)
 	t.record(err)
 	return items, rev, err
 }
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -30,6 +30,21 @@
 // given up and fails with that error.
 type ReplyGate func(ctx context.Context, received, size int64) error
 
+// pageHookKey is the key of a function in a context that is called for each page of a Range.
+type pageHookKey struct{}
+
+// withPageHook returns a context for calls of Store.Range that call hook for each page.
+func withPageHook(ctx context.Context, hook func()) context.Context {
+	return context.WithValue(ctx, pageHookKey{}, hook)
+}
+
+// PageReceived is called by a Store for each page of a Range, with the context of the call.
+func PageReceived(ctx context.Context) {
+	if hook, ok := ctx.Value(pageHookKey{}).(func()); ok {
+		hook()
+	}
+}
+
 // replyGateKey is the key of a ReplyGate in a context.
 type replyGateKey struct{}
 
