--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -32,7 +32,7 @@
 
 // schedulePolls orders the polls that are due.
 func (c *Cell) schedulePolls(now ms) {
-	firstPolls, idle := 0, c.idleNeeded()
+	firstPolls, idleNeeded := 0, c.idleNeeded()
 	for _, w := range c.workers {
 		if w.pollInFlight && (c.needsFreshPoll(w) || w.probed()) {
 			firstPolls++
@@ -40,7 +40,8 @@
 	}
 	for _, w := range c.workers {
 		urgent := w.pollInFlight && !w.urgentPollInFlight && w.stopConfirmedDuringPoll()
-		if !urgent && (w.pollInFlight || now-w.pollDoneAt < minPollIntervalMs || !(c.pollDue(w, now) || idle && now-w.pollDoneAt >= idlePollIntervalMs)) {
+		due := c.pollDue(w, now) || (idleNeeded && now-w.pollDoneAt >= idlePollIntervalMs)
+		if !urgent && (w.pollInFlight || now-w.pollDoneAt < minPollIntervalMs || !due) {
 			continue
 		}
 		if (c.needsFreshPoll(w) || w.probed()) && !urgent {
@@ -57,7 +58,7 @@
 			// the poll in flight, so after a failed poll the worker's incarnation has to be read first.
 			o.AckedEnd = 0
 		}
-		if w.admitted && w.silentSince == 0 && w.failedPolls == 0 && len(w.unackedEnds) == 0 && !withheld && !urgent && !(idle && len(w.attempts) == 0) {
+		if w.admitted && w.silentSince == 0 && w.failedPolls == 0 && len(w.unackedEnds) == 0 && !withheld && !urgent && (len(w.attempts) > 0 || !idleNeeded) {
 			o.WaitMs = c.longPollTimeout(w, now)
 		}
 		// A poll without a reply may have renewed the leases. A silent worker's leases have to end, so they are not
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -160,7 +160,7 @@
 // logAuthority logs the end of the handover, and each loss and return of the authority.
 func (l *leadership) logAuthority(now ms) {
 	p := l.p
-	if now >= max(l.handover.EndsAt()) && !l.handedOver.Swap(true) {
+	if now >= l.handover.EndsAt() && !l.handedOver.Swap(true) {
 		reached, workers := l.handover.Reached()
 		p.cfg.Log.Info("handover complete", "Token", l.token, "TookMs", now-l.beganAt, "Voters", len(l.record.Voters), "WorkersReached", reached, "Workers", workers)
 	}
