--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -15,7 +15,7 @@
 	if c.jobs[s.Job.ID] != nil {
 		return
 	}
-	j := c.insert(s.Job, now, nowUnix)
+	j := c.insert(s.Job, loadedJob, now, nowUnix)
 	j.adopted = true
 	// Waiting jobs are ordered by age. A new leader knows the age of a job only by the time of day at which it was
 	// accepted.
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -216,7 +216,7 @@
 // AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
 	known := c.jobs[spec.ID] != nil
-	c.addStored(spec, false, now, nowUnix)
+	c.addStored(spec, foundJob, false, now, nowUnix)
 	if !known {
 		c.jobs[spec.ID].found = true
 	}
@@ -225,18 +225,18 @@
 // AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
 // true if a prior leader may have started tasks of it.
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
-	c.addStored(spec, begun, now, nowUnix)
+	c.addStored(spec, reportedJob, begun, now, nowUnix)
 	j := c.jobs[spec.ID]
 	j.found, j.adopted = false, j.adopted || begun
 }
 
 // addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
-func (c *Cell) addStored(spec *Job, begun bool, now, nowUnix ms) {
+func (c *Cell) addStored(spec *Job, source jobSource, begun bool, now, nowUnix ms) {
 	if j := c.jobs[spec.ID]; j != nil {
 		c.markStored(j, now)
 		return
 	}
-	j := c.insert(spec, now, nowUnix)
+	j := c.insert(spec, source, now, nowUnix)
 	j.adopted = begun || now < c.handoverAt
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
@@ -251,9 +251,9 @@
 }
 
 // insert adds a job to memory, without runs.
-func (c *Cell) insert(spec *Job, now, nowUnix ms) *job {
+func (c *Cell) insert(spec *Job, source jobSource, now, nowUnix ms) *job {
 	j := &job{
-		spec: spec, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
+		spec: spec, source: source, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
 		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(),
 	}
 	c.jobs[spec.ID] = j
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -14,6 +14,9 @@
 		// Started by a prior leader, or removed here before its end was listed.
 		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.foundStage(e.Task, now)}
 		c.logLostEnd(a, e.End, now)
+		if a.stage != nil && e.End == EndDone {
+			c.logStartedTwice(a, a.stage)
+		}
 	}
 	c.endAttempt(a, e.End, e.Checkpoint, now)
 	unacked := unackedEnd{number: e.Number}
@@ -106,6 +109,23 @@
 		"Done", a.stage.done.has(a.task.Index), "Again", len(a.stage.tasks[a.task.Index]))
 }
 
+// logStartedTwice logs an attempt of a prior leader at a task that this leader has started as well, with what tells why it did
+// not wait: since when it knows the worker, and how it has learned of the job.
+func (c *Cell) logStartedTwice(a *attempt, s *stage) {
+	if a.number>>attemptBits >= c.cfg.Token || s.spec.Speculative {
+		return
+	}
+	for _, other := range s.tasks[a.task.Index] {
+		if other.number>>attemptBits != c.cfg.Token {
+			continue
+		}
+		w, j := a.worker, s.job
+		c.cfg.Log("task started twice", "Job", j.spec.ID, "Task", a.task, "Attempt", a.number, "Worker", w.info.ID, "KnownMs", c.roundAt-w.knownAt, "Listed", w.listed, "Again", other.number,
+			"AgainMs", c.roundAt-other.sentAt, "Source", j.source, "Adopted", j.adopted, "Returning", j.spec.Returning, "LeasesEndMs", w.priorLeasesEndAt-c.roundAt)
+		return
+	}
+}
+
 // ranMs returns how long an attempt ran, or 0 when the time of its start is not known.
 func (a *attempt) ranMs(now ms) ms {
 	if a.sentAt == 0 || a.adopted {
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -4,7 +4,7 @@
 func (c *Cell) SetWorker(info WorkerInfo, now ms) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}}
+		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now}
 		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
 		// end after that. It gives none to a worker that registers later.
 		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -237,7 +237,7 @@
 	// still be pending at the worker.
 	if listsMayBeIncomplete := (o.AckedEnd > 0 && o.IncarnationMs != w.incarnation) || (o.urgent && w.pollInFlight); !w.admitted && !listsMayBeIncomplete {
 		w.admitted = true
-		c.cfg.Log("worker taken", "Worker", w.info.ID, "Born", w.incarnation, "Running", len(lists.Running), "Ended", len(lists.Ended), "Token", c.cfg.Token)
+		c.cfg.Log("worker taken", "Worker", w.info.ID, "Born", w.incarnation, "Running", len(lists.Running), "Ended", len(lists.Ended), "Token", c.cfg.Token, "KnownMs", now-w.knownAt)
 	}
 	w.advanceAck(now)
 }
@@ -364,6 +364,7 @@
 
 // assignToStage adds an attempt that a prior leader started to the attempts of its task. It is stopped if it is not needed.
 func (c *Cell) assignToStage(a *attempt, s *stage) {
+	c.logStartedTwice(a, s)
 	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
 	a.stage, a.need, a.state = s, s.need, ordered
 	a.stopWanted = a.stopWanted || unneeded
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -37,6 +37,8 @@
 	unstored bool
 	// endsStored is true when the store may hold ends of the job's tasks that were found before the job was known.
 	endsStored bool
+	// source says how the leader has learned of the job.
+	source jobSource
 	// cancelRequested is true when the store holds a cancel request.
 	cancelRequested bool
 	// arrivedAt is when this process learned of the job. For an adopted job it is earlier by the job's age, up to
@@ -57,6 +59,20 @@
 	excess     bool
 }
 
+// jobSource is how a leader has learned of a job. It appears in logs.
+type jobSource string
+
+const (
+	// loadedJob: read from the store at the takeover.
+	loadedJob jobSource = "Loaded"
+	// foundJob: found in the store since.
+	foundJob jobSource = "Found"
+	// reportedJob: the process that accepted it has told of it.
+	reportedJob jobSource = "Reported"
+	// unstoredJob: the process that received it has asked to run it before it is stored.
+	unstoredJob jobSource = "Unstored"
+)
+
 // run is one run of a job.
 type run struct {
 	number int
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -29,7 +29,7 @@
 	if c.unstoredCount >= maxUnstored {
 		return false
 	}
-	j := c.insert(spec, now, nowUnix)
+	j := c.insert(spec, unstoredJob, now, nowUnix)
 	j.adopted = begun || now < c.handoverAt
 	j.unstored = true
 	c.unstoredCount++
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -107,6 +107,8 @@
 	info       WorkerInfo
 	rack       string
 	workerType string
+	// knownAt is when this leader learned of the worker.
+	knownAt ms
 	// listed is false when the worker's registration was removed from the store.
 	listed bool
 	// admitted is true when this leader has read the task lists of the worker's current incarnation. Only an admitted
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -89,6 +89,7 @@
 		l.cell.SetWorker(w, now)
 	}
 	l.adoptRoster(&s.roster, now)
+	p.cfg.Log.Info("workers loaded", "Token", l.token, "Registered", len(s.workers), "Roster", len(l.priorRoster))
 	l.updateConfig()
 	l.adoptJobs(s.submissions, s.progress, now)
 	l.adoptUnknownEnds(s.unknown, now)
