Tasks start only on workers that the next leader will know

Cause: a new leader waits for the leases at workers that it does not reach, but only for those that it knows: the registered ones and those of the stored roster. Tasks were started on a worker as soon as its registration and lists were read, while the roster was written at most once a second, after the handover, and not in an outage of the store. If the registration lapses in the outage and the leader is lost, the next one knows nothing of the worker: nothing is left to wait for, and tasks that run or are done there start again. Class: a promise to the next leader that only memory holds.

Ruled out: that the job counted as new ('task started twice' has Source=Loaded, Adopted=true), that the worker was silent (KnownMs=4), that the leases counted as lapsed (LeasesEndMs=3011).

Change: a worker gets tasks once each roster that the store may hold has it (SetRecorded, InEachRoster). The roster is written at once when a worker waits for it, at most once a second. A worker of an earlier roster that restarts does not wait: its ID is known.

Weighed: to wait for a whole lease after each takeover (all jobs stand still, also where no worker is unknown); to trust the peers' memory (any number of processes may be lost).

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -27,6 +27,8 @@
 	// PriorUnstored is true if a prior leader may have run jobs that were not stored: if there was one, since it may have
 	// been the only process that did not reach the store.
 	PriorUnstored bool
+	// AwaitRoster is true if tasks start only on workers that SetRecorded has named.
+	AwaitRoster bool
 	// Ended reports whether a job that the cell does not have is known to have ended; it may be nil.
 	Ended func(id string) bool
 	// RunTimes learns how long tasks take; nil to rely on the callers' estimates.
@@ -43,7 +45,9 @@
 	cfg     Config
 	jobs    map[string]*job
 	workers map[string]*worker
-	queues  map[string]*Queue
+	// recorded holds the IDs of the workers that the next leader will know, see SetRecorded.
+	recorded map[string]bool
+	queues   map[string]*Queue
 	// hasTeams is true while the configuration has teams.
 	hasTeams bool
 	// book holds what each team has running; see caps.go. capWaits holds the teams with stages that wait for a cap.
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -4,7 +4,7 @@
 func (c *Cell) SetWorker(info WorkerInfo, now ms) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now}
+		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now, recorded: !c.cfg.AwaitRoster || c.recorded[info.ID]}
 		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
 		// end after that. It gives none to a worker that registers later.
 		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
@@ -51,6 +51,27 @@
 	return out
 }
 
+// SetRecorded names the workers that are in each roster that the store may hold. With Config.AwaitRoster, tasks start only on
+// these: the registration of a worker may be gone when the next leader reads the workers, and it would neither find the tasks
+// there nor wait for the ends of their leases.
+func (c *Cell) SetRecorded(ids map[string]bool) {
+	c.recorded = ids
+	for id, w := range c.workers {
+		w.recorded = !c.cfg.AwaitRoster || ids[id]
+	}
+}
+
+// Unrecorded returns the number of registered workers that get no tasks because they are not recorded.
+func (c *Cell) Unrecorded() int {
+	n := 0
+	for _, w := range c.workers {
+		if w.listed && !w.recorded && w.drainSince == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Drained returns the incarnations of the registered workers that are drained, by ID. They are stored for the next leader:
 // while the store is down, the registrations of workers that have left remain.
 func (c *Cell) Drained() map[string]int64 {
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -111,6 +111,8 @@
 	knownAt ms
 	// listed is false when the worker's registration was removed from the store.
 	listed bool
+	// recorded is false while the next leader might not know of the worker, so that it gets no tasks; see Cell.SetRecorded.
+	recorded bool
 	// admitted is true when this leader has read the task lists of the worker's current incarnation. Only an admitted
 	// worker gets tasks.
 	admitted bool
@@ -207,7 +209,7 @@
 // usable reports whether tasks may be started on the worker. On a worker without cores even best-effort tasks would
 // make no progress.
 func (w *worker) usable(now ms) bool {
-	return w.listed && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
+	return w.listed && w.recorded && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
 }
 
 // addAttempt adds an attempt, which holds capacity from then on.
--- a/core/ccquorum/workers.go
+++ b/core/ccquorum/workers.go
@@ -35,6 +35,24 @@
 	t.rosters = []Incarnations{roster}
 }
 
+// InEachRoster returns the IDs of the workers that are in each roster that the store may hold.
+func (t *Term) InEachRoster() map[string]bool {
+	out := map[string]bool{}
+	for i, roster := range t.rosters {
+		for id := range roster {
+			if i == 0 {
+				out[id] = true
+			}
+		}
+		for id := range out {
+			if _, ok := roster[id]; !ok {
+				delete(out, id)
+			}
+		}
+	}
+	return out
+}
+
 // ConfirmByWorkers records the confirmations by the workers. confirmedAt returns the time on the leader's clock at which the
 // newest call was sent that an incarnation of a worker has executed, 0 for none.
 func (t *Term) ConfirmByWorkers(confirmedAt func(id string, startMs int64) ms) {
--- a/core/ccquorum/workers_test.go
+++ b/core/ccquorum/workers_test.go
@@ -118,3 +118,40 @@
 		})
 	}
 }
+
+// A worker counts as recorded only if every roster that the store may hold has it: a write whose outcome is not known may leave
+// either.
+func TestInEachRoster(t *testing.T) {
+	tests := map[string]struct {
+		found    Incarnations
+		proposed []Incarnations
+		recorded Incarnations
+		want     Incarnations
+	}{
+		"Found":             {found: roster(2), want: roster(2)},
+		"None":              {want: Incarnations{}},
+		"FirstInDoubt":      {proposed: []Incarnations{roster(2)}, want: Incarnations{}},
+		"MoreInDoubt":       {found: roster(1), proposed: []Incarnations{roster(3)}, want: roster(1)},
+		"FewerInDoubt":      {found: roster(3), proposed: []Incarnations{roster(1)}, want: roster(1)},
+		"TwoInDoubt":        {found: roster(3), proposed: []Incarnations{roster(2), roster(4)}, want: roster(2)},
+		"RestartedInDoubt":  {found: roster(1), proposed: []Incarnations{{"w0": 2}}, want: roster(1)},
+		"RecordedAfterward": {found: roster(1), proposed: []Incarnations{roster(3)}, recorded: roster(3), want: roster(3)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			term := NewTerm(Voter{VM: "a"}, 700, nil, 1000)
+			term.RecordedWorkers(test.found)
+			for _, r := range test.proposed {
+				term.ProposeWorkers(r)
+			}
+			if test.recorded != nil {
+				term.RecordedWorkers(test.recorded)
+			}
+			got := term.InEachRoster()
+			assert.Equal(t, len(got), len(test.want))
+			for id := range test.want {
+				assert.Assert(t, got[id], id)
+			}
+		})
+	}
+}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -103,8 +103,8 @@
 	roster ccquorum.Incarnations
 	// drained is what this term persisted last of Cell.Drained.
 	drained map[string]int64
-	// rosterAt is when the roster of the cell was last compared with roster.
-	rosterAt ms
+	// rosterAt is when the roster of the cell was last compared with roster, rosterWriteAt when the last write of it began.
+	rosterAt, rosterWriteAt ms
 	// writingRoster is true while a write of the roster is under way; rosterRevision is the revision that it replaces.
 	// priorRoster is the roster that the term found.
 	writingRoster  bool
@@ -148,7 +148,7 @@
 	}
 	l.cell = cccell.New(cccell.Config{
 		Token: r.Token, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
-		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, Ended: p.stateCache.ended,
+		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, AwaitRoster: true, Ended: p.stateCache.ended,
 		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
 	l.dispatcher = newAdviceDispatcher(l)
@@ -168,6 +168,7 @@
 	}
 	l.cell.AdoptExcess(p.stateCache.excessJobs())
 	l.quorum.RecordedWorkers(l.priorRoster)
+	l.cell.SetRecorded(l.quorum.InEachRoster())
 	if prior.ByWorkers {
 		l.handover.AwaitWorkers(l.priorRoster)
 	}
@@ -253,6 +254,7 @@
 	defer tick.Stop()
 	defer l.p.cfg.Metrics.teams.set(nil, nil)
 	defer l.p.cfg.Metrics.unstored.Set(0)
+	defer l.p.cfg.Metrics.unrecorded.Set(0)
 	for {
 		var began time.Time
 		select {
@@ -296,6 +298,7 @@
 	if now-l.statsAt >= statsIntervalMs {
 		l.statsAt = now
 		l.storeBegun(now)
+		p.cfg.Metrics.unrecorded.Set(float64(l.cell.Unrecorded()))
 		p.stateCache.setQueuedJobs(l.cell.QueuedJobs(), now)
 		p.cfg.Metrics.teams.set(l.cell.Teams(now), l.cell.TeamShares(now))
 		l.cell.RemoveEndedJobs(now - p.cfg.FinalRetentionMs)
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -156,9 +156,11 @@
 }
 
 // writeRoster persists the list of the workers that may run tasks, if it has changed, once the handover is complete. The next
-// leader waits until the leases have lapsed at those of them that it can't reach, and counts those that it reaches.
+// leader waits until the leases have lapsed at those of them that it can't reach, and counts those that it reaches. A worker
+// gets no tasks before it is in the roster.
 func (l *leadership) writeRoster(now ms) {
-	if l.writingRoster || now < l.handover.EndsAt() || now-l.rosterAt < rosterIntervalMs {
+	due := now-l.rosterAt >= rosterIntervalMs || (now-l.rosterWriteAt >= rosterIntervalMs && l.cell.Unrecorded() > 0)
+	if l.writingRoster || now < l.handover.EndsAt() || !due {
 		return
 	}
 	l.rosterAt = now
@@ -170,9 +172,10 @@
 	if same {
 		return
 	}
-	l.writingRoster = true
+	l.writingRoster, l.rosterWriteAt = true, now
 	roster := incarnations(list)
 	l.quorum.ProposeWorkers(roster)
+	l.cell.SetRecorded(l.quorum.InEachRoster())
 	// With the condition on its own revision, no write can be carried out after a later one.
 	t := &Txn{
 		If:   []Condition{{keyLeader, l.record.revision}, {keyRoster, l.rosterRevision}},
@@ -187,6 +190,7 @@
 			case err == nil:
 				l.rosterRevision, l.roster, l.drained = rev, roster, drained
 				l.quorum.RecordedWorkers(roster)
+				l.cell.SetRecorded(l.quorum.InEachRoster())
 				return
 			case errors.As(err, &conflict):
 				for i := range conflict.Found {
