--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // outageStore does not execute any call until it is back.
@@ -198,3 +200,139 @@
 	}
 	t.Fatal("the metric is not registered")
 }
+
+// runEvents runs the events of a term in place of its loop, without rounds, until the term ends.
+func runEvents(l *leadership) {
+	for {
+		select {
+		case e := <-l.events:
+			e(l.p.now())
+		case <-l.ended:
+			return
+		}
+	}
+}
+
+// notified waits for the first notification of a job after those that were seen already.
+func (l *runningLeader) notified(t *testing.T, seen int) ccpeer.NotifyRequest {
+	t.Helper()
+	var out ccpeer.NotifyRequest
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.stored) <= seen {
+			return poll.Continue("%d notifications", len(l.stored))
+		}
+		out = l.stored[seen]
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(5*time.Second))
+	return out
+}
+
+// A leader relayed the write of a job, and the job was begun meanwhile. The leader reported it to its successor as one that
+// nobody had begun.
+func TestRelayedJobIsReportedAsBegun(t *testing.T) {
+	tests := map[string]struct {
+		begunHere bool // Else by a leader in between, which the sender has asked.
+	}{"BegunHere": {true}, "BegunByAnotherLeader": {false}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &outageStore{items: map[string][]byte{}}
+			p := newFollower(t, store)
+			l := newLeadership(p, 1)
+			l.cell.ExtendAuthority(p.now() + 60_000)
+			go runEvents(l)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go p.notifier.run(ctx)
+			relayed := make(chan error, 1)
+			go func() {
+				_, err := p.RelayWrite(ctx, &ccpeer.RelayWriteRequest{Job: oneTaskJob(), BudgetMs: 3000})
+				relayed <- err
+			}()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				p.submitter.mu.Lock()
+				defer p.submitter.mu.Unlock()
+				if p.submitter.running {
+					return poll.Success()
+				}
+				return poll.Continue("the relayed write has not begun")
+			}, poll.WithDelay(time.Millisecond))
+			token := int64(2)
+			if test.begunHere {
+				out, err := p.Begin(ctx, &ccpeer.BeginRequest{Job: oneTaskJob()})
+				assert.NilError(t, err)
+				assert.Assert(t, out.Begun)
+			} else {
+				p.observeLeader(leaderRecord{VM: "vm-1", Address: servePeer(t, &runningLeader{}), StartMs: 1, Token: token}, "test")
+				token++
+			}
+			successor := &runningLeader{}
+			p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, successor), StartMs: 1, Token: token}, "test")
+			store.back.Store(true)
+			assert.NilError(t, <-relayed)
+			assert.DeepEqual(t, successor.notified(t, 0).Begun, []string{"j"})
+		})
+	}
+}
+
+// A job was reported to a new leader as one that nobody had begun, although its predecessor had been notified of it.
+func TestJobOfWhichALeaderKnewIsReportedAsBegun(t *testing.T) {
+	p := newFollower(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.notifier.run(ctx)
+	first, second := &runningLeader{}, &runningLeader{}
+	p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, first), StartMs: 1, Token: 1}, "test")
+	p.stored(oneTaskJob(), false)
+	assert.Equal(t, len(first.notified(t, 0).Begun), 0)
+	p.observeLeader(leaderRecord{VM: "vm-1", Address: servePeer(t, second), StartMs: 1, Token: 2}, "test")
+	assert.DeepEqual(t, second.notified(t, 0).Begun, []string{"j"})
+}
+
+// A process was told that a job had not been begun, although the leader had begun it in the moment in which its term ended.
+func TestBegunJobIsNotDeniedAsTheTermEnds(t *testing.T) {
+	tests := map[string]struct {
+		end func(l *leadership, e event)
+	}{
+		"EndsAfterTheJobHasBegun": {func(l *leadership, e event) {
+			e(l.p.now())
+			l.end("test")
+		}},
+		"EndsBeforeTheLoopKnows": {func(l *leadership, e event) {
+			l.end("test")
+			e(l.p.now())
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const terms = 100
+			denied := 0
+			// On one processor, Begin looks for the outcome only when both are there.
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			for token := range int64(terms) {
+				p := newFollower(t, nil)
+				l := newLeadership(p, token+1)
+				l.events = make(chan event)
+				l.cell.ExtendAuthority(p.now() + 60_000)
+				type result struct {
+					out *ccpeer.BeginReply
+					err error
+				}
+				replied := make(chan result, 1)
+				go func() {
+					out, err := p.Begin(context.Background(), &ccpeer.BeginRequest{Job: oneTaskJob()})
+					replied <- result{out, err}
+				}()
+				runtime.Gosched() // Begin waits for its event to be taken.
+				test.end(l, <-l.events)
+				assert.Equal(t, l.cell.UnstoredCount(), 1)
+				if r := <-replied; r.err == nil && !r.out.Begun {
+					denied++
+				}
+			}
+			assert.Equal(t, denied, 0, "of %d", terms)
+		})
+	}
+}
