--- a/core/cccell/silentworker_test.go
+++ b/core/cccell/silentworker_test.go
@@ -123,8 +123,9 @@
 		"FoundBeforeLists":  {before: []step{found}},
 		"Returning":         {after: []step{report(false)}, returning: true},
 		"ReturningUnstored": {after: []step{begin(false)}, returning: true},
-		"FoundThenReported": {after: []step{found, report(false)}},
 		// The prior leader found the job in the store after this one had read the submissions, or was notified of it.
+		"FoundAndAcceptedBefore":    {after: []step{found}, acceptedMs: int64(handoverAtMs) - 300},
+		"FoundThenReported":         {after: []step{found, report(false)}, acceptedMs: int64(handoverAtMs) - 300},
 		"AcceptedBeforeTheHandover": {after: []step{report(false)}, acceptedMs: int64(handoverAtMs) - 300},
 		"ReportedLate":              {after: []step{report(false)}, acceptedMs: int64(handoverAtMs) - 300, at: handoverAtMs + 2000},
 	}
