A later mark that a job was begun is not dropped

What callers see: as before, tasks run twice after a change of the leader beside a silent worker.

Cause: AddUnstored left a job that the cell has as it is, so that the mark of a process which knows that the job was begun was lost if another process had told of it first, by a relayed write for example.

Change: the mark is kept, whichever process tells first.

--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -24,6 +24,7 @@
 // it. It returns false if the job is not run before it is stored.
 func (c *Cell) AddUnstored(spec *Job, begun bool, now, nowUnix ms) bool {
 	if j := c.jobs[spec.ID]; j != nil {
+		j.adopted = j.adopted || begun
 		return true
 	}
 	if c.unstoredCount >= maxUnstored {
