A begin is in doubt when the term ends meanwhile

What callers see: as before, tasks run twice after a change of the leader beside a silent worker.

Cause: Begin answered that the job was not begun if the term ended while it waited, also when the event loop had begun it, by a random choice of select, or was about to. The process then told the next leader that nobody had begun the job.

Change: Begin fails with errTermEnded, which its callers treat like a lost reply.

--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -26,6 +26,9 @@
 	storeBegunTimeoutMs ms = 2000
 )
 
+// errTermEnded reports a term that ended while the leader was asked to run a job: it may have begun the job.
+var errTermEnded = errors.New("term ended, and the job may have been begun")
+
 // waitStored blocks until a job is in the store, or until its caller has to be answered. It fails as submitter.submit
 // does. The write of a job that a leader runs goes on after that.
 func (p *Process) waitStored(ctx context.Context, j *cccell.Job, s *ccadmit.Submission, sub *submission) error {
@@ -122,7 +125,8 @@
 	p.notifier.job(j, begun)
 }
 
-// Begin implements ccpeer.CellHandler: the leader runs a job that is not stored yet.
+// Begin implements ccpeer.CellHandler: the leader runs a job that is not stored yet. It fails with errTermEnded, and when ctx
+// ends, if it may run the job.
 func (p *Process) Begin(ctx context.Context, in *ccpeer.BeginRequest) (*ccpeer.BeginReply, error) {
 	l := p.leading()
 	if l == nil {
@@ -134,7 +138,7 @@
 	case ok := <-begun:
 		return &ccpeer.BeginReply{Begun: ok}, nil
 	case <-l.ended:
-		return &ccpeer.BeginReply{}, nil
+		return nil, errTermEnded
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
