A job counts as new only for a leader that was alone when it arrived

What callers see: as before, tasks run twice after a change of the leader beside a silent worker.

Cause: whether a prior leader may have started a job was judged from what its process had done itself: asked to begin it or not. A prior leader may know the job otherwise: it was notified of it (resendRecent), it found it in the store while it still had authority, or another process asked it (a relayed write was always reported as not begun).

Change: each process learns with the leader's replies when the authority of all leaders before it has ended (PriorEnded), and keeps with a submission which leader that was as it arrived (newFor). For any other leader the job may have begun. The notification and the request to begin name the leader that their marks are meant for; another one takes all jobs for begun.

Ruled out: a comparison of the time of acceptance with the handover, as clocks jump by seconds.

--- a/core/cccell/silentworker_test.go
+++ b/core/cccell/silentworker_test.go
@@ -92,9 +92,7 @@
 	tests := map[string]struct {
 		// before is done before the first polls, after once these are answered.
 		before, after []step
-		// acceptedMs is the time of day at which the job was accepted, handoverAtMs is that of the handover.
-		acceptedMs int64
-		returning  bool
+		returning     bool
 		// at is the time of after.
 		at ms
 	}{
@@ -108,7 +106,7 @@
 		"ReportedBeforeListsAreRead":    {before: []step{list(runByPrior()), report(false)}},
 		"ReportedBeforeEndsAreRead":     {before: []step{list(doneByPrior()), report(false)}},
 		"UnstoredBeforeListsAreRead":    {before: []step{list(runByPrior()), begin(false)}},
-		"LateReportAndRunsElsewhere":    {before: []step{list(runByPrior())}, after: []step{report(false)}, at: newMs, acceptedMs: int64(newMs)},
+		"LateReportAndRunsElsewhere":    {before: []step{list(runByPrior())}, after: []step{report(false)}, at: newMs},
 		// Two processes have the job, and one knows that it was begun.
 		"ReportedThenBegun":         {after: []step{report(false), begin(true)}},
 		"ReportedThenReportedBegun": {after: []step{report(false), report(true)}},
@@ -119,21 +117,18 @@
 		"BegunThenFound":            {after: []step{begin(true), found}},
 		"FoundThenBegun":            {after: []step{found, begin(true)}},
 		// Nothing is known of the job but that the store has it, or that its caller may have been elsewhere.
-		"Found":             {after: []step{found}},
-		"FoundBeforeLists":  {before: []step{found}},
-		"Returning":         {after: []step{report(false)}, returning: true},
-		"ReturningUnstored": {after: []step{begin(false)}, returning: true},
-		// The prior leader found the job in the store after this one had read the submissions, or was notified of it.
-		"FoundAndAcceptedBefore":    {after: []step{found}, acceptedMs: int64(handoverAtMs) - 300},
-		"FoundThenReported":         {after: []step{found, report(false)}, acceptedMs: int64(handoverAtMs) - 300},
-		"AcceptedBeforeTheHandover": {after: []step{report(false)}, acceptedMs: int64(handoverAtMs) - 300},
-		"ReportedLate":              {after: []step{report(false)}, acceptedMs: int64(handoverAtMs) - 300, at: handoverAtMs + 2000},
+		"Found":                  {after: []step{found}},
+		"FoundBeforeLists":       {before: []step{found}},
+		"Returning":              {after: []step{report(false)}, returning: true},
+		"ReturningUnstored":      {after: []step{begin(false)}, returning: true},
+		"FoundThenReportedBegun": {after: []step{found, report(true)}},
+		"ReportedBegunLate":      {after: []step{report(true)}, at: handoverAtMs + 2000},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newSilentCell(t)
 			j := testJob("j", 3)
-			j.AcceptedMs, j.Returning = test.acceptedMs, test.returning
+			j.Returning = test.returning
 			for _, do := range test.before {
 				do(c, j, handoverAtMs)
 			}
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -36,7 +36,7 @@
 	timer := time.NewTimer(s.BeginAfterMs.Duration())
 	defer timer.Stop()
 	if p.cfg.Store.Lost() {
-		go func() { sub.done <- p.submitThroughLeader(ctx, j, sub.deadline) }()
+		go func() { sub.done <- p.submitThroughLeader(ctx, sub) }()
 	} else {
 		p.submitter.add(sub)
 	}
@@ -82,7 +82,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{Job: j, Begun: s.MayHaveBegun()}
+	in := &ccpeer.BeginRequest{Job: j, Begun: mayHaveBegun(sub.newFor, leader.Token), Token: leader.Token}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -113,16 +113,16 @@
 	}
 	go func() {
 		if err := <-sub.done; err == nil {
-			p.stored(j, true)
+			p.stored(j, sub.newFor)
 			p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
 		}
 	}()
 }
 
-// stored records that a job is in the store and notifies the leader. begun is true if a leader may run it already.
-func (p *Process) stored(j *cccell.Job, begun bool) {
+// stored records that a job is in the store and notifies the leader. newFor is submission.newFor.
+func (p *Process) stored(j *cccell.Job, newFor int64) {
 	p.stateCache.merge(j.ID, j.Team, cccell.Queued, p.now())
-	p.notifier.job(j, begun)
+	p.notifier.job(j, newFor)
 }
 
 // Begin implements ccpeer.CellHandler: the leader runs a job that is not stored yet. It fails with errTermEnded, and when ctx
@@ -152,7 +152,7 @@
 	if now >= l.cell.Authority() || l.p.cfg.StoreBeforeStart {
 		return false
 	}
-	return l.cell.AddUnstored(in.Job, in.Begun, now, unixNow())
+	return l.cell.AddUnstored(in.Job, in.Begun || in.Token != l.token, now, unixNow())
 }
 
 // storeBegun writes the jobs that have been unstored for storeBegunAfterMs.
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -285,12 +285,43 @@
 	go p.notifier.run(ctx)
 	first, second := &runningLeader{}, &runningLeader{}
 	p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, first), StartMs: 1, Token: 1}, "test")
-	p.stored(oneTaskJob(), false)
+	p.stored(oneTaskJob(), 1)
 	assert.Equal(t, len(first.notified(t, 0).Begun), 0)
 	p.observeLeader(leaderRecord{VM: "vm-1", Address: servePeer(t, second), StartMs: 1, Token: 2}, "test")
 	assert.DeepEqual(t, second.notified(t, 0).Begun, []string{"j"})
 }
 
+// A job that had arrived before the authority of the prior leaders ended, or that was meant for another leader, was reported as
+// one that nobody had begun.
+func TestJobThatAnotherLeaderMayHaveBegunIsReportedSo(t *testing.T) {
+	const leader = 2
+	tests := map[string]struct {
+		sole int64 // The leader of which the process knew by then that no leader before it had authority.
+		want []string
+	}{
+		"Unknown":         {0, []string{"j"}},
+		"PriorLeader":     {leader - 1, []string{"j"}},
+		"ThisLeader":      {leader, nil},
+		"LaterLeaderOnly": {leader + 1, []string{"j"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := &outageStore{items: map[string][]byte{}}
+			store.back.Store(true)
+			p := newFollower(t, store)
+			l := &runningLeader{}
+			p.observeLeader(leaderRecord{VM: "vm-0", Address: servePeer(t, l), StartMs: 1, Token: leader}, "test")
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go p.notifier.run(ctx)
+			p.soleToken.Store(test.sole)
+			assert.NilError(t, p.Submit(ctx, Caller{}, oneTaskJob(), 3000))
+			assert.DeepEqual(t, l.notified(t, 0).Begun, test.want)
+			assert.Equal(t, l.notified(t, 0).Token, int64(leader))
+		})
+	}
+}
+
 // A process was told that a job had not been begun, although the leader had begun it in the moment in which its term ended.
 func TestBegunJobIsNotDeniedAsTheTermEnds(t *testing.T) {
 	tests := map[string]struct {
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -130,6 +130,7 @@
 	}
 	j.AcceptedMs = int64(unixNow())
 	sub := newSubmission(j, s.AnswerAt())
+	sub.newFor = p.soleToken.Load()
 	if err := p.waitStored(ctx, j, s, sub); err != nil {
 		var stored *alreadyStored
 		if errors.As(err, &stored) {
@@ -146,7 +147,7 @@
 		}
 		return &Refusal{Reason: errors.Mark(err, ccwork.ErrStore), RetryAfterMs: jitterRetryAfter(storeRetryAfterMs)}
 	}
-	p.stored(j, s.MayHaveBegun())
+	p.stored(j, sub.newFor)
 	return nil
 }
 
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -172,6 +172,9 @@
 		p.receivedMs = out.SentMs
 	}
 	p.mu.Unlock()
+	if out.PriorEnded {
+		p.soleToken.Store(out.Token)
+	}
 	p.succession.learnSlow(out.Slow, now)
 	if out.Loading {
 		if p.aloneReachesStore(out) {
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -30,11 +30,11 @@
 	recent []sentJob
 }
 
-// sentJob is a job with the time at which its notification was queued.
+// sentJob is a job with the time at which its notification was queued. newFor is submission.newFor.
 type sentJob struct {
-	job   *cccell.Job
-	begun bool
-	at    ms
+	job    *cccell.Job
+	newFor int64
+	at     ms
 }
 
 // resendPeriodMs is the age up to which a job is sent again to a new leader. Older jobs are in the store when the new
@@ -43,8 +43,7 @@
 
 // outbox holds the notifications that have not been sent yet.
 type outbox struct {
-	jobs          []*cccell.Job
-	begun         []string // The IDs of those jobs that a leader may have run before they were stored.
+	jobs          []sentJob
 	cancels       []string
 	withdrawn     []ccpeer.Withdrawal
 	adviceReplies []cccell.AdviceReply
@@ -54,20 +53,12 @@
 	return &notifier{p: p, wake: make(chan struct{}, 1)}
 }
 
-// addJob adds an accepted job.
-func (out *outbox) addJob(j *cccell.Job, begun bool) {
-	out.jobs = append(out.jobs, j)
-	if begun {
-		out.begun = append(out.begun, j.ID)
-	}
-}
-
-// job queues the notification of an accepted job. begun is true if a leader may have run it before it was stored.
-func (n *notifier) job(j *cccell.Job, begun bool) {
+// job queues the notification of an accepted job. newFor is submission.newFor.
+func (n *notifier) job(j *cccell.Job, newFor int64) {
 	now := n.p.now()
 	n.enqueue(func(out *outbox) {
-		out.addJob(j, begun)
-		n.recent = append(n.recent, sentJob{j, begun, now})
+		sent := sentJob{j, newFor, now}
+		out.jobs, n.recent = append(out.jobs, sent), append(n.recent, sent)
 		for len(n.recent) > 0 && now-n.recent[0].at > resendPeriodMs {
 			n.recent = n.recent[1:]
 		}
@@ -80,7 +71,7 @@
 	n.enqueue(func(out *outbox) {
 		for _, r := range n.recent {
 			if now-r.at <= resendPeriodMs {
-				out.addJob(r.job, r.begun)
+				out.jobs = append(out.jobs, r)
 			}
 		}
 	})
@@ -123,27 +114,38 @@
 		if len(out.jobs)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
-		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Begun: out.begun, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
-		if !n.deliver(ctx, in) {
-			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Withdrawn", len(in.Withdrawn), "Answers", len(in.AdviceReplies))
+		if !n.deliver(ctx, &out) {
+			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(out.jobs), "Cancels", len(out.cancels), "Withdrawn", len(out.withdrawn), "Answers", len(out.adviceReplies))
+		}
+	}
+}
+
+// request returns the notifications as they are sent to the leader with the given token.
+func (out *outbox) request(vm string, token int64) *ccpeer.NotifyRequest {
+	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
+	for _, sent := range out.jobs {
+		in.Jobs = append(in.Jobs, sent.job)
+		if mayHaveBegun(sent.newFor, token) {
+			in.Begun = append(in.Begun, sent.job.ID)
 		}
 	}
+	return in
 }
 
 // deliver sends notifications to the leader, which may change between the calls and may be this process itself. It
 // returns false if no leader has confirmed them.
-func (n *notifier) deliver(ctx context.Context, in *ccpeer.NotifyRequest) bool {
+func (n *notifier) deliver(ctx context.Context, out *outbox) bool {
 	for calls := 0; calls < maxNotifyCalls; calls++ {
 		if l := n.p.leading(); l != nil {
-			l.onNotify(in)
+			l.onNotify(out.request(n.p.cfg.VM, l.token))
 			return true
 		}
 		leader, _ := n.p.currentLeader()
 		if leader.Token > 0 && leader.VM != n.p.cfg.VM {
 			callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
-			out, err := n.p.cfg.Peers.Notify(callCtx, leader.Address, in)
+			reply, err := n.p.cfg.Peers.Notify(callCtx, leader.Address, out.request(n.p.cfg.VM, leader.Token))
 			cancel()
-			if err == nil && out.Leading {
+			if err == nil && reply.Leading {
 				return true
 			}
 		}
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -100,6 +100,9 @@
 	// for none.
 	loadingToken atomic.Int64
 	draining     atomic.Bool
+	// soleToken is the token of the last leader of which this process knows that no leader before it has authority any more,
+	// 0 for none.
+	soleToken atomic.Int64
 	// handedOver is the token of the last term of this process that ended because it was slow and chose a successor, 0 for
 	// none.
 	handedOver atomic.Int64
--- a/io/cccontrol/relay.go
+++ b/io/cccontrol/relay.go
@@ -26,8 +26,8 @@
 
 // submitThroughLeader asks the leader to write a job to the store. It fails with ccstore.ErrUnavailable or
 // ccstore.ErrInDoubt, as submitter.submit does.
-func (p *Process) submitThroughLeader(ctx context.Context, j *cccell.Job, deadline ms) error {
-	return p.writeThroughLeader(ctx, &ccpeer.RelayWriteRequest{Job: j, BudgetMs: int64(deadline - p.now())})
+func (p *Process) submitThroughLeader(ctx context.Context, sub *submission) error {
+	return p.writeThroughLeader(ctx, &ccpeer.RelayWriteRequest{Job: sub.job, BudgetMs: int64(sub.deadline - p.now()), NewFor: sub.newFor})
 }
 
 // writeThroughLeader sends a write to the leader. It fails with ccstore.ErrUnavailable if the write was certainly not
@@ -61,7 +61,7 @@
 	var err error
 	if in.Job != nil {
 		if err = p.submitter.submit(ctx, in.Job, p.now()+ms(in.BudgetMs)); err == nil {
-			p.stored(in.Job, false)
+			p.stored(in.Job, in.NewFor)
 		}
 	} else if err = p.writeCancel(ctx, in.Cancel); err == nil {
 		p.notifier.cancel(in.Cancel)
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -26,6 +26,9 @@
 	data []byte
 	// deadline is the time after which the write is not retried, so that the caller gets a reply in time.
 	deadline ms
+	// newFor is the token of the only leader that can have started tasks of the job: its prior leaders had lost their
+	// authority before the submission arrived. It is 0 if that is not known.
+	newFor int64
 	// inDoubt is true once a write of the job has failed with an unknown outcome.
 	inDoubt bool
 	// replaces is the revision of a record by which another team has withdrawn a job of the same ID, 0 for none.
@@ -75,6 +78,12 @@
 	}
 }
 
+// mayHaveBegun reports whether a leader before the one with the given token may have started tasks of a job that is new for
+// another one, or for none.
+func mayHaveBegun(newFor, token int64) bool {
+	return newFor == 0 || newFor != token
+}
+
 // newSubmission returns the submission of a job that is written until the deadline.
 func newSubmission(j *cccell.Job, deadline ms) *submission {
 	return &submission{job: j, data: encode(j), deadline: deadline, done: make(chan error, 1)}
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -60,7 +60,7 @@
 		p.stateCache.mu.Lock()
 		out := &ccpeer.SyncReply{
 			Leading: true, Token: l.token, Seq: seq, Full: full, Changes: changes, AdviceRequests: requests, QueuedJobs: p.stateCache.queued,
-			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(),
+			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(), PriorEnded: l.handedOver.Load(),
 		}
 		p.stateCache.mu.Unlock()
 		if l.accepts(peer) {
@@ -92,7 +92,7 @@
 	l.post(func(now ms) {
 		for _, j := range in.Jobs {
 			if !l.p.stateCache.ended(j.ID) {
-				l.cell.AddReportedJob(j, slices.Contains(in.Begun, j.ID), now, unixNow())
+				l.cell.AddReportedJob(j, in.Token != l.token || slices.Contains(in.Begun, j.ID), now, unixNow())
 			}
 		}
 		for _, id := range in.Cancels {
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -90,6 +90,8 @@
 	// Slow holds the slowness, in tenths, of the processes that have reported to be slow, by VM. It is left out unless it
 	// has changed, or was last sent some seconds ago.
 	Slow map[string]int64 `cbor:"17,keyasint,omitempty"`
+	// PriorEnded is true once the authority of all leaders before the sender has ended.
+	PriorEnded bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -112,8 +114,9 @@
 	Cancels []string      `cbor:"3,keyasint,omitempty"`
 	// AdviceReplies are the results of SyncReply.AdviceRequests.
 	AdviceReplies []cccell.AdviceReply `cbor:"4,keyasint,omitempty"`
-	// Begun are the IDs of those Jobs that a leader may have run before they were written.
+	// Begun are the IDs of those Jobs of which a leader other than that of Token may have started tasks.
 	Begun []string `cbor:"5,keyasint,omitempty"`
+	Token int64    `cbor:"7,keyasint,omitempty"`
 	// Withdrawn are jobs that were cancelled before they were stored. Earlier releases find that when they write them.
 	Withdrawn []Withdrawal `cbor:"6,keyasint,omitempty"`
 }
@@ -213,6 +216,8 @@
 	Cancel string `cbor:"2,keyasint,omitempty"`
 	// BudgetMs is the time for which the write of a job may be retried.
 	BudgetMs int64 `cbor:"3,keyasint"`
+	// NewFor is the token of the only leader that can have started tasks of the job, 0 if others may have.
+	NewFor int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -246,8 +251,9 @@
 // BeginRequest asks the leader to run a job whose submission is still being written.
 type BeginRequest struct {
 	Job *cccell.Job `cbor:"1,keyasint"`
-	// Begun is true if another leader may have started tasks of the job.
-	Begun bool `cbor:"2,keyasint,omitempty"`
+	// Begun is true if a leader other than that of Token may have started tasks of the job.
+	Begun bool  `cbor:"2,keyasint,omitempty"`
+	Token int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Check implements Message.
