Each new leader is told of begun jobs whose callers have left

What callers see: as before, tasks run twice after a change of the leader beside a silent worker.

Cause: a process that had answered its caller 'outcome unknown' went on writing the job, but told no later leader that an earlier one had begun it. The caller comes back to another process, which knows nothing of that, and a caller that names its whole time again counts as new.

Change: the process keeps the IDs of such jobs (notifier.unstored) and names them to each new leader; Cell.MarkBegun keeps them until the handover is complete. The leader is not asked to run the job: it may have been cancelled meanwhile.

Weighed: Begin at each new leader, which would start a job that was withdrawn while its process did not reach the store.

Before: TestNextLeaderLearnsOfBegunJobWhoseCallerHasLeft fails ('the next leader was not told'); after: it passes.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -78,6 +78,8 @@
 	// unstoredCount is the number of unstored jobs; unknownJobs holds the ends of tasks of unknown jobs, by job.
 	unstoredCount int
 	unknownJobs   map[string]*unknownJob
+	// begunBefore holds the IDs of jobs that MarkBegun has named and the cell did not have, until the handover is complete.
+	begunBefore map[string]bool
 	// startedAt is when the term of this leader began.
 	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
@@ -143,7 +145,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{},
-		unknownJobs: map[string]*unknownJob{}, startedAt: now,
+		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, startedAt: now,
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
@@ -241,7 +243,7 @@
 		return
 	}
 	j := c.insert(spec, source, now, nowUnix)
-	j.adopted = begun || now < c.handoverAt
+	j.adopted = j.adopted || begun || now < c.handoverAt
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
@@ -260,6 +262,7 @@
 		spec: spec, source: source, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
 		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(),
 	}
+	j.adopted = c.begunBefore[spec.ID]
 	c.jobs[spec.ID] = j
 	if j.team != nil {
 		c.arrivals = append(c.arrivals, j)
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -18,6 +18,9 @@
 	c.expireLeases(now)
 	c.moveStragglers(now)
 	handedOver := c.handoverComplete(now)
+	if handedOver {
+		clear(c.begunBefore)
+	}
 	c.initialPollDone = c.initialPollDone || c.initialPollComplete()
 	if now < c.authorityUntil && !c.startsHeld {
 		c.usable = c.usable[:0]
--- a/core/cccell/silentworker_test.go
+++ b/core/cccell/silentworker_test.go
@@ -87,6 +87,7 @@
 	begin := func(begun bool) step {
 		return func(c *silentCell, j *Job, now ms) { assert.Assert(c.t, c.AddUnstored(j, begun, now, now)) }
 	}
+	mark := func(c *silentCell, j *Job, _ ms) { c.MarkBegun(j.ID) }
 	found := func(c *silentCell, j *Job, now ms) { c.AddJob(j, now, now) }
 	list := func(lists TaskLists) step { return func(c *silentCell, _ *Job, _ ms) { *c.listsOf("w1") = lists } }
 	tests := map[string]struct {
@@ -116,6 +117,9 @@
 		"BegunThenUnstored":         {after: []step{begin(true), begin(false)}},
 		"BegunThenFound":            {after: []step{begin(true), found}},
 		"FoundThenBegun":            {after: []step{found, begin(true)}},
+		"MarkedThenReported":        {after: []step{mark, report(false)}},
+		"MarkedThenUnstored":        {after: []step{mark, begin(false)}},
+		"ReportedThenMarked":        {after: []step{report(false), mark}},
 		// Nothing is known of the job but that the store has it, or that its caller may have been elsewhere.
 		"Found":                  {after: []step{found}},
 		"FoundBeforeLists":       {before: []step{found}},
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	j := c.insert(spec, unstoredJob, now, nowUnix)
-	j.adopted = begun || now < c.handoverAt
+	j.adopted = j.adopted || begun || now < c.handoverAt
 	j.unstored = true
 	c.unstoredCount++
 	c.cfg.Log("job begun before it is stored", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Begun", begun}, teamField(spec)...)...)
@@ -40,6 +40,16 @@
 	return true
 }
 
+// MarkBegun records that a prior leader may have started tasks of a job that is not stored yet and that the cell may not have. It
+// has no effect once the handover is complete, since all such tasks are known then.
+func (c *Cell) MarkBegun(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.adopted = true
+	} else if len(c.begunBefore) < maxUnstored {
+		c.begunBefore[id] = true
+	}
+}
+
 // awaitsHandover reports whether a job may start tasks only when the handover is complete, since a prior leader may have
 // started some: it did before the job was stored, for another process that the caller has come from or that has not told
 // of the job yet, if it has run such jobs at all. Load: after a loss of all power every caller comes back, and one silent
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -105,17 +105,21 @@
 	}
 }
 
-// notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. failure
-// is the outcome of the last write if that is not repeated; the leader then writes the job.
+// notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. Until then
+// each new leader is told that the job has begun. failure is the outcome of the last write if that is not repeated; the leader
+// then writes the job.
 func (p *Process) notifyWhenStored(j *cccell.Job, s *ccadmit.Submission, sub *submission, failure error) {
 	if failure != nil || s.BegunBy == 0 {
 		return
 	}
+	p.notifier.addUnstored(j.ID)
 	go func() {
-		if err := <-sub.done; err == nil {
+		err := <-sub.done
+		if err == nil {
 			p.stored(j, sub.newFor)
 			p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
 		}
+		p.notifier.removeUnstored(j.ID)
 	}()
 }
 
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -132,6 +132,39 @@
 	}
 }
 
+// A leader was lost after it had begun a job, and after the caller had been told that the outcome is unknown. The next leader
+// learned of the job from its caller alone, who had come to another process, and took it for new.
+func TestNextLeaderLearnsOfBegunJobWhoseCallerHasLeft(t *testing.T) {
+	store := &outageStore{items: map[string][]byte{}}
+	p := newFollower(t, store)
+	first, second := &runningLeader{}, &runningLeader{}
+	p.soleToken.Store(1)
+	lead := func(l *runningLeader, vm string, token int64) {
+		p.observeLeader(leaderRecord{VM: vm, Address: servePeer(t, l), StartMs: 1, Token: token}, "test")
+		p.mu.Lock()
+		p.leaderReplyAt = p.now()
+		p.mu.Unlock()
+	}
+	lead(first, "vm-0", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.notifier.run(ctx)
+	err := p.Submit(context.Background(), Caller{}, oneTaskJob(), 300)
+	assert.Assert(t, errors.Is(err, ccstore.ErrInDoubt), "%v", err)
+	assert.Equal(t, len(first.begun), 1)
+	lead(second, "vm-1", 2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		if len(second.stored) == 0 {
+			return poll.Continue("the next leader was not told")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+	assert.DeepEqual(t, second.stored[0].Unstored, []string{"j"})
+	store.back.Store(true)
+}
+
 // TestIDTakenDuringOutage checks that a caller whose submission waits is told so when a job of another team turns out to
 // have its ID.
 func TestIDTakenDuringOutage(t *testing.T) {
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,9 @@
 	// recent holds the jobs queued during the last resendPeriodMs. They are sent again when the leader changes, since
 	// the prior leader may not have received them.
 	recent []sentJob
+	// unstored holds the IDs of the jobs that a leader has begun, whose callers have left, and that this process is still
+	// writing. Each new leader is told of them.
+	unstored map[string]bool
 }
 
 // sentJob is a job with the time at which its notification was queued. newFor is submission.newFor.
@@ -45,12 +50,13 @@
 type outbox struct {
 	jobs          []sentJob
 	cancels       []string
+	unstored      []string
 	withdrawn     []ccpeer.Withdrawal
 	adviceReplies []cccell.AdviceReply
 }
 
 func newNotifier(p *Process) *notifier {
-	return &notifier{p: p, wake: make(chan struct{}, 1)}
+	return &notifier{p: p, wake: make(chan struct{}, 1), unstored: map[string]bool{}}
 }
 
 // job queues the notification of an accepted job. newFor is submission.newFor.
@@ -65,7 +71,22 @@
 	})
 }
 
-// resendRecent queues the notifications of recent jobs again. It is called when the leader has changed.
+// addUnstored adds a job of which each new leader is told that an earlier one has begun it.
+func (n *notifier) addUnstored(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unstored[id] = true
+}
+
+// removeUnstored removes a job that this process no longer writes.
+func (n *notifier) removeUnstored(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.unstored, id)
+}
+
+// resendRecent queues the notifications of recent jobs again, and of those that are not stored yet. It is called when the leader
+// has changed.
 func (n *notifier) resendRecent() {
 	now := n.p.now()
 	n.enqueue(func(out *outbox) {
@@ -74,6 +95,7 @@
 				out.jobs = append(out.jobs, r)
 			}
 		}
+		out.unstored = slices.Collect(maps.Keys(n.unstored))
 	})
 }
 
@@ -111,18 +133,18 @@
 		out := n.outbox
 		n.outbox = outbox{}
 		n.mu.Unlock()
-		if len(out.jobs)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
+		if len(out.jobs)+len(out.unstored)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
 		if !n.deliver(ctx, &out) {
-			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(out.jobs), "Cancels", len(out.cancels), "Withdrawn", len(out.withdrawn), "Answers", len(out.adviceReplies))
+			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(out.jobs), "Unstored", len(out.unstored), "Cancels", len(out.cancels), "Withdrawn", len(out.withdrawn), "Answers", len(out.adviceReplies))
 		}
 	}
 }
 
 // request returns the notifications as they are sent to the leader with the given token.
 func (out *outbox) request(vm string, token int64) *ccpeer.NotifyRequest {
-	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
+	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
 	for _, sent := range out.jobs {
 		in.Jobs = append(in.Jobs, sent.job)
 		if mayHaveBegun(sent.newFor, token) {
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -95,6 +95,9 @@
 				l.cell.AddReportedJob(j, in.Token != l.token || slices.Contains(in.Begun, j.ID), now, unixNow())
 			}
 		}
+		for _, id := range in.Unstored {
+			l.cell.MarkBegun(id)
+		}
 		for _, id := range in.Cancels {
 			l.cell.Cancel(id, now)
 		}
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -117,6 +117,8 @@
 	// Begun are the IDs of those Jobs of which a leader other than that of Token may have started tasks.
 	Begun []string `cbor:"5,keyasint,omitempty"`
 	Token int64    `cbor:"7,keyasint,omitempty"`
+	// Unstored are the IDs of jobs that an earlier leader may have begun and that the sender is still writing.
+	Unstored []string `cbor:"8,keyasint,omitempty"`
 	// Withdrawn are jobs that were cancelled before they were stored. Earlier releases find that when they write them.
 	Withdrawn []Withdrawal `cbor:"6,keyasint,omitempty"`
 }
