Jobs that a prior leader may have run wait for silent workers

What callers see: as before, tasks run twice after a change of the leader beside a silent worker.

Cause: a job that was found in the store, or whose caller had been at another process, started beside a silent worker unless a worker had listed a task of an unknown job by then; all others started in any case, and four seconds into the term all did. No sign of such jobs on the workers that reply says nothing of those that don't.

Change: a found job waits until its process reports it or the handover is complete, one whose caller is returning until the handover is complete, and any other one as long as work of unstored jobs is unclaimed (unclaimed: nobody has told of the job). New jobs that are reported beside claimed work start at once, as before.

Weighed: every job waits for silent workers after a takeover: urgent work would stand still for a whole lease each time.

In TestDoubtfulJobWaitsForSilentWorkers four cases asked for the fault (FoundWithoutUnstoredJobs, ReturningWithoutUnstored, ReturningLongAfterTakeover, whose worker has leases of 9 s, and Reported beside an unknown job): they ask for no start now; the new ReportedWithoutUnstored keeps what Reported stood for.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -72,16 +72,14 @@
 	orders       Orders
 	attemptCount int64
 	deposed      bool
-	// orphansSeen is true once a worker has listed a task of an unknown job: a prior leader has run jobs that were not
-	// stored.
-	orphansSeen bool
+	// unclaimed holds the IDs of the jobs that a worker has shown to have been run by a prior leader, and of which nobody has
+	// told this one, until the handover is complete.
+	unclaimed map[string]bool
 	// unstoredCount is the number of unstored jobs; unknownJobs holds the ends of tasks of unknown jobs, by job.
 	unstoredCount int
 	unknownJobs   map[string]*unknownJob
 	// begunBefore holds the IDs of jobs that MarkBegun has named and the cell did not have, until the handover is complete.
 	begunBefore map[string]bool
-	// startedAt is when the term of this leader began.
-	startedAt ms
 	// authorityUntil is the time until which this leader may start tasks and renew leases.
 	authorityUntil ms
 	// startsHeld is true while no task may be started; see HoldStarts.
@@ -145,7 +143,7 @@
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{},
-		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, startedAt: now,
+		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
 	}
@@ -263,6 +261,7 @@
 		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(),
 	}
 	j.adopted = c.begunBefore[spec.ID]
+	delete(c.unclaimed, spec.ID)
 	c.jobs[spec.ID] = j
 	if j.team != nil {
 		c.arrivals = append(c.arrivals, j)
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -20,6 +20,7 @@
 	handedOver := c.handoverComplete(now)
 	if handedOver {
 		clear(c.begunBefore)
+		clear(c.unclaimed)
 	}
 	c.initialPollDone = c.initialPollDone || c.initialPollComplete()
 	if now < c.authorityUntil && !c.startsHeld {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -353,7 +353,9 @@
 	s := c.foundStage(t.Task, now)
 	if s == nil {
 		a.stopWanted = !c.cfg.PriorUnstored
-		c.orphansSeen = c.orphansSeen || c.unknown(t.Task.Job)
+		if c.unknown(t.Task.Job) {
+			c.unclaimed[t.Task.Job] = true
+		}
 		c.cfg.Log("stray task", "Job", t.Task.Job, "Task", t.Task, "Attempt", t.Attempt, "Worker", w.info.ID)
 		w.addAttempt(a)
 		return a
--- a/core/cccell/silentworker_test.go
+++ b/core/cccell/silentworker_test.go
@@ -9,7 +9,7 @@
 const (
 	// handoverAtMs is when the authority of the prior leader ends, and newMs a time long after it.
 	handoverAtMs ms = 1000
-	newMs        ms = handoverAtMs + returningMs + 100
+	newMs        ms = handoverAtMs + 4100
 	// silentLeaseMs is the length of the leases of the prior leader.
 	silentLeaseMs ms = 9000
 )
@@ -77,6 +77,11 @@
 	return TaskLists{Running: []RunningTask{{Task: TaskID{Job: "j", Index: 1}, Attempt: priorAttempt}}}
 }
 
+// otherByPrior are the lists of a worker with an attempt of the prior leader at another job.
+func otherByPrior() TaskLists {
+	return TaskLists{Running: []RunningTask{{Task: TaskID{Job: "other"}, Attempt: priorAttempt}}}
+}
+
 // Tasks started beside their runs on a worker that did not reply, since a process had reported the job as not begun by the
 // prior leader, or nothing was reported of it.
 func TestTasksWaitForSilentWorkerThatMayRunThem(t *testing.T) {
@@ -117,9 +122,12 @@
 		"BegunThenUnstored":         {after: []step{begin(true), begin(false)}},
 		"BegunThenFound":            {after: []step{begin(true), found}},
 		"FoundThenBegun":            {after: []step{found, begin(true)}},
-		"MarkedThenReported":        {after: []step{mark, report(false)}},
-		"MarkedThenUnstored":        {after: []step{mark, begin(false)}},
-		"ReportedThenMarked":        {after: []step{report(false), mark}},
+		// A prior leader has run a job of which nobody has told.
+		"UnclaimedRuns":      {before: []step{list(otherByPrior())}, after: []step{report(false)}},
+		"UnclaimedEnd":       {before: []step{list(TaskLists{Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "other"}, Attempt: priorAttempt, End: EndDone}}})}, after: []step{begin(false)}},
+		"MarkedThenReported": {after: []step{mark, report(false)}},
+		"MarkedThenUnstored": {after: []step{mark, begin(false)}},
+		"ReportedThenMarked": {after: []step{report(false), mark}},
 		// Nothing is known of the job but that the store has it, or that its caller may have been elsewhere.
 		"Found":                  {after: []step{found}},
 		"FoundBeforeLists":       {before: []step{found}},
@@ -175,7 +183,8 @@
 			c.AddUnstored(j, false, now, now)
 			c.AddReportedJob(j, false, now, now)
 		}},
-		"AnotherJobRuns": {at: newMs, lists: TaskLists{Running: []RunningTask{{Task: TaskID{Job: "other"}, Attempt: priorAttempt}}}, add: func(c *silentCell, j *Job, now ms) {
+		"AnotherJobRuns": {at: newMs, lists: otherByPrior(), add: func(c *silentCell, j *Job, now ms) {
+			c.AddReportedJob(testJob("other", 1), true, now, now)
 			c.AddReportedJob(j, false, now, now)
 		}},
 		"SilentWorkerHasLapsed": {at: handoverAtMs + maxLeaseDuration(silentLeaseMs), returning: true, add: func(c *silentCell, j *Job, now ms) { c.AddUnstored(j, true, now, now) }},
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -12,9 +12,6 @@
 const (
 	// maxUnstored bounds the unstored jobs.
 	maxUnstored = 4096
-	// returningMs is the time from the start of a term in which jobs that arrive count as started by a prior leader:
-	// callers repeat a submission for three seconds.
-	returningMs ms = 4000
 	// strayGraceMs is the time that a running task of an unknown job has before it is stopped, in which the process that
 	// holds the submission tells a new leader of the job.
 	strayGraceMs ms = 300
@@ -51,15 +48,14 @@
 }
 
 // awaitsHandover reports whether a job may start tasks only when the handover is complete, since a prior leader may have
-// started some: it did before the job was stored, for another process that the caller has come from or that has not told
-// of the job yet, if it has run such jobs at all. Load: after a loss of all power every caller comes back, and one silent
-// worker must not hold up their jobs for the length of its leases.
+// started some. That is known of an adopted job, and can't be excluded for one that no process has told of, for one whose caller
+// was at another process before, and for any job if a worker has shown that a prior leader ran unstored jobs of which nobody
+// has told.
 func (c *Cell) awaitsHandover(j *job) bool {
 	if j.adopted {
 		return true
 	}
-	doubtful := (j.found || j.spec.Returning) && c.cfg.PriorUnstored && j.arrivedAt-c.startedAt < returningMs
-	return doubtful && (c.orphansSeen || !c.initialPollDone)
+	return c.cfg.PriorUnstored && (j.found || j.spec.Returning || len(c.unclaimed) > 0 || !c.initialPollDone)
 }
 
 // markStored records that the submission of a job is in the store.
--- a/core/cccell/unstored_test.go
+++ b/core/cccell/unstored_test.go
@@ -167,8 +167,8 @@
 }
 
 // A new leader does not know whether a job was begun before it was stored if it has found the job in the store, or if the
-// caller may have been at another process. If the prior leader has run such jobs, as tasks of unknown jobs show, the job
-// waits for a worker that does not reply; else it starts at once.
+// caller may have been at another process. Such a job waits for a worker that does not reply. So does any other one if the
+// prior leader has run jobs of which nobody has told, as tasks of unknown jobs show; else it starts at once.
 func TestDoubtfulJobWaitsForSilentWorkers(t *testing.T) {
 	const attempt = 1<<attemptBits + 1
 	stray := &TaskLists{Running: []RunningTask{{Task: TaskID{Job: "unknown"}, Attempt: attempt}}}
@@ -180,13 +180,14 @@
 		want                       int
 	}{
 		"Found":                      {lists: ended, want: 0},
-		"FoundWithoutUnstoredJobs":   {lists: &TaskLists{}, want: 1},
-		"Reported":                   {lists: ended, reported: true, want: 1},
+		"FoundWithoutUnstoredJobs":   {lists: &TaskLists{}, want: 0},
+		"Reported":                   {lists: ended, reported: true, want: 0},
+		"ReportedWithoutUnstored":    {lists: &TaskLists{}, reported: true, want: 1},
 		"Returning":                  {lists: ended, reported: true, returning: true, want: 0},
 		"ReturningBesideStray":       {lists: stray, reported: true, returning: true, want: 0},
-		"ReturningWithoutUnstored":   {lists: &TaskLists{}, reported: true, returning: true, want: 1},
+		"ReturningWithoutUnstored":   {lists: &TaskLists{}, reported: true, returning: true, want: 0},
 		"Begun":                      {lists: &TaskLists{}, reported: true, begun: true, want: 0},
-		"ReturningLongAfterTakeover": {lists: ended, reported: true, returning: true, later: returningMs, want: 1},
+		"ReturningLongAfterTakeover": {lists: ended, reported: true, returning: true, later: 4000, want: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
