Model of the cell: jobs that two processes report, registrations that lapse

TestCellModelUnstoredReports: one or two processes hold a job and tell the leaders of it, each in its own time and with the mark that it knows; leaders find stored jobs late; leaders end and workers fall silent at once. TestCellModelUnstoredLapses: registrations lapse in an outage, rosters are written late, workers join. The present tests draw what they drew before.

--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -79,6 +79,16 @@
 	// counts them.
 	unstored  map[string]ms
 	submitted int
+	// held has the jobs that processes hold which tell of them in their own time; see modelreports_test.go.
+	held map[string]*heldJob
+	// lapses is true when registrations lapse in outages of the store and rosters are written late. lapsedUntil has the
+	// time until which a worker is not registered.
+	lapses      bool
+	lapsedUntil map[int]ms
+	// rosterAt is when the roster was written last in such a simulation.
+	rosterAt ms
+	// longTasks is true when tasks run for up to four seconds.
+	longTasks bool
 	// authorityMs is the time for which a leader may give orders after a confirmation.
 	authorityMs ms
 	// runTimes is what all leaders learn with, nil for nothing.
@@ -100,7 +110,7 @@
 func newSimulation(t *rapid.T, teams bool, runTimes *ccruntimes.Learner) *simulation {
 	sim := &simulation{
 		t: t, now: 10_000, disconnected: map[int]bool{}, checker: ccworkersim.NewChecker(), jobs: map[string]*cccell.Job{}, cancelled: map[string]bool{},
-		progress: map[string]record{}, unknownEnds: map[string]record{}, published: map[string]cccell.State{}, unstored: map[string]ms{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
+		progress: map[string]record{}, unknownEnds: map[string]record{}, published: map[string]cccell.State{}, unstored: map[string]ms{}, held: map[string]*heldJob{}, lapsedUntil: map[int]ms{}, authorityMs: modelAuthorityMs, runTimes: runTimes,
 	}
 	sim.checker.MaxAttempts = modelMaxAttempts
 	sim.checker.LongRunning = func(id cccell.TaskID) bool { return sim.jobs[id.Job].Stages[id.Stage].LongRunning }
@@ -141,6 +151,9 @@
 	if s.LongRunning && h%5 != 0 {
 		runMs = 0
 	}
+	if sim.longTasks {
+		runMs *= 5 // Longer than a change of the leader takes.
+	}
 	return runMs, end, s.Reserved()
 }
 
@@ -158,7 +171,9 @@
 	for _, info := range roster {
 		c.AddUnlistedWorker(info, sim.now)
 	}
-	sim.roster = c.Roster()
+	if !sim.lapses {
+		sim.roster = c.Roster()
+	}
 	for _, id := range sim.jobIDs {
 		r := sim.progress[id]
 		if r.progress.State.Final() {
@@ -195,13 +210,13 @@
 // listWorkers passes the workers that the store lists to a leader.
 func (sim *simulation) listWorkers(l *leader) {
 	var infos []cccell.WorkerInfo
-	for _, x := range sim.workers {
-		if x.Up() {
+	for i, x := range sim.workers {
+		if x.Up() && sim.now >= sim.lapsedUntil[i] {
 			infos = append(infos, x.Info)
 		}
 	}
 	l.cell.SetWorkers(infos, nil, sim.now)
-	if l.token == sim.token && !sim.storeDown {
+	if l.token == sim.token && !sim.storeDown && !sim.lapses {
 		sim.roster = l.cell.Roster()
 	}
 }
@@ -461,6 +476,7 @@
 		}
 	case 7:
 		sim.storeDown = !sim.storeDown
+		sim.lapseSome()
 	case 8:
 		if len(sim.jobIDs) > 0 && !sim.storeDown {
 			id := sim.jobIDs[sim.draw(len(sim.jobIDs), "cancel")]
@@ -486,7 +502,7 @@
 func (sim *simulation) heal() {
 	sim.faultsOff, sim.storeDown = true, false
 	sim.liftCaps()
-	sim.disconnected = map[int]bool{}
+	sim.disconnected, sim.lapsedUntil = map[int]bool{}, map[int]ms{}
 	for _, x := range sim.workers {
 		x.Info.Draining = false
 		x.SetCapacity(modelCapacity, sim.now)
@@ -498,6 +514,7 @@
 	for _, id := range slices.Sorted(maps.Keys(sim.unstored)) {
 		sim.store(id)
 	}
+	sim.storeHeld()
 	for k := range 400 {
 		if k%10 == 0 {
 			for _, l := range sim.leaders {
@@ -575,7 +592,7 @@
 
 // modelOptions selects what a simulation has beside its faults.
 type modelOptions struct {
-	resizes, teams, learns, unstored, sameID, lateReplies bool
+	resizes, teams, learns, unstored, sameID, lateReplies, reports, lapses bool
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
@@ -586,7 +603,11 @@
 			runTimes = ccruntimes.New()
 		}
 		sim := newSimulation(t, opts.teams, runTimes)
-		sim.resizes, sim.sameID, sim.lateReplies = opts.resizes, opts.sameID, opts.lateReplies
+		sim.resizes, sim.sameID, sim.lateReplies, sim.lapses = opts.resizes, opts.sameID, opts.lateReplies, opts.lapses
+		sim.longTasks = opts.reports || opts.lapses
+		if opts.lapses {
+			sim.joinLate()
+		}
 		for _, x := range sim.workers {
 			if x.SameID = opts.sameID; x.SameID {
 				x.MaxLeaseMs = modelLeaseMs
@@ -605,6 +626,18 @@
 				}
 				sim.storeSome()
 			}
+			if opts.reports {
+				if sim.draw(4, "held") == 0 {
+					sim.submitHeld()
+				}
+				sim.moveHeld()
+			}
+			if opts.reports || opts.lapses {
+				sim.loseLeaders()
+			}
+			if opts.lapses {
+				sim.moveRegistrations()
+			}
 			sim.step(ms(5 + sim.draw(400, "time")))
 			sim.check()
 		}
--- a/core/cccell/modelunstored_test.go
+++ b/core/cccell/modelunstored_test.go
@@ -23,7 +23,14 @@
 	if len(sim.leaders) == 0 || len(sim.jobIDs)+len(sim.unstored) > 12 {
 		return
 	}
-	id := "u" + strconv.Itoa(sim.submitted)
+	j := sim.newUnstored("u")
+	sim.unstored[j.ID] = sim.now
+	sim.newest().AddUnstored(j, false, sim.now, sim.now)
+}
+
+// newUnstored returns a new job that is not stored.
+func (sim *simulation) newUnstored(prefix string) *cccell.Job {
+	id := prefix + strconv.Itoa(sim.submitted)
 	sim.submitted++
 	j := &cccell.Job{ID: id, Queue: cccell.Queue{Name: "q", Service: "s", MaxAttempts: modelMaxAttempts, TargetMs: 500, SlackFactor: 1.5}, Spec: "x"}
 	size := ccwork.Size{MilliCores: int64(500 * (1 + sim.draw(4, "size"))), MemoryMB: 500}
@@ -32,8 +39,7 @@
 		j.Stages = append(j.Stages, cccell.Stage{Count: 2, Size: size, EstimateMs: 300, After: []int{0}})
 	}
 	sim.jobs[id] = j
-	sim.unstored[id] = sim.now
-	sim.newest().AddUnstored(j, false, sim.now, sim.now)
+	return j
 }
 
 // newest returns the cell of the newest leader.
