The model of lapsing registrations names the recorded workers

TestCellModelUnstoredLapses plays what io/cccontrol does since: a worker gets tasks once the stored roster has it, and a new leader knows the roster that it found. Before, the model wrote the roster in the moment in which the workers were read, which is why it did not find the fault.

--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -164,9 +164,10 @@
 	}
 	sim.token++
 	sim.revision++
-	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
+	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, AwaitRoster: sim.lapses, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
 	l := &leader{cell: c, token: sim.token}
 	roster := sim.roster // That of the prior leader, which the new one replaces.
+	c.SetRecorded(ids(roster))
 	sim.listWorkers(l)
 	for _, info := range roster {
 		c.AddUnlistedWorker(info, sim.now)
@@ -525,6 +526,9 @@
 					}
 				}
 			}
+			if sim.lapses {
+				sim.writeRoster()
+			}
 		}
 		sim.step(100)
 	}
--- a/core/cccell/modelreports_test.go
+++ b/core/cccell/modelreports_test.go
@@ -169,10 +169,25 @@
 		}
 	}
 	if sim.now-sim.rosterAt >= modelRosterMs && sim.draw(4, "writeRoster") > 0 {
-		sim.roster, sim.rosterAt = sim.newest().Roster(), sim.now
+		sim.writeRoster()
 	}
 }
 
+// writeRoster lets the newest leader write the roster.
+func (sim *simulation) writeRoster() {
+	sim.roster, sim.rosterAt = sim.newest().Roster(), sim.now
+	sim.newest().SetRecorded(ids(sim.roster))
+}
+
+// ids returns the IDs of workers.
+func ids(workers []cccell.WorkerInfo) map[string]bool {
+	out := map[string]bool{}
+	for i := range workers {
+		out[workers[i].ID] = true
+	}
+	return out
+}
+
 // lapseSome lets registrations lapse at the end of an outage of the store. All are back within modelRegisterMs.
 func (sim *simulation) lapseSome() {
 	if !sim.lapses || sim.storeDown {
