The model of two reports tells what the processes know

TestCellModelUnstoredReports plays the marks that processes give since the last commits (newFor, and the jobs that each new leader is told of).

--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -25,6 +25,8 @@
 type leader struct {
 	cell  *cccell.Cell
 	token int64
+	// aloneFrom is when the authority of all prior leaders has ended.
+	aloneFrom ms
 	// writes are in flight to the store.
 	writes []cccell.ProgressWrite
 	// configVersion is the newest version of the caps that the leader knows.
@@ -165,7 +167,7 @@
 	sim.token++
 	sim.revision++
 	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, AwaitRoster: sim.lapses, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
-	l := &leader{cell: c, token: sim.token}
+	l := &leader{cell: c, token: sim.token, aloneFrom: sim.now + sim.authorityMs}
 	roster := sim.roster // That of the prior leader, which the new one replaces.
 	c.SetRecorded(ids(roster))
 	sim.listWorkers(l)
@@ -193,6 +195,7 @@
 	}
 	sim.learnSomeCaps(l)
 	sim.leaders = append(sim.leaders, l)
+	sim.tellBegun()
 }
 
 // ended reports whether the store has a final state of a job.
--- a/core/cccell/modelreports_test.go
+++ b/core/cccell/modelreports_test.go
@@ -43,17 +43,23 @@
 // holder is a process that has got a job from its caller.
 type holder struct {
 	spec *cccell.Job
-	// begun is what the process tells: that a leader may have started tasks of the job.
-	begun bool
-	// begunBy is the token of the last leader that has confirmed to run the job.
-	begunBy int64
+	// newFor is the token of the leader of which the process knew, when the job arrived, that no prior one had authority; 0 for
+	// none. For any other leader the job may have begun.
+	newFor int64
+	// begunBy is the token of the last leader that has confirmed to run the job; askedInVain is true if one may run it.
+	begunBy     int64
+	askedInVain bool
 }
 
 // newHolder returns a process that gets a job now.
 func (sim *simulation) newHolder(j *cccell.Job, returning bool) *holder {
 	spec := *j
 	spec.AcceptedMs, spec.Returning = int64(sim.now), returning
-	return &holder{spec: &spec}
+	h := &holder{spec: &spec}
+	if n := len(sim.leaders); n > 0 && sim.now >= sim.leaders[n-1].aloneFrom && sim.draw(3, "knowsLeader") > 0 {
+		h.newFor = sim.leaders[n-1].token
+	}
+	return h
 }
 
 // submitHeld submits a job to a process.
@@ -96,8 +102,8 @@
 			}
 		case 8, 9:
 			if h.stored && len(sim.leaders) > 0 {
-				if !sim.ended(id) {
-					sim.newest().AddReportedJob(h.holders[k].spec, h.holders[k].begun, sim.now, sim.now)
+				if l := sim.leaders[len(sim.leaders)-1]; !sim.ended(id) {
+					l.cell.AddReportedJob(h.holders[k].spec, h.holders[k].newFor != l.token, sim.now, sim.now)
 				}
 				if sim.draw(2, "again") == 0 { // Else it tells the next leader as well.
 					h.holders = slices.Delete(h.holders, k, k+1)
@@ -120,12 +126,23 @@
 	if h.begunBy == l.token || (fault != 1 && sim.now >= l.cell.Authority()) {
 		return
 	}
-	ran := fault != 1 && (sim.ended(h.spec.ID) || l.cell.AddUnstored(h.spec, h.begun, sim.now, sim.now))
+	ran := fault != 1 && (sim.ended(h.spec.ID) || l.cell.AddUnstored(h.spec, h.newFor != l.token, sim.now, sim.now))
 	switch {
 	case fault == 1, fault == 2:
-		h.begun = true
+		h.askedInVain = true
 	case ran:
-		h.begun, h.begunBy = true, l.token
+		h.begunBy = l.token
+	}
+}
+
+// tellBegun tells a new leader of the jobs that the processes have asked an earlier one to run.
+func (sim *simulation) tellBegun() {
+	for _, id := range slices.Sorted(maps.Keys(sim.held)) {
+		for _, h := range sim.held[id].holders {
+			if h.begunBy != 0 || h.askedInVain {
+				sim.newest().MarkBegun(id)
+			}
+		}
 	}
 }
 
@@ -222,5 +239,6 @@
 	if !sim.storeDown {
 		sim.takeOver()
 		sim.newest().SetHandover(sim.now)
+		sim.leaders[len(sim.leaders)-1].aloneFrom = sim.now
 	}
 }
