--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -72,6 +72,8 @@
 	orders       Orders
 	attemptCount int64
 	deposed      bool
+	// unstoredSeen is true once it is known that a prior leader has run jobs that were not stored.
+	unstoredSeen bool
 	// unclaimed holds the IDs of the jobs that a worker has shown to have been run by a prior leader, and of which nobody has
 	// told this one, until the handover is complete.
 	unclaimed map[string]bool
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -354,7 +354,7 @@
 	if s == nil {
 		a.stopWanted = !c.cfg.PriorUnstored
 		if c.unknown(t.Task.Job) {
-			c.unclaimed[t.Task.Job] = true
+			c.noteUnclaimed(t.Task.Job)
 		}
 		c.cfg.Log("stray task", "Job", t.Task.Job, "Task", t.Task, "Attempt", t.Attempt, "Worker", w.info.ID)
 		w.addAttempt(a)
--- a/core/cccell/unknown.go
+++ b/core/cccell/unknown.go
@@ -33,7 +33,7 @@
 	if !c.cfg.PriorUnstored || !c.unknown(e.Task.Job) || !e.Task.plausible() {
 		return nil
 	}
-	c.unclaimed[e.Task.Job] = true
+	c.noteUnclaimed(e.Task.Job)
 	c.cfg.Log("end of an unknown job", "Job", e.Task.Job, "Task", e.Task, "Attempt", e.Attempt, "Worker", w.info.ID, "End", e.End)
 	u := c.unknownJobs[e.Task.Job]
 	if u == nil {
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -40,6 +40,7 @@
 // MarkBegun records that a prior leader may have started tasks of a job that is not stored yet and that the cell may not have. It
 // has no effect once the handover is complete, since all such tasks are known then.
 func (c *Cell) MarkBegun(id string) {
+	c.unstoredSeen = true
 	if j := c.jobs[id]; j != nil {
 		j.adopted = true
 	} else if len(c.begunBefore) < maxUnstored {
@@ -48,14 +49,22 @@
 }
 
 // awaitsHandover reports whether a job may start tasks only when the handover is complete, since a prior leader may have
-// started some. That is known of an adopted job, and can't be excluded for one that no process has told of, for one whose caller
-// was at another process before, and for any job if a worker has shown that a prior leader ran unstored jobs of which nobody
-// has told.
+// started some. That is known of an adopted job, and can't be excluded for one that no process has told of. Any other job waits
+// until the workers that reply have been read, and if they show that a prior leader ran unstored jobs: one whose caller was at
+// another process before until the handover is complete, the others as long as nobody has told of that work. Load: after a loss of
+// all power every caller comes back, and one silent worker must not hold up their jobs for the length of its leases.
 func (c *Cell) awaitsHandover(j *job) bool {
-	if j.adopted {
+	switch {
+	case j.adopted:
 		return true
+	case !c.cfg.PriorUnstored:
+		return false
+	case j.found || !c.initialPollDone:
+		return true
+	case j.spec.Returning:
+		return c.unstoredSeen
 	}
-	return c.cfg.PriorUnstored && (j.found || j.spec.Returning || len(c.unclaimed) > 0 || !c.initialPollDone)
+	return len(c.unclaimed) > 0
 }
 
 // markStored records that the submission of a job is in the store.
@@ -115,6 +124,11 @@
 	}
 }
 
+// noteUnclaimed records that a prior leader has run a job of which nobody has told this one.
+func (c *Cell) noteUnclaimed(id string) {
+	c.unclaimed[id], c.unstoredSeen = true, true
+}
+
 // unknown reports whether a job is neither in the cell nor known to have ended.
 func (c *Cell) unknown(id string) bool {
 	return c.jobs[id] == nil && (c.cfg.Ended == nil || !c.cfg.Ended(id))
