--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -36,7 +36,7 @@
 	timer := time.NewTimer(s.BeginAfterMs.Duration())
 	defer timer.Stop()
 	if p.cfg.Store.Lost() {
-		go func() { sub.done <- p.submitThroughLeader(ctx, j, sub.deadline) }()
+		go func() { sub.done <- p.submitThroughLeader(ctx, sub) }()
 	} else {
 		p.submitter.add(sub)
 	}
@@ -82,7 +82,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{Job: j, Begun: s.MayHaveBegun()}
+	in := &ccpeer.BeginRequest{Job: j, Begun: mayHaveBegun(sub.newFor, leader.Token), Token: leader.Token}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -105,24 +105,28 @@
 	}
 }
 
-// notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. failure
-// is the outcome of the last write if that is not repeated; the leader then writes the job.
+// notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. Until then
+// each new leader is told that the job has begun. failure is the outcome of the last write if that is not repeated; the leader
+// then writes the job.
 func (p *Process) notifyWhenStored(j *cccell.Job, s *ccadmit.Submission, sub *submission, failure error) {
 	if failure != nil || s.BegunBy == 0 {
 		return
 	}
+	p.notifier.addUnstored(j.ID)
 	go func() {
-		if err := <-sub.done; err == nil {
-			p.stored(j, true)
+		err := <-sub.done
+		if err == nil {
+			p.stored(j, sub.newFor)
 			p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
 		}
+		p.notifier.removeUnstored(j.ID)
 	}()
 }
 
-// stored records that a job is in the store and notifies the leader. begun is true if a leader may run it already.
-func (p *Process) stored(j *cccell.Job, begun bool) {
+// stored records that a job is in the store and notifies the leader. newFor is submission.newFor.
+func (p *Process) stored(j *cccell.Job, newFor int64) {
 	p.stateCache.merge(j.ID, j.Team, cccell.Queued, p.now())
-	p.notifier.job(j, begun)
+	p.notifier.job(j, newFor)
 }
 
 // Begin implements ccpeer.CellHandler: the leader runs a job that is not stored yet. It fails with errTermEnded, and when ctx
@@ -152,7 +156,7 @@
 	if now >= l.cell.Authority() || l.p.cfg.StoreBeforeStart {
 		return false
 	}
-	return l.cell.AddUnstored(in.Job, in.Begun, now, unixNow())
+	return l.cell.AddUnstored(in.Job, in.Begun || in.Token != l.token, now, unixNow())
 }
 
 // storeBegun writes the jobs that have been unstored for storeBegunAfterMs.
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,13 +30,16 @@
 	// recent holds the jobs queued during the last resendPeriodMs. They are sent again when the leader changes, since
 	// the prior leader may not have received them.
 	recent []sentJob
+	// unstored holds the IDs of the jobs that a leader has begun, whose callers have left, and that this process is still
+	// writing. Each new leader is told of them.
+	unstored map[string]bool
 }
 
-// sentJob is a job with the time at which its notification was queued.
+// sentJob is a job with the time at which its notification was queued. newFor is submission.newFor.
 type sentJob struct {
-	job   *cccell.Job
-	begun bool
-	at    ms
+	job    *cccell.Job
+	newFor int64
+	at     ms
 }
 
 // resendPeriodMs is the age up to which a job is sent again to a new leader. Older jobs are in the store when the new
@@ -43,46 +48,54 @@
 
 // outbox holds the notifications that have not been sent yet.
 type outbox struct {
-	jobs          []*cccell.Job
-	begun         []string // The IDs of those jobs that a leader may have run before they were stored.
+	jobs          []sentJob
 	cancels       []string
+	unstored      []string
 	withdrawn     []ccpeer.Withdrawal
 	adviceReplies []cccell.AdviceReply
 }
 
 func newNotifier(p *Process) *notifier {
-	return &notifier{p: p, wake: make(chan struct{}, 1)}
+	return &notifier{p: p, wake: make(chan struct{}, 1), unstored: map[string]bool{}}
 }
 
-// addJob adds an accepted job.
-func (out *outbox) addJob(j *cccell.Job, begun bool) {
-	out.jobs = append(out.jobs, j)
-	if begun {
-		out.begun = append(out.begun, j.ID)
-	}
-}
-
-// job queues the notification of an accepted job. begun is true if a leader may have run it before it was stored.
-func (n *notifier) job(j *cccell.Job, begun bool) {
+// job queues the notification of an accepted job. newFor is submission.newFor.
+func (n *notifier) job(j *cccell.Job, newFor int64) {
 	now := n.p.now()
 	n.enqueue(func(out *outbox) {
-		out.addJob(j, begun)
-		n.recent = append(n.recent, sentJob{j, begun, now})
+		sent := sentJob{j, newFor, now}
+		out.jobs, n.recent = append(out.jobs, sent), append(n.recent, sent)
 		for len(n.recent) > 0 && now-n.recent[0].at > resendPeriodMs {
 			n.recent = n.recent[1:]
 		}
 	})
 }
 
-// resendRecent queues the notifications of recent jobs again. It is called when the leader has changed.
+// addUnstored adds a job of which each new leader is told that an earlier one has begun it.
+func (n *notifier) addUnstored(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unstored[id] = true
+}
+
+// removeUnstored removes a job that this process no longer writes.
+func (n *notifier) removeUnstored(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.unstored, id)
+}
+
+// resendRecent queues the notifications of recent jobs again, and of those that are not stored yet. It is called when the leader
+// has changed.
 func (n *notifier) resendRecent() {
 	now := n.p.now()
 	n.enqueue(func(out *outbox) {
 		for _, r := range n.recent {
 			if now-r.at <= resendPeriodMs {
-				out.addJob(r.job, r.begun)
+				out.jobs = append(out.jobs, r)
 			}
 		}
+		out.unstored = slices.Collect(maps.Keys(n.unstored))
 	})
 }
 
@@ -120,30 +133,41 @@
 		out := n.outbox
 		n.outbox = outbox{}
 		n.mu.Unlock()
-		if len(out.jobs)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
+		if len(out.jobs)+len(out.unstored)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
-		in := &ccpeer.NotifyRequest{VM: n.p.cfg.VM, Jobs: out.jobs, Begun: out.begun, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
-		if !n.deliver(ctx, in) {
-			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(in.Jobs), "Cancels", len(in.Cancels), "Withdrawn", len(in.Withdrawn), "Answers", len(in.AdviceReplies))
+		if !n.deliver(ctx, &out) {
+			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(out.jobs), "Unstored", len(out.unstored), "Cancels", len(out.cancels), "Withdrawn", len(out.withdrawn), "Answers", len(out.adviceReplies))
+		}
+	}
+}
+
+// request returns the notifications as they are sent to the leader with the given token.
+func (out *outbox) request(vm string, token int64) *ccpeer.NotifyRequest {
+	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
+	for _, sent := range out.jobs {
+		in.Jobs = append(in.Jobs, sent.job)
+		if mayHaveBegun(sent.newFor, token) {
+			in.Begun = append(in.Begun, sent.job.ID)
 		}
 	}
+	return in
 }
 
 // deliver sends notifications to the leader, which may change between the calls and may be this process itself. It
 // returns false if no leader has confirmed them.
-func (n *notifier) deliver(ctx context.Context, in *ccpeer.NotifyRequest) bool {
+func (n *notifier) deliver(ctx context.Context, out *outbox) bool {
 	for calls := 0; calls < maxNotifyCalls; calls++ {
 		if l := n.p.leading(); l != nil {
-			l.onNotify(in)
+			l.onNotify(out.request(n.p.cfg.VM, l.token))
 			return true
 		}
 		leader, _ := n.p.currentLeader()
 		if leader.Token > 0 && leader.VM != n.p.cfg.VM {
 			callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
-			out, err := n.p.cfg.Peers.Notify(callCtx, leader.Address, in)
+			reply, err := n.p.cfg.Peers.Notify(callCtx, leader.Address, out.request(n.p.cfg.VM, leader.Token))
 			cancel()
-			if err == nil && out.Leading {
+			if err == nil && reply.Leading {
 				return true
 			}
 		}
