Known red: the roster omits workers with ends that are not stored

Cause: Cell.drained takes a worker without registration and attempts for drained, though its ends were read and not stored yet, as the store was down. The roster then written omits it, and the next leader, which reads the roster before the worker has registered again, starts its tasks again.

The new test fails: two of three cases.

--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -166,6 +166,39 @@
 	}
 }
 
+// A worker without a registration had ends that were not stored, as the store was down, and the roster omitted it. The next
+// leader did not know the worker and started the tasks again that were done there (soak seed 9140).
+func TestRosterKeepsWorkersWithUnstoredEnds(t *testing.T) {
+	tests := map[string]struct {
+		draining, stored bool
+		want             bool
+	}{
+		"Unlisted":            {want: true},
+		"UnlistedAndDraining": {draining: true, want: true},
+		"UnlistedAndStored":   {stored: true, want: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetHandover(1000)
+			info := testWorker("w")
+			c.SetWorker(info, 1000)
+			c.Adopt(StoredJob{Job: testJob("j", 1)}, 1000, 1000)
+			lists := &TaskLists{Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "j"}, Attempt: 1<<attemptBits + 1, End: EndDone}}}
+			pollAll(t, c, 1010, map[string]*TaskLists{"w": lists})
+			if test.draining {
+				info.Draining = true
+				c.SetWorker(info, 1020)
+			}
+			c.MarkUnlisted("w")
+			if test.stored {
+				c.OnWritten(c.NextWrites(10, 1030), 1, 1030)
+			}
+			assert.Equal(t, len(c.Roster()) == 1, test.want)
+		})
+	}
+}
+
 // While the store is down, the registrations of workers that have drained and left remain. A new leader must not wait
 // for leases at such a worker, but for those at every other one that does not reply. Seen on the test bench: jobs that
 // were submitted again after a loss of all power in an outage started 4.6 s late.
