The roster keeps workers whose ends are not stored

Cause: a worker without a registration whose attempts had all ended counted as drained, although the store, which was down, did not have the ends yet. The roster left it out, and the next leader, which led before the worker had registered again, started the tasks again. The same class as: the next leader does not know of a worker that matters.

Change: a worker is drained once its ends are stored as well.

--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -92,10 +92,10 @@
 	}
 }
 
-// drained reports whether a worker is known to run nothing and gets no more tasks. It matters when a tenth of the
-// workers drain and leave while the leader is replaced.
+// drained reports whether a worker is known to run nothing, has no ends that the next leader must read, and gets no more
+// tasks. It matters when a tenth of the workers drain and leave while the leader is replaced.
 func (c *Cell) drained(w *worker) bool {
-	return (w.drainSince != 0 || !w.listed) && !c.needsFreshPoll(w) && len(w.attempts) == 0
+	return (w.drainSince != 0 || !w.listed) && !c.needsFreshPoll(w) && len(w.attempts) == 0 && len(w.unackedEnds) == 0
 }
 
 // AddUnlistedWorker adds a worker of the prior leader's roster that is not registered in the store: tasks may run there
