Processes tell a new leader that the prior one ran unstored jobs

What callers see: tasks run twice. An outage of the store; the leader runs a job for a caller of its own process; the leader and a worker that runs all of the job are lost at once; the caller comes back to another process with its whole time.

Cause: the only processes that knew of the job are gone, and no worker that replies shows anything of it: the job counts as new.

Change: a leader tells its followers while it runs unstored jobs (SyncReply.RunsUnstored, at once when that begins), and a new leader learns it from its own memory or with the first notifications. All jobs then wait for silent workers until the handover is complete. While the store is reached and all jobs are stored, which is nearly always, new jobs start at once as before.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -72,6 +72,9 @@
 	orders       Orders
 	attemptCount int64
 	deposed      bool
+	// priorRanUnstored is true from when a process has told that the prior leader ran unstored jobs until the handover is
+	// complete.
+	priorRanUnstored bool
 	// unstoredSeen is true once it is known that a prior leader has run jobs that were not stored.
 	unstoredSeen bool
 	// unclaimed holds the IDs of the jobs that a worker has shown to have been run by a prior leader, and of which nobody has
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -21,6 +21,7 @@
 	if handedOver {
 		clear(c.begunBefore)
 		clear(c.unclaimed)
+		c.priorRanUnstored = false
 	}
 	c.initialPollDone = c.initialPollDone || c.initialPollComplete()
 	if now < c.authorityUntil && !c.startsHeld {
--- a/core/cccell/silentworker_test.go
+++ b/core/cccell/silentworker_test.go
@@ -95,6 +95,7 @@
 	mark := func(c *silentCell, j *Job, _ ms) { c.MarkBegun(j.ID) }
 	markOther := func(c *silentCell, _ *Job, _ ms) { c.MarkBegun("other") }
 	other := func(c *silentCell, _ *Job, now ms) { c.AddReportedJob(testJob("other", 1), true, now, now) }
+	priorRan := func(c *silentCell, _ *Job, _ ms) { c.NotePriorUnstored() }
 	found := func(c *silentCell, j *Job, now ms) { c.AddJob(j, now, now) }
 	list := func(lists TaskLists) step { return func(c *silentCell, _ *Job, _ ms) { *c.listsOf("w1") = lists } }
 	tests := map[string]struct {
@@ -125,11 +126,14 @@
 		"BegunThenFound":            {after: []step{begin(true), found}},
 		"FoundThenBegun":            {after: []step{found, begin(true)}},
 		// A prior leader has run a job of which nobody has told.
-		"UnclaimedRuns":      {before: []step{list(otherByPrior())}, after: []step{report(false)}},
-		"UnclaimedEnd":       {before: []step{list(TaskLists{Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "other"}, Attempt: priorAttempt, End: EndDone}}})}, after: []step{begin(false)}},
-		"MarkedThenReported": {after: []step{mark, report(false)}},
-		"MarkedThenUnstored": {after: []step{mark, begin(false)}},
-		"ReportedThenMarked": {after: []step{report(false), mark}},
+		"UnclaimedRuns": {before: []step{list(otherByPrior())}, after: []step{report(false)}},
+		"UnclaimedEnd":  {before: []step{list(TaskLists{Ended: []EndedTask{{Number: 1, Task: TaskID{Job: "other"}, Attempt: priorAttempt, End: EndDone}}})}, after: []step{begin(false)}},
+		// The prior leader ran unstored jobs, and the process that held them may be lost with it.
+		"PriorRanUnstored":         {before: []step{priorRan}, after: []step{report(false)}},
+		"PriorRanUnstoredToldLate": {after: []step{report(false), priorRan}},
+		"MarkedThenReported":       {after: []step{mark, report(false)}},
+		"MarkedThenUnstored":       {after: []step{mark, begin(false)}},
+		"ReportedThenMarked":       {after: []step{report(false), mark}},
 		// Nothing is known of the job but that the store has it, or that its caller may have been elsewhere.
 		"Found":                    {after: []step{found}},
 		"FoundBeforeLists":         {before: []step{found}},
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -49,17 +49,17 @@
 }
 
 // awaitsHandover reports whether a job may start tasks only when the handover is complete, since a prior leader may have
-// started some. That is known of an adopted job, and can't be excluded for one that no process has told of. Any other job waits
-// until the workers that reply have been read, and if they show that a prior leader ran unstored jobs: one whose caller was at
-// another process before until the handover is complete, the others as long as nobody has told of that work. Load: after a loss of
-// all power every caller comes back, and one silent worker must not hold up their jobs for the length of its leases.
+// started some. That is known of an adopted job, and can't be excluded for one that no process has told of, or if the prior leader
+// ran unstored jobs. If no process can tell that, the workers that reply may show it: a job whose caller was at another process
+// before waits then until the handover is complete, the others as long as nobody has told of that work. Load: after a loss of all
+// power every caller comes back, and one silent worker must not hold up their jobs for the length of its leases.
 func (c *Cell) awaitsHandover(j *job) bool {
 	switch {
 	case j.adopted:
 		return true
 	case !c.cfg.PriorUnstored:
 		return false
-	case j.found || !c.initialPollDone:
+	case j.found || !c.initialPollDone || c.priorRanUnstored:
 		return true
 	case j.spec.Returning:
 		return c.unstoredSeen
@@ -124,6 +124,16 @@
 	}
 }
 
+// NotePriorUnstored records that the prior leader ran unstored jobs. The process that held them may be lost with it.
+func (c *Cell) NotePriorUnstored() {
+	c.priorRanUnstored, c.unstoredSeen = true, true
+}
+
+// RunsUnstored reports whether the next leader has to expect runs of jobs that it does not find in the store.
+func (c *Cell) RunsUnstored() bool {
+	return c.unstoredCount > 0 || c.priorRanUnstored
+}
+
 // noteUnclaimed records that a prior leader has run a job of which nobody has told this one.
 func (c *Cell) noteUnclaimed(id string) {
 	c.unclaimed[id], c.unstoredSeen = true, true
--- a/io/cccontrol/advice.go
+++ b/io/cccontrol/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coriandercross/core/cccell"
@@ -48,6 +49,8 @@
 	// slowSent is the version of adviceDispatcher.slow that was last sent to the peer, and slowSentAt the time.
 	slowSent   int64
 	slowSentAt ms
+	// toldUnstored is SyncReply.RunsUnstored of the last reply to the peer.
+	toldUnstored atomic.Bool
 }
 
 // newAdviceDispatcher returns a dispatcher that knows this process only. Peers are added as they call Sync.
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -175,6 +175,7 @@
 	if out.PriorEnded {
 		p.soleToken.Store(out.Token)
 	}
+	p.runsUnstored.Store(out.RunsUnstored)
 	p.succession.learnSlow(out.Slow, now)
 	if out.Loading {
 		if p.aloneReachesStore(out) {
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -151,6 +151,9 @@
 		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, AwaitRoster: true, Ended: p.stateCache.ended,
 		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
+	if p.runsUnstored.Load() {
+		l.cell.NotePriorUnstored()
+	}
 	l.dispatcher = newAdviceDispatcher(l)
 	l.announce(*prior)
 	var submissions, directory int64
@@ -290,6 +293,9 @@
 	l.updateConfig()
 	l.cell.HoldStarts(l.awaitsDirectory(now))
 	l.cell.Schedule(now, unixNow())
+	if runs := l.cell.RunsUnstored(); runs != p.runsUnstored.Swap(runs) && runs {
+		l.dispatcher.wakeAll() // The next leader needs to know.
+	}
 	l.sendOrders(l.cell.TakeOrders(), now)
 	l.flush(now)
 	l.writeRoster(now)
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -51,6 +51,7 @@
 	jobs          []sentJob
 	cancels       []string
 	unstored      []string
+	ranUnstored   bool
 	withdrawn     []ccpeer.Withdrawal
 	adviceReplies []cccell.AdviceReply
 }
@@ -95,7 +96,7 @@
 				out.jobs = append(out.jobs, r)
 			}
 		}
-		out.unstored = slices.Collect(maps.Keys(n.unstored))
+		out.unstored, out.ranUnstored = slices.Collect(maps.Keys(n.unstored)), n.p.runsUnstored.Load()
 	})
 }
 
@@ -133,7 +134,7 @@
 		out := n.outbox
 		n.outbox = outbox{}
 		n.mu.Unlock()
-		if len(out.jobs)+len(out.unstored)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
+		if !out.ranUnstored && len(out.jobs)+len(out.unstored)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
 		if !n.deliver(ctx, &out) {
@@ -144,7 +145,7 @@
 
 // request returns the notifications as they are sent to the leader with the given token.
 func (out *outbox) request(vm string, token int64) *ccpeer.NotifyRequest {
-	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
+	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, RanUnstored: out.ranUnstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
 	for _, sent := range out.jobs {
 		in.Jobs = append(in.Jobs, sent.job)
 		if mayHaveBegun(sent.newFor, token) {
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -43,7 +43,7 @@
 	for {
 		seq, full, changes, next := p.stateCache.changesSince(in.Token, in.Seq)
 		requests := peer.takeRequests()
-		done := full || len(changes) > 0 || len(requests) > 0 || p.draining.Load() || l.accepts(peer)
+		done := full || len(changes) > 0 || len(requests) > 0 || p.draining.Load() || l.accepts(peer) || (p.runsUnstored.Load() && !peer.toldUnstored.Load())
 		if !done {
 			select {
 			case <-next:
@@ -60,7 +60,7 @@
 		p.stateCache.mu.Lock()
 		out := &ccpeer.SyncReply{
 			Leading: true, Token: l.token, Seq: seq, Full: full, Changes: changes, AdviceRequests: requests, QueuedJobs: p.stateCache.queued,
-			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(), PriorEnded: l.handedOver.Load(),
+			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(), PriorEnded: l.handedOver.Load(), RunsUnstored: p.runsUnstored.Load(),
 		}
 		p.stateCache.mu.Unlock()
 		if l.accepts(peer) {
@@ -69,6 +69,7 @@
 			}
 			out.Resigning, out.Successor = true, true
 		}
+		peer.toldUnstored.Store(out.RunsUnstored)
 		now := p.now()
 		out.Slow = l.dispatcher.slowPeers(peer, ms(in.ReceivedMs), now)
 		out.SentMs = int64(now)
@@ -95,6 +96,9 @@
 				l.cell.AddReportedJob(j, in.Token != l.token || slices.Contains(in.Begun, j.ID), now, unixNow())
 			}
 		}
+		if in.RanUnstored {
+			l.cell.NotePriorUnstored()
+		}
 		for _, id := range in.Unstored {
 			l.cell.MarkBegun(id)
 		}
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -92,6 +92,8 @@
 	Slow map[string]int64 `cbor:"17,keyasint,omitempty"`
 	// PriorEnded is true once the authority of all leaders before the sender has ended.
 	PriorEnded bool `cbor:"18,keyasint,omitempty"`
+	// RunsUnstored is true while the leader, or one before it whose runs are not all known, may run jobs that are not stored.
+	RunsUnstored bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -119,6 +121,8 @@
 	Token int64    `cbor:"7,keyasint,omitempty"`
 	// Unstored are the IDs of jobs that an earlier leader may have begun and that the sender is still writing.
 	Unstored []string `cbor:"8,keyasint,omitempty"`
+	// RanUnstored is true if the leader that the sender followed before ran jobs that were not stored.
+	RanUnstored bool `cbor:"9,keyasint,omitempty"`
 	// Withdrawn are jobs that were cancelled before they were stored. Earlier releases find that when they write them.
 	Withdrawn []Withdrawal `cbor:"6,keyasint,omitempty"`
 }
