A roster that can't be read holds up adopted jobs

What callers would see: tasks run twice after a change of the leader, on workers whose registrations have lapsed.

Change: AwaitUnknownWorkers: the handover is then complete when the prior leader's leases have ended.

Before: two of three cases of TestUnreadableRosterHoldsUpAdoptedJobs fail; after: they pass.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -94,6 +94,8 @@
 	// handoverAt is the time at which the prior leader's authority ends. Until then the prior leader may still accept
 	// jobs and start tasks.
 	handoverAt ms
+	// unknownWorkers is true if there may be workers of the prior leader that this one does not know.
+	unknownWorkers bool
 	// initialPollDone is true once every worker was admitted or is silent.
 	initialPollDone bool
 	// roundAt is the time of the current round, or of the last one.
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -110,6 +110,12 @@
 	w.listed = false
 }
 
+// AwaitUnknownWorkers records that tasks may run on workers of which the store does not tell this leader. The handover is then
+// complete when the leases that the prior leader gave have ended.
+func (c *Cell) AwaitUnknownWorkers() {
+	c.unknownWorkers = true
+}
+
 // evacuate stops tasks on a draining worker so that they continue elsewhere: long-running tasks at once, and tasks with
 // checkpoints that would not be done when the worker leaves. Other tasks run on.
 func (c *Cell) evacuate(w *worker, leftMs int64, now ms) {
@@ -137,7 +143,7 @@
 // is known or its lease has ended. Until handoverAt the prior leader can start tasks on a worker that has seen no token
 // of this leader: on a new worker, or on one that has just restarted.
 func (c *Cell) handoverComplete(now ms) bool {
-	if now < c.handoverAt {
+	if now < c.handoverAt || (c.unknownWorkers && now < c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)) {
 		return false
 	}
 	for _, w := range c.workers {
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -111,14 +111,16 @@
 	}
 	var record rosterRecord
 	if err := decode(keyRoster, item.Value, &record); err != nil {
-		log.Error("roster can't be decoded: leases at workers that are not listed are not awaited", "Revision", item.Revision, "Error", err)
+		log.Error("roster can't be decoded", "Revision", item.Revision, "Error", err)
 		l.priorRoster = unreadableRoster
+		l.cell.AwaitUnknownWorkers()
 		return
 	}
 	l.priorRoster = incarnations(record.Workers)
 	for _, w := range record.Workers {
 		if err := w.Check(); err != nil {
 			log.Warn("worker of the roster is invalid", "Worker", w.ID, "Error", err)
+			l.cell.AwaitUnknownWorkers()
 			continue
 		}
 		l.cell.AddUnlistedWorker(w, now)
--- a/io/cccontrol/oddrecord_test.go
+++ b/io/cccontrol/oddrecord_test.go
@@ -107,3 +107,43 @@
 		})
 	}
 }
+
+// The roster could not be read, or named a worker that could not be used, and the new leader started tasks of adopted jobs at
+// once, although they might have run on workers that it did not know.
+func TestUnreadableRosterHoldsUpAdoptedJobs(t *testing.T) {
+	size := ccwork.Size{MilliCores: 1000}
+	good := cccell.WorkerInfo{ID: "w", Address: "w:1", Service: "s", IncarnationMs: 1, Capacity: size}
+	tests := map[string]struct {
+		roster []byte
+		want   int // The starts before the leases of unknown workers have ended.
+	}{
+		"Readable":   {encode(rosterRecord{Workers: []cccell.WorkerInfo{good}}), 1},
+		"Unreadable": {[]byte{0xff}, 0},
+		"OddWorker":  {encode(rosterRecord{Workers: []cccell.WorkerInfo{good, {Address: "old:1", Service: "s"}}}), 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const leaseMs = 3000
+			job := &cccell.Job{ID: "j", Queue: cccell.Queue{Name: "q", Service: "s"}, Stages: []cccell.Stage{{Count: 1, Size: size}}}
+			p := newFollower(t, fixedStore{records: map[string][]byte{prefixJobs + "j": encode(job), keyRoster: test.roster}})
+			p.cfg.Directory = fixedDirectory{workers: []cccell.WorkerInfo{good}}
+			now := p.now()
+			l := &leadership{p: p, ctx: context.Background(), cell: cccell.New(cccell.Config{Token: 2, LeaseMs: leaseMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000}, now)}
+			_, _, err := l.load()
+			assert.NilError(t, err)
+			startsUntil := func(end ms) (starts int) {
+				for ; now < end; now += 100 {
+					l.cell.Schedule(now, now)
+					out := l.cell.TakeOrders()
+					starts += len(out.Starts)
+					for i := range out.Polls {
+						l.cell.OnPollReply(&out.Polls[i], cccell.Reply{Outcome: cccell.Executed, ClockMs: int64(now), IncarnationMs: 1, Sent: now, Received: now}, &cccell.TaskLists{}, now)
+					}
+				}
+				return starts
+			}
+			assert.Equal(t, startsUntil(now+leaseMs), test.want)
+			assert.Equal(t, startsUntil(now+leaseMs), 1-test.want)
+		})
+	}
+}
