A roster whose write failed is followed by another one

What callers would see: jobs wait although workers are idle (LOST), after an outage.

When it was back, the roster equalled the last one that was written, so that none was written again, and the worker got no tasks any more.

Change: the roster is written as long as a worker waits for it.

Before: the three cases of TestWorkerOfAFailedRosterIsRecordedAgain fail; after: they pass.

--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -165,7 +165,8 @@
 	}
 	l.rosterAt = now
 	list, drained := l.cell.Roster(), l.cell.Drained()
-	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained)
+	// A worker that a failed write has left out is not recorded until the next one.
+	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained) && l.cell.Unrecorded() == 0
 	for i := range list {
 		same = same && l.roster[list[i].ID] == list[i].IncarnationMs
 	}
