A roster that loses against the voters is written again at once

What callers would see: no starts for a second after a takeover, on workers that the roster before did not have.

Cause, found by the review: the first roster of a term and its voters are written in the same round under the condition of the same revision of the leader record. If the voters came first, the roster was repeated a second later.

--- a/io/cccontrol/roster_test.go
+++ b/io/cccontrol/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,55 @@
 	}
 }
 
+// strictStore checks the conditions of writes; each takes 5 ms, those of the roster 10 ms.
+type strictStore struct {
+	emptyStore
+	mu   *sync.Mutex
+	rev  *int64
+	keys map[string]int64
+}
+
+func (s strictStore) Write(_ context.Context, t *Txn) (int64, error) {
+	time.Sleep(5 * time.Millisecond)
+	if t.Puts[0].Key == keyRoster {
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.If {
+		if s.keys[c.Key] != c.Revision {
+			return 0, &Conflict{Found: []Item{{Key: c.Key, Revision: s.keys[c.Key]}}}
+		}
+	}
+	*s.rev++
+	for _, p := range t.Puts {
+		s.keys[p.Key] = *s.rev
+	}
+	return *s.rev, nil
+}
+
+// The write of the voters came before the first roster of a term, which was written only a second later.
+func TestFirstRosterBesideTheVoters(t *testing.T) {
+	rev := int64(1)
+	p := newFollower(t, strictStore{mu: &sync.Mutex{}, rev: &rev, keys: map[string]int64{keyLeader: 1}})
+	l := newLeadership(p, 2, "vm-1", "vm-2")
+	l.record = leaderRecord{VM: p.cfg.VM, Token: 2, revision: 1}
+	l.roster = ccquorum.Incarnations{}
+	l.handover = ccquorum.NewHandover(nil, true, 0, 0)
+	l.quorum = ccquorum.NewTerm(p.voter(), 1000, nil, 0)
+	l.quorum.RecordedWorkers(nil)
+	l.cell = cccell.New(cccell.Config{Token: 2, LeaseMs: 4000, AuthorityMs: 1 << 40, AwaitRoster: true}, 0)
+	l.cell.SetWorker(cccell.WorkerInfo{ID: "a", Address: "a:1", Service: "s", IncarnationMs: 1, Capacity: ccwork.Size{MilliCores: 4}}, 1)
+	began := p.now()
+	for l.cell.Unrecorded() > 0 && p.now()-began < 5000 {
+		now := p.now() + 100_000
+		for n := len(l.events); n > 0; n-- {
+			(<-l.events)(now)
+		}
+		l.writeRoster(now)
+		l.recordVoters(now)
+		time.Sleep(2 * time.Millisecond)
+	}
+	took := p.now() - began
+	assert.Assert(t, took < 500)
+}
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -184,7 +184,7 @@
 	}
 	go func() {
 		rev, err := l.p.cfg.Store.Write(l.ctx, t)
-		l.post(func(ms) {
+		l.post(func(now ms) {
 			l.writingRoster = false
 			var conflict *Conflict
 			switch {
@@ -194,6 +194,8 @@
 				l.cell.SetRecorded(l.quorum.InEachRoster())
 				return
 			case errors.As(err, &conflict):
+				// The voters were written meanwhile, or an earlier write of the roster.
+				l.rosterAt = now - rosterIntervalMs + retryDelayMs
 				for i := range conflict.Found {
 					if conflict.Found[i].Key == keyRoster {
 						l.rosterRevision = conflict.Found[i].Revision // An earlier write was carried out whose reply was lost.
