What processes know of unstored jobs outlasts a leader that does not get to lead

What callers would see: tasks run twice beside a silent worker after two changes of the leader.

Cause, found by the review: a reply of a leader that loads its state cleared RunsUnstored at its followers; what a leader was to be told was dropped when it could not be notified; and a job whose request to begin had no reply was not told of once its caller had left.

Change: only replies of a leader that leads change the flag; the notification of unstored jobs is repeated until a leader has it; jobs that may have begun are told of until they are stored, or for 15 s after this process has given up writing them.

--- a/core/ccadmit/admit.go
+++ b/core/ccadmit/admit.go
@@ -86,15 +86,15 @@
 	return s.ArrivedAt + ms(inDoubtFraction*float64(s.BudgetMs))
 }
 
-// mayHaveBegun reports whether a leader may have started tasks of the job for this process.
-func (s *Submission) mayHaveBegun() bool {
+// MayHaveBegun reports whether a leader may have started tasks of the job for this process.
+func (s *Submission) MayHaveBegun() bool {
 	return s.BegunBy != 0 || s.AskedInVain
 }
 
 // Answer returns what the caller is told when no write of this process has succeeded. A refusal has to be true
 // whatever other processes know: it needs a caller that no other process has seen.
 func (s *Submission) Answer() Answer {
-	if s.InDoubt || s.mayHaveBegun() || s.Returning {
+	if s.InDoubt || s.MayHaveBegun() || s.Returning {
 		return Unknown
 	}
 	return Refused
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"coriandercross/core/ccadmit"
@@ -63,6 +64,7 @@
 		p.requestBegin(ctx, j, s, sub, failure != nil || p.cfg.Store.Lost(), now)
 		switch {
 		case failure != nil && s.BegunBy == 0:
+			p.notifyWhenStored(j, s, sub, failure)
 			return failure
 		case failure != nil:
 			p.submitter.add(sub)
@@ -82,7 +84,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{Job: j, Begun: mayHaveBegun(sub.newFor, leader.Token), Token: leader.Token}
+	in := &ccpeer.BeginRequest{Job: j, Begun: othersMayHaveBegun(sub.newFor, leader.Token), Token: leader.Token}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -106,20 +108,26 @@
 }
 
 // notifyWhenStored notifies the leader of a job that it runs once the job is stored, after the caller was answered. Until then
-// each new leader is told that the job has begun. failure is the outcome of the last write if that is not repeated; the leader
-// then writes the job.
+// each new leader is told that the job may have begun. failure is the outcome of the last write if that is not repeated; the
+// leader then writes the job.
 func (p *Process) notifyWhenStored(j *cccell.Job, s *ccadmit.Submission, sub *submission, failure error) {
+	if !s.MayHaveBegun() {
+		return
+	}
+	p.notifier.addUnstored(j.ID, p.now()+unstoredKeptMs)
 	if failure != nil || s.BegunBy == 0 {
 		return
 	}
-	p.notifier.addUnstored(j.ID)
+	p.notifier.addUnstored(j.ID, math.MaxInt64)
 	go func() {
 		err := <-sub.done
-		if err == nil {
-			p.stored(j, sub.newFor)
-			p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
-		}
 		p.notifier.removeUnstored(j.ID)
+		if err != nil {
+			p.notifier.addUnstored(j.ID, p.now()+unstoredKeptMs)
+			return
+		}
+		p.stored(j, sub.newFor)
+		p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
 	}()
 }
 
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -400,3 +400,84 @@
 		})
 	}
 }
+
+// A new leader that was still loading its state let its followers forget that the prior leader had run unstored jobs. When it was lost,
+// nobody knew it.
+func TestLoadingLeaderDoesNotClearRunsUnstored(t *testing.T) {
+	p := newFollower(t, emptyStore{})
+	p.runsUnstored.Store(true) // The leader of token 1 has told so.
+	loading := newFollower(t, emptyStore{})
+	loading.cfg.VM = "vm-1"
+	loading.runsUnstored.Store(true) // It has followed that leader as well.
+	loading.loadingToken.Store(2)
+	address := servePeer(t, loading)
+	leader := leaderRecord{VM: "vm-1", Address: address, StartMs: 1, Token: 2}
+	p.observeLeader(leader, "test")
+	p.syncOnce(context.Background(), leader)
+	assert.Assert(t, p.runsUnstored.Load(), "the leader of token 3 will not know that token 1 ran unstored jobs")
+}
+
+// A leader that was lost before it could be notified took with it that the leader before had run unstored jobs.
+func TestNotificationOfUnstoredJobsIsRepeated(t *testing.T) {
+	p := newFollower(t, nil)
+	p.runsUnstored.Store(true)
+	p.notifier.addUnstored("j", p.now()+60_000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.notifier.run(ctx)
+	p.observeLeader(leaderRecord{VM: "vm-0", Address: "127.0.0.1:1", StartMs: 1, Token: 2}, "test") // Nobody listens there.
+	time.Sleep(maxNotifyCalls*retryDelayMs.Duration() + 500*time.Millisecond)                       // The notification is given up.
+	p.runsUnstored.Store(false)
+	l := &runningLeader{}
+	p.mu.Lock()
+	p.leader.Address = servePeer(t, l)
+	p.mu.Unlock()
+	in := l.notified(t, 0)
+	assert.Assert(t, in.RanUnstored)
+	assert.DeepEqual(t, in.Unstored, []string{"j"})
+}
+
+// deafLeader begins jobs, but its replies are lost.
+type deafLeader struct {
+	runningLeader
+}
+
+func (l *deafLeader) Begin(ctx context.Context, in *ccpeer.BeginRequest) (*ccpeer.BeginReply, error) {
+	_, _ = l.runningLeader.Begin(ctx, in)
+	return nil, errTermEnded
+}
+
+// The reply to the request to begin a job was lost and the caller left, and the next leader was not told of the job.
+func TestNextLeaderLearnsOfJobThatMayHaveBegun(t *testing.T) {
+	store := &outageStore{items: map[string][]byte{}}
+	p := newFollower(t, store)
+	first, second := &deafLeader{}, &runningLeader{}
+	p.soleToken.Store(1)
+	lead := func(l ccpeer.CellHandler, vm string, token int64) {
+		p.observeLeader(leaderRecord{VM: vm, Address: servePeer(t, l), StartMs: 1, Token: token}, "test")
+		p.mu.Lock()
+		p.leaderReplyAt = p.now()
+		p.mu.Unlock()
+	}
+	lead(first, "vm-0", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.notifier.run(ctx)
+	callerCtx, leave := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer leave()
+	err := p.Submit(callerCtx, Caller{}, oneTaskJob(), 5000)
+	assert.Assert(t, errors.Is(err, ccstore.ErrInDoubt), "%v", err)
+	first.mu.Lock()
+	assert.Assert(t, len(first.begun) > 0)
+	first.mu.Unlock()
+	lead(second, "vm-1", 2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		if len(second.stored) == 0 {
+			return poll.Continue("the next leader was not told")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+	assert.DeepEqual(t, second.stored[0].Unstored, []string{"j"})
+}
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -175,7 +175,6 @@
 	if out.PriorEnded {
 		p.soleToken.Store(out.Token)
 	}
-	p.runsUnstored.Store(out.RunsUnstored)
 	p.succession.learnSlow(out.Slow, now)
 	if out.Loading {
 		if p.aloneReachesStore(out) {
@@ -183,6 +182,7 @@
 		}
 		return ""
 	}
+	p.runsUnstored.Store(out.RunsUnstored)
 	if out.StoreAgeMs > storeLostMs {
 		go p.probeStore(ctx) // The leader calls the store most often, so it notices an outage before its peers do.
 	}
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// unstoredKeptMs is the time for which new leaders are told of a job after this process has given up writing it: tasks of it
+	// may run until their leases end.
+	unstoredKeptMs ms = 15_000
 	// notifyTimeout is the timeout of one call to the leader.
 	notifyTimeout = 300 * time.Millisecond
 	// maxNotifyCalls is the number of calls after which a notification is dropped. By then a lost leader has been
@@ -30,9 +33,9 @@
 	// recent holds the jobs queued during the last resendPeriodMs. They are sent again when the leader changes, since
 	// the prior leader may not have received them.
 	recent []sentJob
-	// unstored holds the IDs of the jobs that a leader has begun, whose callers have left, and that this process is still
-	// writing. Each new leader is told of them.
-	unstored map[string]bool
+	// unstored holds the jobs that a leader has begun or may have, and whose callers have left, by ID, with the times until
+	// which each new leader is told of them.
+	unstored map[string]ms
 }
 
 // sentJob is a job with the time at which its notification was queued. newFor is submission.newFor.
@@ -57,7 +60,7 @@
 }
 
 func newNotifier(p *Process) *notifier {
-	return &notifier{p: p, wake: make(chan struct{}, 1), unstored: map[string]bool{}}
+	return &notifier{p: p, wake: make(chan struct{}, 1), unstored: map[string]ms{}}
 }
 
 // job queues the notification of an accepted job. newFor is submission.newFor.
@@ -72,14 +75,14 @@
 	})
 }
 
-// addUnstored adds a job of which each new leader is told that an earlier one has begun it.
-func (n *notifier) addUnstored(id string) {
+// addUnstored adds a job of which each new leader is told, until a time, that an earlier one may have begun it.
+func (n *notifier) addUnstored(id string, until ms) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.unstored[id] = true
+	n.unstored[id] = max(until, n.unstored[id])
 }
 
-// removeUnstored removes a job that this process no longer writes.
+// removeUnstored removes a job that is stored.
 func (n *notifier) removeUnstored(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -96,6 +99,7 @@
 				out.jobs = append(out.jobs, r)
 			}
 		}
+		maps.DeleteFunc(n.unstored, func(_ string, until ms) bool { return until < now })
 		out.unstored, out.ranUnstored = slices.Collect(maps.Keys(n.unstored)), n.p.runsUnstored.Load()
 	})
 }
@@ -138,6 +142,10 @@
 			continue
 		}
 		if !n.deliver(ctx, &out) {
+			// The leader finds the rest in the store.
+			n.enqueue(func(next *outbox) {
+				next.unstored, next.ranUnstored = append(next.unstored, out.unstored...), next.ranUnstored || out.ranUnstored
+			})
 			n.p.cfg.Log.Warn("leader not notified", "Jobs", len(out.jobs), "Unstored", len(out.unstored), "Cancels", len(out.cancels), "Withdrawn", len(out.withdrawn), "Answers", len(out.adviceReplies))
 		}
 	}
@@ -148,7 +156,7 @@
 	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, RanUnstored: out.ranUnstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
 	for _, sent := range out.jobs {
 		in.Jobs = append(in.Jobs, sent.job)
-		if mayHaveBegun(sent.newFor, token) {
+		if othersMayHaveBegun(sent.newFor, token) {
 			in.Begun = append(in.Begun, sent.job.ID)
 		}
 	}
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -78,9 +78,9 @@
 	}
 }
 
-// mayHaveBegun reports whether a leader before the one with the given token may have started tasks of a job that is new for
+// othersMayHaveBegun reports whether a leader before the one with the given token may have started tasks of a job that is new for
 // another one, or for none.
-func mayHaveBegun(newFor, token int64) bool {
+func othersMayHaveBegun(newFor, token int64) bool {
 	return newFor == 0 || newFor != token
 }
 
