A job that another process has stored is not reported as one's own

What callers would see: tasks run twice beside a silent worker, after a late write of a process that is lost.

Cause, found by the review: a process whose own write was in doubt took any stored job of that ID for its own and reported it as new.

Change: the record counts as its own if it has the same bytes (they have the time of acceptance).

Before: TestJobOfAnotherProcessIsNotTakenForOwn fails; after: it passes.

--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -481,3 +481,29 @@
 	}, poll.WithTimeout(2*time.Second))
 	assert.DeepEqual(t, second.stored[0].Unstored, []string{"j"})
 }
+
+// lateWriteStore does not execute the first write, whose outcome is unknown; by the second one, the write of another process has
+// been executed.
+type lateWriteStore struct {
+	emptyStore
+	n     *int
+	other *cccell.Job
+}
+
+func (s lateWriteStore) Write(_ context.Context, t *Txn) (int64, error) {
+	if *s.n++; *s.n == 1 {
+		return 0, errors.Mark(errors.New("no reply"), ccstore.ErrInDoubt)
+	}
+	return 0, &Conflict{Found: []Item{{Key: prefixJobs + s.other.ID, Value: encode(s.other), Revision: 7}}}
+}
+
+// A process whose write was in doubt took the job that another process had stored for its own, and reported it as new.
+func TestJobOfAnotherProcessIsNotTakenForOwn(t *testing.T) {
+	other := oneTaskJob()
+	other.AcceptedMs = 12345
+	n := 0
+	p := newFollower(t, lateWriteStore{n: &n, other: other})
+	err := p.submitter.submit(context.Background(), oneTaskJob(), p.now()+5000)
+	var stored *alreadyStored
+	assert.Assert(t, errors.As(err, &stored), "%v after %d writes: counts as written by this process", err, n)
+}
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -1,6 +1,7 @@
 package cccontrol
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -202,7 +203,7 @@
 		case stored.withdrawn && !sameTeam:
 			sub.replaces = progress.Revision
 			retry = append(retry, sub)
-		case sub.inDoubt && sameTeam && !stored.withdrawn:
+		case sub.inDoubt && job != nil && bytes.Equal(job.Value, sub.data):
 			sub.done <- nil // An earlier write of this submission was carried out.
 		default:
 			sub.done <- stored
