Review: rosters that are written again are kept once; comments

Proposals of the same roster don't pile up while the store is down; InEachRoster reads more simply; only attempts of prior leaders mark a job as begun.

--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -6,7 +6,7 @@
 	if w == nil {
 		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now, recorded: !c.cfg.AwaitRoster || c.recorded[info.ID]}
 		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
-		// end after that. It gives none to a worker that registers later.
+		// end after that. A leader of an earlier release may do so at a worker that the roster does not have.
 		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
 		c.workers[info.ID] = w
 	} else if w.info.Capacity != info.Capacity {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -369,7 +369,7 @@
 func (c *Cell) assignToStage(a *attempt, s *stage) {
 	c.logStartedTwice(a, s)
 	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
-	s.job.adopted = true
+	s.job.adopted = s.job.adopted || a.number>>attemptBits < c.cfg.Token
 	a.stage, a.need, a.state = s, s.need, ordered
 	a.stopWanted = a.stopWanted || unneeded
 	a.worker.addAttempt(a)
--- a/core/ccquorum/workers.go
+++ b/core/ccquorum/workers.go
@@ -1,6 +1,9 @@
 package ccquorum
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Workers confirm a leader as well, since each refuses the orders of a leader once it has seen the token of a later one. A
 // leader that the store does not confirm needs half of the workers besides the voters. The roster in the store names the
@@ -27,6 +30,9 @@
 
 // ProposeWorkers adds a roster that is about to be written to the store.
 func (t *Term) ProposeWorkers(roster Incarnations) {
+	if n := len(t.rosters); n > 0 && maps.Equal(t.rosters[n-1], roster) {
+		return // Repeated after a write that has failed.
+	}
 	t.rosters = append(t.rosters, roster)
 }
 
@@ -38,17 +44,17 @@
 // InEachRoster returns the IDs of the workers that are in each roster that the store may hold.
 func (t *Term) InEachRoster() map[string]bool {
 	out := map[string]bool{}
-	for i, roster := range t.rosters {
-		for id := range roster {
-			if i == 0 {
-				out[id] = true
-			}
-		}
-		for id := range out {
-			if _, ok := roster[id]; !ok {
-				delete(out, id)
-			}
-		}
+	if len(t.rosters) == 0 {
+		return out
+	}
+	for id := range t.rosters[0] {
+		out[id] = true
+	}
+	for _, roster := range t.rosters[1:] {
+		maps.DeleteFunc(out, func(id string, _ bool) bool {
+			_, ok := roster[id]
+			return !ok
+		})
 	}
 	return out
 }
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -45,8 +45,8 @@
 	at     ms
 }
 
-// resendPeriodMs is the age up to which a job is sent again to a new leader. Older jobs are in the store when the new
-// leader loads its state.
+// resendPeriodMs is the age up to which a stored job is sent again to a new leader. The leader finds older ones when it loads its
+// state.
 const resendPeriodMs ms = 2500
 
 // outbox holds the notifications that have not been sent yet.
