--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -112,6 +112,10 @@
 	priorRoster    ccquorum.Incarnations
 	// loaded holds what was read from the store until load has used it.
 	loaded loadedState
+	// endsRead is closed when the final states of prior terms were read, nil before the reading has begun. endsKnown is true if
+	// that were all of them.
+	endsRead  chan struct{}
+	endsKnown atomic.Bool
 	// workersCheckedAt is when the replies of the workers were last counted as confirmations.
 	workersCheckedAt ms
 	// storing holds the IDs of the jobs that storeBegun is writing.
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -81,9 +81,11 @@
 		case <-ctx.Done():
 		}
 	}()
+	l.startReadingEnds()
 	if err := s.read(ctx, p); err != nil {
 		return 0, 0, err
 	}
+	l.awaitEnds(ctx)
 	now := p.now()
 	for _, w := range s.workers {
 		l.cell.SetWorker(w, now)
@@ -141,13 +143,7 @@
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
-		if pr.State.Final() && !pr.Withdrawn {
-			var team string
-			if pr.Owner != nil {
-				team = pr.Owner.Team
-			}
-			p.stateCache.merge(id, team, pr.State, now)
-		}
+		p.mergeEnd(id, pr, now)
 	}
 	cancels := map[string]bool{}
 	for i := range submissions {
@@ -165,6 +161,9 @@
 			p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 			continue
 		}
+		if state, known := p.stateCache.state(id); known && state.Final() {
+			records[id] = &cccell.Progress{State: state} // Left by a process of an earlier release, which took it for a new job.
+		}
 		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id]}, now, unixNow())
 	}
 }
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -91,9 +91,7 @@
 func (l *leadership) onNotify(in *ccpeer.NotifyRequest) {
 	l.post(func(now ms) {
 		for _, j := range in.Jobs {
-			if !l.p.stateCache.ended(j.ID) {
-				l.cell.AddReportedJob(j, slices.Contains(in.Begun, j.ID), now, unixNow())
-			}
+			l.addReported(j, slices.Contains(in.Begun, j.ID), now)
 		}
 		for _, id := range in.Cancels {
 			l.cell.Cancel(id, now)
--- a/io/cccontrol/withdraw.go
+++ b/io/cccontrol/withdraw.go
@@ -31,14 +31,17 @@
 	if caller.Team != "" {
 		record.Owner = &cccell.Owner{Team: caller.Team, Key: caller.Key, Queue: caller.Queue}
 	}
-	t := &Txn{If: []Condition{{Key: prefixJobs + id}, {Key: prefixProgress + id}}, Puts: []Put{{Key: prefixProgress + id, Value: encode(&record)}}}
+	t := &Txn{If: unknownTo(id, nil), Puts: []Put{{Key: prefixEnds + id, Value: encode(&record)}}}
 	for {
 		_, err := p.cfg.Store.Write(ctx, t)
 		var conflict *Conflict
 		if errors.As(err, &conflict) {
-			var replaces int64
-			if replaces, err = withdrawnBefore(conflict, caller.Team); replaces != 0 {
-				t.If[1].Revision = replaces
+			var replaces *Item
+			if replaces, err = withdrawnBefore(conflict, caller.Team); replaces != nil {
+				t.If, t.Remove = unknownTo(id, replaces), nil
+				if replaces.Key != "" && replaces.Key != t.Puts[0].Key {
+					t.Remove = []string{replaces.Key}
+				}
 				continue
 			}
 		}
@@ -56,26 +59,31 @@
 	}
 }
 
-// withdrawnBefore returns nil if the team has withdrawn the job before, the revision of the record if another team has, and else
-// errStoredMeanwhile or ErrBadRecord.
-func withdrawnBefore(c *Conflict, team string) (byOther int64, err error) {
+// withdrawnBefore returns nil if the team has withdrawn the job before, the record if another team has, an item without a key if
+// nothing is left of what caused the conflict, and else errStoredMeanwhile or ErrBadRecord.
+func withdrawnBefore(c *Conflict, team string) (byOther *Item, err error) {
+	byOther = &Item{}
 	for i := range c.Found {
 		item := &c.Found[i]
-		if _, ok := trimPrefix(item.Key, prefixProgress); !ok || item.Revision == 0 {
+		if item.Revision == 0 {
 			continue
 		}
+		if _, isJob := trimPrefix(item.Key, prefixJobs); isJob {
+			return nil, errStoredMeanwhile
+		}
 		state, err := decodeState(item)
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		if state.withdrawn && state.owner.Team == team {
-			return 0, nil
+			return nil, nil
 		}
-		if state.withdrawn {
-			return item.Revision, nil
+		if !state.withdrawn {
+			return nil, errStoredMeanwhile
 		}
+		byOther = item
 	}
-	return 0, errStoredMeanwhile
+	return byOther, nil
 }
 
 // refuseWithdrawn returns the error for a submission of a withdrawn job. A leader may have started some of it.
