--- a/io/cccontrol/ends.go
+++ b/io/cccontrol/ends.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// The final states of ended jobs are kept in the store, so that callers can ask for them and a submission that arrives again is
-// not accepted.
+// The final states of ended jobs are kept in the store until they are old, so that callers can ask for them and a submission
+// that arrives again is not accepted. The leader removes the old ones.
 //
 // A leader also needs to know the ends of prior terms, since it may be told of such a job by a process that does not know of its
 // end. It reads them when it takes over, but does not depend on that: until it has them all, it asks the store for each job that
@@ -21,6 +21,17 @@
 	maxEndPages = 64
 	// endsWait is how long a new leader waits for them before it leads.
 	endsWait = time.Second
+	// storedEndFactor and storedEndMarginMs give the age at which the store's record of a final state is removed, by
+	// Config.FinalRetentionMs: callers ask for that long, and the clocks of two processes may differ by seconds.
+	storedEndFactor      = 2
+	storedEndMarginMs ms = 60_000
+	// endsSweepIntervalMs is the delay between two searches for old records, endsPageIntervalMs that between their pages.
+	endsSweepIntervalMs ms = 30_000
+	endsPageIntervalMs  ms = 1000
+	// maxRemovals is the number of records in one transaction: each takes two rows of 32. removalIntervalMs is the delay
+	// between transactions: the platform charges for each and bounds their rate.
+	maxRemovals          = 16
+	removalIntervalMs ms = 100
 )
 
 // mergeEnd adds the final state of a job, as read from the store, to the known ones.
@@ -123,3 +134,68 @@
 		sleep(l.ctx, jitter(retryDelayMs))
 	}
 }
+
+// removeOldEnds removes the final states that are old from the store, as long as the term lasts. Records that an earlier release
+// has left among the progress are removed first.
+func (l *leadership) removeOldEnds() {
+	prefixes := []string{prefixEnds}
+	if l.priorLayout {
+		prefixes = []string{prefixProgress, prefixEnds}
+	}
+	for sleep(l.ctx, jitter(endsSweepIntervalMs)) {
+		for _, prefix := range prefixes {
+			l.sweep(prefix)
+		}
+	}
+}
+
+// sweep removes the old final states among the keys with a prefix.
+func (l *leadership) sweep(prefix string) {
+	p := l.p
+	removed := 0
+	for after, more := "", true; more && l.ctx.Err() == nil; sleep(l.ctx, endsPageIntervalMs) {
+		items, hasMore, err := p.cfg.Store.Page(l.ctx, prefix, after, true)
+		if err != nil {
+			p.decision("old final states not read", "Prefix", prefix, "Error", err)
+			break
+		}
+		more = hasMore
+		if len(items) > 0 {
+			after = items[len(items)-1].Key
+		}
+		removed += l.removeOld(items)
+	}
+	if removed > 0 {
+		p.cfg.Log.Info("old final states removed", "Prefix", prefix, "Jobs", removed)
+	}
+}
+
+// removeOld removes the old final states among items from the store and returns their number. What is not removed is found by a
+// later search.
+func (l *leadership) removeOld(items []Item) (removed int) {
+	p := l.p
+	oldest := int64(unixNow() - storedEndFactor*p.cfg.FinalRetentionMs - storedEndMarginMs)
+	t := &Txn{}
+	for i := range items {
+		var pr cccell.Progress
+		if err := decode(items[i].Key, items[i].Value, &pr); err != nil {
+			p.decision("final state can't be decoded", "Key", items[i].Key, "Error", err)
+		} else if pr.State.Final() && pr.EndedMs > 0 && pr.EndedMs < oldest {
+			t.If = append(t.If, Condition{Key: items[i].Key, Revision: items[i].Revision})
+			t.Remove = append(t.Remove, items[i].Key)
+		}
+		if len(t.Remove) == 0 || (len(t.Remove) < maxRemovals && i+1 < len(items)) {
+			continue
+		}
+		if _, err := p.cfg.Store.Write(l.ctx, t); err != nil {
+			p.decision("old final states not removed", "Jobs", len(t.Remove), "Error", err)
+		} else {
+			removed += len(t.Remove)
+		}
+		t = &Txn{}
+		if !sleep(l.ctx, removalIntervalMs) {
+			break
+		}
+	}
+	return removed
+}
--- a/io/cccontrol/ends_test.go
+++ b/io/cccontrol/ends_test.go
@@ -375,3 +375,51 @@
 		assert.Equal(t, left[0].Key, prefixEnds+sub.job.ID)
 	}
 }
+
+// Old final states are removed, and nothing else is.
+func TestOldFinalStatesAreRemoved(t *testing.T) {
+	now := int64(unixNow())
+	const hour = 3_600_000
+	tests := map[string]struct {
+		prefix  string
+		record  cccell.Progress
+		removed bool
+	}{
+		"Old":               {prefixEnds, cccell.Progress{State: cccell.Completed, EndedMs: now - hour}, true},
+		"OldWithdrawn":      {prefixEnds, cccell.Progress{State: cccell.Cancelled, Withdrawn: true, EndedMs: now - hour}, true},
+		"OldEarlierRelease": {prefixProgress, cccell.Progress{State: cccell.Failed, EndedMs: now - hour}, true},
+		"Asked":             {prefixEnds, cccell.Progress{State: cccell.Completed, EndedMs: now - 125_000}, false},
+		"ClocksDiffer":      {prefixEnds, cccell.Progress{State: cccell.Completed, EndedMs: now + 5000}, false},
+		"NoTime":            {prefixEnds, cccell.Progress{State: cccell.Completed}, false},
+		"Running":           {prefixProgress, cccell.Progress{EndedMs: now - hour}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newPagingStore()
+			const records = 40 // Several transactions.
+			for i := range records {
+				store.put(fmt.Sprintf("%s%d", test.prefix, i), test.record)
+			}
+			store.items[test.prefix+"odd"] = Item{Key: test.prefix + "odd", Value: []byte("odd"), Revision: 1}
+			l := newTerm(t, store, 1)
+			l.sweep(test.prefix)
+			want := records + 1
+			if test.removed {
+				want = 1
+			}
+			assert.Equal(t, len(store.items), want)
+		})
+	}
+}
+
+// A record that has changed since it was read is not removed.
+func TestChangedFinalStateIsNotRemoved(t *testing.T) {
+	store := newPagingStore()
+	store.put(prefixEnds+"j", cccell.Progress{State: cccell.Cancelled, Withdrawn: true, EndedMs: 1})
+	read, _, err := store.Page(context.Background(), prefixEnds, "", true)
+	assert.NilError(t, err)
+	store.put(prefixEnds+"j", cccell.Progress{State: cccell.Cancelled, Withdrawn: true, EndedMs: int64(unixNow())})
+	assert.Equal(t, newTerm(t, store, 1).removeOld(read), 0)
+	assert.Assert(t, store.has(prefixEnds+"j"))
+}
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -143,7 +143,10 @@
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
-		p.mergeEnd(id, pr, now)
+		if pr.State.Final() {
+			l.priorLayout = true
+			p.mergeEnd(id, pr, now)
+		}
 	}
 	cancels := map[string]bool{}
 	for i := range submissions {
