--- a/io/cccontrol/ends.go
+++ b/io/cccontrol/ends.go
@@ -101,7 +101,7 @@
 
 // knowsEnds reports whether this leader knows the ends of prior terms. Those from before FinalRetentionMs don't matter.
 func (l *leadership) knowsEnds(now ms) bool {
-	return l.endsKnown.Load() || now-l.beganAt >= l.p.cfg.FinalRetentionMs
+	return (l.endsKnown.Load() && !l.priorEndsLeft) || now-l.beganAt >= l.p.cfg.FinalRetentionMs
 }
 
 // addReported adds a stored job of which a process has told. begun is true if a prior leader may have started tasks of it.
--- a/io/cccontrol/ends_test.go
+++ b/io/cccontrol/ends_test.go
@@ -183,7 +183,7 @@
 }
 
 // After hours of work no process could take over from a leader that had died: each new one read the records of all jobs that had
-// ever ended before it led.
+// ever ended before it led. Those of earlier releases are among the progress of jobs.
 func TestTakeoverAfterHoursOfWork(t *testing.T) {
 	const past = 100_000
 	store := newPagingStore()
@@ -192,20 +192,34 @@
 	endJob(t, newTerm(t, store, 1), j)
 	left := store.withSuffix("/" + j.ID)
 	assert.Equal(t, len(left), 1)
-	base := strings.TrimSuffix(left[0].Key, j.ID)
-	for i := range past {
-		key := fmt.Sprintf("%s%016x", base, i)
-		store.items[key] = Item{Key: key, Value: left[0].Value, Revision: 1}
+	for name, base := range map[string]string{"Present": strings.TrimSuffix(left[0].Key, j.ID), "EarlierRelease": prefixProgress} {
+		t.Run(name, func(t *testing.T) {
+			store := newPagingStore()
+			for i := range past {
+				key := fmt.Sprintf("%s%016x", base, i)
+				store.items[key] = Item{Key: key, Value: left[0].Value, Revision: 1}
+			}
+			// The progress of a live job is behind the records or among the first of them.
+			for _, id := range []string{"live", "0000"} {
+				live := oneTaskJob()
+				live.ID = id
+				live.Stages[0].Count = 2
+				store.put(prefixJobs+id, live)
+				store.put(prefixProgress+id, cccell.Progress{Runs: map[int]cccell.RunProgress{0: {Stages: map[int]cccell.StageProgress{0: {Done: []uint64{1}}}}}})
+			}
+			l := newTerm(t, store, 2)
+			_, _, err := l.load()
+			assert.NilError(t, err)
+			assert.Assert(t, store.ranged < past/2, "%d records were read", store.ranged)
+			states := map[string]cccell.State{}
+			for _, c := range l.cell.States() {
+				states[c.Job] = c.State
+			}
+			assert.DeepEqual(t, states, map[string]cccell.State{"live": cccell.Running, "0000": cccell.Running})
+			<-l.endsRead
+			assert.Assert(t, !l.knowsEnds(l.p.now()))
+		})
 	}
-	store.sorted, store.ranged = nil, 0
-	live := oneTaskJob()
-	live.ID = "live"
-	store.put(prefixJobs+live.ID, live)
-	l := newTerm(t, store, 2)
-	_, _, err := l.load()
-	assert.NilError(t, err)
-	assert.Assert(t, l.cell.HasJob("live") && !l.cell.HasJob(j.ID))
-	assert.Assert(t, store.ranged < past/2, "%d records were read", store.ranged)
 }
 
 // A leader that has not read all ends of prior terms must not run a job again that has ended, whoever tells of it, and must run
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -113,10 +113,11 @@
 	// loaded holds what was read from the store until load has used it.
 	loaded loadedState
 	// endsRead is closed when the final states of prior terms were read, nil before the reading has begun. endsKnown is true if
-	// that were all of them. priorLayout is true if an earlier release has left final states among the progress.
-	endsRead    chan struct{}
-	endsKnown   atomic.Bool
-	priorLayout bool
+	// that were all of them. priorLayout is true if an earlier release has left final states among the progress, priorEndsLeft
+	// if not all of those were read.
+	endsRead                   chan struct{}
+	endsKnown                  atomic.Bool
+	priorLayout, priorEndsLeft bool
 	// workersCheckedAt is when the replies of the workers were last counted as confirmations.
 	workersCheckedAt ms
 	// storing holds the IDs of the jobs that storeBegun is writing.
--- a/io/cccontrol/load_test.go
+++ b/io/cccontrol/load_test.go
@@ -179,6 +179,11 @@
 	return s.emptyStore.Range(ctx, prefix, stale)
 }
 
+func (s *failingReads) Page(ctx context.Context, prefix, _ string, stale bool) ([]Item, bool, error) {
+	items, _, err := s.Range(ctx, prefix, stale)
+	return items, false, err
+}
+
 // A new leader whose link was full broke off all its reads after five seconds and began again, so that it never led (incident
 // inc1 of razorez grown).
 func TestLoadComesToItsEnd(t *testing.T) {
