Known red: tasks that crash workers start a third time beside trials of other jobs

Cause, as the entry of LeaderKilled has it: two leaders end right after a crash, so that no record has these. Then the tasks crash workers at the same time as trials of other jobs do; such crashes count as workers lost together and prove nothing (lostTogether leaves out trials of the same job only), and the fourth that counts comes after the third further start.

--- a/core/cccell/crash_test.go
+++ b/core/cccell/crash_test.go
@@ -12,6 +12,7 @@
 	"coriandercross/core/ccworkersim"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 )
 
 // A task crashes each worker that starts it. It is given up, and the jobs beside it are done. Seen on the test bench: it
@@ -297,3 +298,54 @@
 		})
 	}
 }
+
+// Two leaders ended right after a task had crashed a worker, so that no record had these crashes. Then it crashed its
+// workers at the same time as tasks of other jobs did, which counted as workers that were lost together, and it was started
+// a third time after its third crash.
+func TestCrashesBesideTrialsOfOtherJobsCount(t *testing.T) {
+	const deadlyJobs, crashAfterMs = 4, ms(40)
+	size := ccwork.Size{MilliCores: 1000, MemoryMB: 1000}
+	for phase := ms(0); phase < 600; phase += 100 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			l := newCrashLoad(t)
+			hidden, crashesAt := 0, ms(math.MaxInt64)
+			l.deadly = func(id cccell.TaskID) (ms, bool) {
+				if id.Job == "deadly-0" {
+					crashesAt = l.now + crashAfterMs
+				}
+				return crashAfterMs, id.Job[:6] == "deadly"
+			}
+			began := l.now
+			l.run(60_000, func() {
+				if l.now == began {
+					l.submit(&cccell.Job{ID: "deadly-0", Stages: []cccell.Stage{{Count: 1, Size: size, EstimateMs: 400}}})
+				}
+				if l.now == began+phase {
+					for i := range deadlyJobs - 1 {
+						l.submit(&cccell.Job{ID: fmt.Sprintf("deadly-%d", i+1), Stages: []cccell.Stage{{Count: 3, Size: size, EstimateMs: 400}}})
+					}
+				}
+				if (l.now-began)%100 == 0 && l.now < began+20_000 {
+					l.submitInnocent()
+				}
+				if hidden < 2 && l.now >= crashesAt {
+					hidden, crashesAt = hidden+1, math.MaxInt64
+					l.runWorkers()
+					l.replaceLeader()
+				}
+			})
+			assert.Equal(t, hidden, 2)
+			// A leader that ends may have stored a state that it has not shown.
+			for id, s := range l.stored {
+				want := cccell.Completed
+				if id[:6] == "deadly" {
+					want = cccell.Failed
+				}
+				assert.Check(t, is.Equal(s.Progress.State, want), id)
+			}
+			for id, n := range l.startsAfter {
+				assert.Check(t, n < 3, "%v started %d times more after three crashes", id, n)
+			}
+		})
+	}
+}
