--- /dev/null
+++ b/core/cccell/lease_test.go
@@ -0,0 +1,61 @@
+package cccell
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A start was in doubt as its worker restarted, and the leader went on to give the worker leases that are longer than a successor
+// waits for.
+func TestLeasesAfterARestartAreAwaited(t *testing.T) {
+	const leaseMs, maxMs = 4400, 6000
+	c := New(Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2}, 1000)
+	c.SetWorker(testWorker("w"), 1000)
+	c.SetWorker(testWorker("silent"), 1000)
+	restarted := func(now ms) Reply {
+		return Reply{Outcome: Executed, ClockMs: int64(now) - 1000, IncarnationMs: 2000, Sent: now - 2, Received: now}
+	}
+	pollAll(t, c, 1010, nil)
+	c.AddJob(testJob("j", 2), 1050, 1050)
+	out := runRound(c, 1060)
+	assert.Equal(t, len(out.Starts), 2)
+	for i := range out.Starts { // The replies to the starts are lost as both workers restart.
+		c.OnStartReply(&out.Starts[i], Reply{Outcome: ReplyLost, Sent: 1060, Received: 1070}, 1070)
+	}
+	var lastStart ms
+	var until int64
+	lists := map[string]*TaskLists{}
+	for now := ms(1100); now < 3000; now += 50 {
+		c.Schedule(now, now)
+		out := c.TakeOrders()
+		for i := range out.Polls {
+			o := &out.Polls[i]
+			if o.LeaseUntilMs > 0 && now > 1200 {
+				until = max(until, o.LeaseUntilMs-(int64(now)-1000))
+			}
+			l := lists[o.WorkerID]
+			if l == nil {
+				l = &TaskLists{}
+			}
+			c.OnPollReply(o, restarted(now), l, now)
+		}
+		for i := range out.Stops {
+			c.OnStopReply(&out.Stops[i], restarted(now), now)
+		}
+		for i := range out.Starts {
+			o := &out.Starts[i]
+			l := lists[o.WorkerID]
+			if l == nil {
+				l = &TaskLists{}
+				lists[o.WorkerID] = l
+			}
+			l.Running = append(l.Running, RunningTask{Task: o.Task, Attempt: o.Attempt})
+			lastStart = now
+			until = max(until, o.LeaseUntilMs-(int64(now)-1000))
+			c.OnStartReply(o, restarted(now), now)
+		}
+	}
+	assert.Assert(t, lastStart > 0)
+	assert.Assert(t, until <= int64(maxLeaseDuration(leaseMs)), "a lease of %d ms", until)
+}
