--- a/io/cccontrol/progress.go
+++ b/io/cccontrol/progress.go
@@ -18,9 +18,8 @@
 	// maxWriteRows is the number of rows for progress in one transaction. The store accepts 32 rows; the condition on
 	// the leader record takes one.
 	maxWriteRows = 31
-	// flushBacklog is the number of pending writes from which flushIntervalMs does not apply: as many final states as fit into
-	// one transaction.
-	flushBacklog = 6
+	// flushBacklog is the number of pending writes from which flushIntervalMs does not apply.
+	flushBacklog = 10
 	// flushTimeout is the timeout of one transaction: twice the 240 ms in which a slow store replies.
 	flushTimeout = 500 * time.Millisecond
 )
