--- a/core/cccell/persist.go
+++ b/core/cccell/persist.go
@@ -18,27 +18,9 @@
 	version int64
 }
 
-// rows returns the number of rows that a write takes in a transaction: for the record and the condition on the one that it
-// replaces, for the condition that the job has not ended unless the replaced record proves it, and for the removals when it
-// has.
-func (w *ProgressWrite) rows() int {
-	rows := 2
-	if w.Revision == 0 || w.Progress.State.Final() {
-		rows++
-	}
-	if !w.Progress.State.Final() {
-		return rows
-	}
-	for _, removed := range []bool{true, w.Revision != 0, w.CancelRequested, w.EndsStored} { // The job itself, and what it may have.
-		if removed {
-			rows++
-		}
-	}
-	return rows
-}
-
 // NextWrites returns the records of the jobs with the oldest unwritten changes, as many as fit into a budget of store
-// rows, and then those of unknown jobs. The caller must pass each to OnWritten or RequeueWrites.
+// rows, and then those of unknown jobs. The caller must pass each to OnWritten or RequeueWrites. A record takes two rows,
+// and up to three more when it removes the job.
 func (c *Cell) NextWrites(budget int, nowUnix ms) []ProgressWrite {
 	var out []ProgressWrite
 	var kept []*job
@@ -47,10 +29,16 @@
 			kept = append(kept, j) // Its submission is written under the condition that there is no progress.
 			continue
 		}
-		w := ProgressWrite{
-			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelRequested: j.cancelRequested, EndsStored: j.endsStored, job: j, version: j.version,
+		rows := 2
+		if j.final != "" {
+			rows++
+			if j.cancelRequested {
+				rows++
+			}
+			if j.endsStored {
+				rows++
+			}
 		}
-		rows := w.rows()
 		if budget < rows {
 			kept = append(kept, c.dirty[i:]...)
 			budget = 0
@@ -58,7 +46,9 @@
 		}
 		budget -= rows
 		delete(c.inDirty, j)
-		out = append(out, w)
+		out = append(out, ProgressWrite{
+			Job: j.spec.ID, Progress: j.progress(int64(nowUnix)), Revision: j.revision, CancelRequested: j.cancelRequested, EndsStored: j.endsStored, job: j, version: j.version,
+		})
 	}
 	c.dirty = kept
 	return c.appendUnknownWrites(out, budget)
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -18,7 +18,8 @@
 	State State `cbor:"1,keyasint,omitempty"`
 	// Runs holds the progress of each run that has started, by number.
 	Runs map[int]RunProgress `cbor:"2,keyasint,omitempty"`
-	// EndedMs is the time of day at which the job ended, in Unix milliseconds. The record is removed some time after it.
+	// EndedMs is the time of day at which the job ended, in Unix milliseconds. Final records are never removed: a query of
+	// the state that finds no submission relies on it.
 	EndedMs int64 `cbor:"3,keyasint,omitempty"`
 	// Owner is the owner of the job, nil if it belongs to no team or has not ended: the submission, which has the owner as
 	// well, is removed when the job ends.
--- a/core/cccell/unknown.go
+++ b/core/cccell/unknown.go
@@ -179,6 +179,7 @@
 
 // appendUnknownWrites adds the records of unknown jobs that are due, as many as fit into a budget of store rows.
 func (c *Cell) appendUnknownWrites(out []ProgressWrite, budget int) []ProgressWrite {
+	const rows = 2
 	for _, id := range slices.Sorted(maps.Keys(c.unknownJobs)) {
 		u := c.unknownJobs[id]
 		if !u.writeDue(c.roundAt) {
@@ -188,14 +189,12 @@
 			u.persisted = u.version // The job has ended: its final state is stored.
 			continue
 		}
-		w := ProgressWrite{Job: id, Progress: u.progress.clone(), Revision: u.revision, Unknown: true, unknown: u, version: u.version}
-		rows := w.rows()
 		if budget < rows {
 			break
 		}
 		budget -= rows
 		u.writing = true
-		out = append(out, w)
+		out = append(out, ProgressWrite{Job: id, Progress: u.progress.clone(), Revision: u.revision, Unknown: true, unknown: u, version: u.version})
 	}
 	return out
 }
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -161,7 +161,7 @@
 	if l.p.stateCache.ended(in.Job.ID) {
 		return true // It has ended, and the sender will learn it.
 	}
-	if now >= l.cell.Authority() || l.p.cfg.StoreBeforeStart || !l.knowsEnds(now) {
+	if now >= l.cell.Authority() || l.p.cfg.StoreBeforeStart {
 		return false
 	}
 	return l.cell.AddUnstored(in.Job, in.Begun || in.Token != l.token, now, unixNow())
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -207,7 +207,7 @@
 // readState reads the state of a job from the store, and also its owner if withOwner is set. It fails with ErrNoJob,
 // ErrStateUnknown or ErrBadRecord.
 func (p *Process) readState(ctx context.Context, id string, withOwner bool) (storedState, error) {
-	job, err := p.readProgress(ctx, prefixProgress+id)
+	job, err := p.readProgress(ctx, id)
 	if (err == nil && (job.state.Final() || !withOwner)) || (err != nil && !errors.Is(err, ErrNoKey)) {
 		return job, err
 	}
@@ -225,15 +225,13 @@
 	if !errors.Is(err, ErrNoKey) {
 		return storedState{}, errors.Mark(err, ErrStateUnknown)
 	}
-	// The job may have ended between the reads: the write of a final state removes the job and its progress.
-	for _, prefix := range []string{prefixEnds, prefixProgress} { // A leader of an earlier release writes it to the second.
-		if job, err = p.readProgress(ctx, prefix+id); !errors.Is(err, ErrNoKey) {
-			return job, err
-		}
+	// The job may have ended between the reads: the write of a final state removes the job.
+	if job, err = p.readProgress(ctx, id); errors.Is(err, ErrNoKey) {
+		_, replyAt := p.currentLeader()
+		p.decision("job not found", "Job", id, "HeardMs", p.now()-replyAt, "StoreAgeMs", p.cfg.Store.AgeMs())
+		return storedState{}, ErrNoJob
 	}
-	_, replyAt := p.currentLeader()
-	p.decision("job not found", "Job", id, "HeardMs", p.now()-replyAt, "StoreAgeMs", p.cfg.Store.AgeMs())
-	return storedState{}, ErrNoJob
+	return job, err
 }
 
 // jobOwner returns the owner of a stored job. It fails with ErrBadRecord.
@@ -245,10 +243,10 @@
 	return j.Owner(), nil
 }
 
-// readProgress reads the state of a job from a progress record. It fails with ErrNoKey if there is none, with ErrNoJob if the
+// readProgress reads the state of a job from its progress record. It fails with ErrNoKey if there is none, with ErrNoJob if the
 // job was withdrawn, and with ErrStateUnknown or ErrBadRecord.
-func (p *Process) readProgress(ctx context.Context, key string) (storedState, error) {
-	item, err := p.cfg.Store.Get(ctx, key)
+func (p *Process) readProgress(ctx context.Context, id string) (storedState, error) {
+	item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
 	if errors.Is(err, ErrNoKey) {
 		return storedState{}, err
 	}
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -27,13 +27,8 @@
 	prefixSubmissions = "cc/in/"
 	prefixJobs        = prefixSubmissions + "j/"
 	prefixCancel      = prefixSubmissions + "x/"
-	// prefixProgress holds the progress of jobs that have not ended. A new leader reads all of it. Earlier releases left the
-	// final states of ended jobs there as well.
+	// prefixProgress holds the progress and the final states of jobs.
 	prefixProgress = "cc/p/"
-	// prefixEnds holds the final states of ended jobs, as progress records, until they are old. They are apart from
-	// prefixProgress, so that what a new leader has to read does not grow with the jobs that have ended. Earlier releases
-	// ignore it.
-	prefixEnds = "cc/d/"
 	// prefixUnknown holds the ends of tasks of jobs that were unknown to the leader that found them, as progress records
 	// (cccell.AdoptUnknownEnds). Earlier releases ignore it.
 	prefixUnknown = "cc/u/"
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -112,12 +112,6 @@
 	priorRoster    ccquorum.Incarnations
 	// loaded holds what was read from the store until load has used it.
 	loaded loadedState
-	// endsRead is closed when the final states of prior terms were read, nil before the reading has begun. endsKnown is true if
-	// that were all of them. priorLayout is true if an earlier release has left final states among the progress, priorEndsLeft
-	// if not all of those were read.
-	endsRead                   chan struct{}
-	endsKnown                  atomic.Bool
-	priorLayout, priorEndsLeft bool
 	// workersCheckedAt is when the replies of the workers were last counted as confirmations.
 	workersCheckedAt ms
 	// storing holds the IDs of the jobs that storeBegun is writing.
@@ -198,7 +192,6 @@
 	go l.loop()
 	go l.watchSubmissions(submissions)
 	go l.watchDirectory(directory)
-	go l.removeOldEnds()
 }
 
 // decision counts a decision of the scheduler and logs it, subject to the sampler's rate limit. LeftOut in a line is
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccquorum"
@@ -21,19 +20,8 @@
 	hasWorkers, hasRoster          bool
 	hasSubmissions, hasProgress    bool
 	hasUnknown                     bool
-	// progressUpTo is the key up to which progress was read, if there were so many final states of earlier releases among it
-	// that the rest was left out. It is empty if all was read.
-	progressUpTo string
 }
 
-const (
-	// maxPriorRecords is the number of records from which progress is not read on where most of it are final states of earlier
-	// releases.
-	maxPriorRecords = 32_000
-	// restReads is the number of reads at a time of the progress that was left out. There are six connections to the store.
-	restReads = 4
-)
-
 // read makes the reads that have not succeeded yet, in parallel, since a slow store takes a fifth of a second for each reply. A
 // call of the store is bounded by itself as long as it makes progress, so there is no bound for all of them.
 func (s *loadedState) read(ctx context.Context, p *Process) error {
@@ -57,7 +45,7 @@
 		return err
 	})
 	once(&s.hasProgress, func() (err error) {
-		s.progress, s.progressUpTo, err = readProgressRecords(ctx, p.cfg.Store)
+		s.progress, _, err = p.cfg.Store.Range(ctx, prefixProgress, false)
 		return err
 	})
 	once(&s.hasUnknown, func() (err error) {
@@ -70,73 +58,7 @@
 		}
 		return err
 	})
-	if err := reads.Wait(); err != nil {
-		return err
-	}
-	return s.readRest(ctx, p)
-}
-
-// readProgressRecords reads the progress of jobs. After maxPriorRecords, it stops at a page that has mostly final states, and then
-// returns the last key that it has read.
-func readProgressRecords(ctx context.Context, store Store) (records []Item, upTo string, err error) {
-	for more := true; more; {
-		var page []Item
-		if page, more, err = store.Page(ctx, prefixProgress, upTo, false); err != nil {
-			return nil, "", err
-		}
-		records = append(records, page...)
-		if len(page) > 0 {
-			upTo = page[len(page)-1].Key
-		}
-		if more && len(records) >= maxPriorRecords && mostlyFinal(page) {
-			return records, upTo, nil
-		}
-	}
-	return records, "", nil
-}
-
-// mostlyFinal reports whether most progress records have final states.
-func mostlyFinal(records []Item) bool {
-	n := 0
-	for i := range records {
-		if state, err := decodeState(&records[i]); err == nil && state.state.Final() {
-			n++
-		}
-	}
-	return 2*n > len(records)
-}
-
-// readRest reads the progress that readProgressRecords has left out of each submitted job.
-func (s *loadedState) readRest(ctx context.Context, p *Process) error {
-	if s.progressUpTo == "" {
-		return nil
-	}
-	var mu sync.Mutex
-	var rest []Item
-	var reads errgroup.Group
-	reads.SetLimit(restReads)
-	for i := range s.submissions {
-		id, ok := trimPrefix(s.submissions[i].Key, prefixJobs)
-		if !ok || prefixProgress+id <= s.progressUpTo {
-			continue
-		}
-		reads.Go(func() error {
-			item, err := p.cfg.Store.Get(ctx, prefixProgress+id)
-			if errors.Is(err, ErrNoKey) {
-				return nil
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			rest = append(rest, item)
-			return err
-		})
-	}
-	if err := reads.Wait(); err != nil {
-		return err
-	}
-	p.cfg.Log.Warn("final states of an earlier release are left among the progress", "Read", len(s.progress), "UpTo", s.progressUpTo, "Rest", len(rest))
-	s.progress = append(s.progress, rest...)
-	return nil
+	return reads.Wait()
 }
 
 // load reads the jobs, their progress, the ends of unknown jobs, the roster and the workers into the cell. It returns the
@@ -159,11 +81,9 @@
 		case <-ctx.Done():
 		}
 	}()
-	l.startReadingEnds()
 	if err := s.read(ctx, p); err != nil {
 		return 0, 0, err
 	}
-	l.awaitEnds(ctx)
 	now := p.now()
 	for _, w := range s.workers {
 		l.cell.SetWorker(w, now)
@@ -172,7 +92,6 @@
 	p.cfg.Log.Info("workers loaded", "Token", l.token, "Registered", len(s.workers), "Roster", len(l.priorRoster))
 	l.updateConfig()
 	l.adoptJobs(s.submissions, s.progress, now)
-	l.priorEndsLeft = s.progressUpTo != ""
 	l.adoptUnknownEnds(s.unknown, now)
 	submissionsRev, directoryRev = s.submissionsRev, s.directoryRev
 	*s = loadedState{}
@@ -224,9 +143,12 @@
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
-		if pr.State.Final() {
-			l.priorLayout = true
-			p.mergeEnd(id, pr, now)
+		if pr.State.Final() && !pr.Withdrawn {
+			var team string
+			if pr.Owner != nil {
+				team = pr.Owner.Team
+			}
+			p.stateCache.merge(id, team, pr.State, now)
 		}
 	}
 	cancels := map[string]bool{}
@@ -245,9 +167,6 @@
 			p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 			continue
 		}
-		if state, known := p.stateCache.state(id); known && state.Final() {
-			records[id] = &cccell.Progress{State: state} // Left by a process of an earlier release, which took it for a new job.
-		}
 		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id]}, now, unixNow())
 	}
 }
--- a/io/cccontrol/monitoredstore.go
+++ b/io/cccontrol/monitoredstore.go
@@ -122,13 +122,6 @@
 	return items, rev, err
 }
 
-// Page implements Store.
-func (t *MonitoredStore) Page(ctx context.Context, prefix, after string, stale bool) (items []Item, more bool, err error) {
-	items, more, err = t.Store.Page(ctx, prefix, after, stale)
-	t.record(err)
-	return items, more, err
-}
-
 // Watch implements Store.
 func (t *MonitoredStore) Watch(ctx context.Context, prefix string, after int64, timeout ccclock.Millis) ([]Item, int64, error) {
 	items, rev, err := t.Store.Watch(ctx, prefix, after, timeout)
--- a/io/cccontrol/ports.go
+++ b/io/cccontrol/ports.go
@@ -108,9 +108,6 @@
 	// Range returns the keys with a prefix, and a revision of the store from before the read, from which a watch misses
 	// no change. With stale, the result may be seconds old.
 	Range(ctx context.Context, prefix string, stale bool) ([]Item, int64, error)
-	// Page returns the first of the keys with a prefix, in their order, or those that follow a key unless after is empty, as
-	// many as one reply holds, and whether there are more. With stale, the result may be seconds old.
-	Page(ctx context.Context, prefix, after string, stale bool) (items []Item, more bool, err error)
 	// Watch returns the changes after a revision as soon as there is one, and the revision up to which the changes are
 	// complete. It returns no changes if there was none within timeout. It may fail with ErrCompacted.
 	Watch(ctx context.Context, prefix string, after int64, timeout ccclock.Millis) ([]Item, int64, error)
--- a/io/cccontrol/progress.go
+++ b/io/cccontrol/progress.go
@@ -38,18 +38,28 @@
 	go l.writeProgress(writes, l.record.revision)
 }
 
-// replacedKey returns the key of the record that a write replaces, or removes if the job has ended.
-func replacedKey(w *cccell.ProgressWrite) string {
-	if w.Unknown {
-		return prefixUnknown + w.Job
-	}
-	return prefixProgress + w.Job
-}
-
 // writeProgress repeats a transaction until its outcome is known. Repeats are harmless: they write the same values, and
 // once one of them has been carried out, the conditions of the others fail. revision is that of the leader record.
 func (l *leadership) writeProgress(writes []cccell.ProgressWrite, revision int64) {
-	t := progressTxn(writes, revision)
+	t := &Txn{If: []Condition{{keyLeader, revision}}}
+	for i := range writes {
+		w := &writes[i]
+		key := prefixProgress + w.Job
+		if w.Unknown {
+			key = prefixUnknown + w.Job
+		}
+		t.If = append(t.If, Condition{key, w.Revision})
+		t.Puts = append(t.Puts, Put{Key: key, Value: encode(w.Progress)})
+		if w.Progress.State.Final() {
+			t.Remove = append(t.Remove, prefixJobs+w.Job)
+			if w.CancelRequested {
+				t.Remove = append(t.Remove, prefixCancel+w.Job)
+			}
+			if w.EndsStored {
+				t.Remove = append(t.Remove, prefixUnknown+w.Job)
+			}
+		}
+	}
 	began := l.p.now()
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, flushTimeout)
@@ -75,35 +85,6 @@
 	}
 }
 
-// progressTxn returns the transaction for some writes. revision is that of the leader record.
-func progressTxn(writes []cccell.ProgressWrite, revision int64) *Txn {
-	t := &Txn{If: []Condition{{keyLeader, revision}}}
-	for i := range writes {
-		w := &writes[i]
-		key, put := replacedKey(w), replacedKey(w)
-		final := w.Progress.State.Final()
-		t.If = append(t.If, Condition{key, w.Revision})
-		if final || w.Revision == 0 { // Else the job had ended if the record to be replaced were gone.
-			t.If = append(t.If, Condition{Key: prefixEnds + w.Job})
-		}
-		if final {
-			put = prefixEnds + w.Job
-			t.Remove = append(t.Remove, prefixJobs+w.Job)
-			if w.Revision != 0 {
-				t.Remove = append(t.Remove, key)
-			}
-			if w.CancelRequested {
-				t.Remove = append(t.Remove, prefixCancel+w.Job)
-			}
-			if w.EndsStored {
-				t.Remove = append(t.Remove, prefixUnknown+w.Job)
-			}
-		}
-		t.Puts = append(t.Puts, Put{Key: put, Value: encode(w.Progress)})
-	}
-	return t
-}
-
 // onWritten is called when the writes are in the store, at the given revision.
 func (l *leadership) onWritten(writes []cccell.ProgressWrite, rev int64, now ms) {
 	l.flushing = false
@@ -127,10 +108,7 @@
 	var missing []cccell.ProgressWrite
 	revisions := map[string]int64{}
 	for i := range writes {
-		if end := found[prefixEnds+writes[i].Job]; end.Revision > 0 && l.onEndFound(&writes[i], &end, now) {
-			continue
-		}
-		item := found[replacedKey(&writes[i])]
+		item := found[t.Puts[i].Key]
 		if bytes.Equal(item.Value, t.Puts[i].Value) {
 			l.cell.OnWritten(writes[i:i+1], item.Revision, now)
 			continue
@@ -145,27 +123,3 @@
 		l.cell.RequeueWrites(missing, revisions)
 	}
 }
-
-// onEndFound is called when a write was not carried out since the job has ended, as the store says. It returns false if the
-// write has to be repeated.
-func (l *leadership) onEndFound(w *cccell.ProgressWrite, item *Item, now ms) bool {
-	written := []cccell.ProgressWrite{*w}
-	end, err := decodeState(item)
-	if err == nil && !end.withdrawn {
-		l.p.stateCache.merge(w.Job, end.owner.Team, end.state, now)
-	}
-	switch {
-	case w.Unknown: // Nothing has to be kept of a job that has ended.
-		l.cell.OnWritten(written, 0, now)
-	case w.Progress.State.Final(): // An earlier repeat was carried out.
-		if err != nil || end.state != w.Progress.State {
-			l.p.cfg.Log.Error("job has another final state in the store", "Job", w.Job, "State", w.Progress.State, "Stored", end.state, "Error", err)
-		}
-		l.cell.OnWritten(written, item.Revision, now)
-	default:
-		l.p.cfg.Log.Error("job runs that has ended: cancelled", "Job", w.Job, "Stored", end.state, "Withdrawn", end.withdrawn, "Error", err)
-		l.cell.Cancel(w.Job, now)
-		return false
-	}
-	return true
-}
--- a/io/cccontrol/statecache.go
+++ b/io/cccontrol/statecache.go
@@ -208,7 +208,7 @@
 	return slices.Collect(maps.Keys(sc.excess))
 }
 
-// expire removes final states that are older than retention. They can be read from the store for longer.
+// expire removes final states that are older than retention. They can still be read from the store.
 func (sc *stateCache) expire(retention, now ms) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// submitBatch is the largest number of jobs in one transaction. A job takes four rows (three conditions and one
+	// submitBatch is the largest number of jobs in one transaction. A job takes three rows (two conditions and one
 	// write), and the store accepts 32 rows.
-	submitBatch = 8
+	submitBatch = 10
 	// submitTimeout is the timeout of one transaction: twice the 240 ms in which a slow store replies.
 	submitTimeout = 500 * time.Millisecond
 )
@@ -32,8 +32,8 @@
 	newFor int64
 	// inDoubt is true once a write of the job has failed with an unknown outcome.
 	inDoubt bool
-	// replaces is a record by which another team has withdrawn a job of the same ID, nil for none.
-	replaces *Item
+	// replaces is the revision of a record by which another team has withdrawn a job of the same ID, 0 for none.
+	replaces int64
 	// persistent is true once a leader runs the job: it is then written, however long that takes.
 	persistent atomic.Bool
 	// done receives the result.
@@ -127,10 +127,10 @@
 func distinct(pending []*submission, limit int) int {
 	seen := map[string]bool{}
 	for i, sub := range pending {
-		if i == limit || seen[sub.job.ID] || (sub.replaces != nil && i > 0) {
+		if i == limit || seen[sub.job.ID] || (sub.replaces != 0 && i > 0) {
 			return i
 		}
-		if sub.replaces != nil {
+		if sub.replaces != 0 {
 			return 1
 		}
 		seen[sub.job.ID] = true
@@ -138,24 +138,13 @@
 	return len(pending)
 }
 
-// unknownTo returns the conditions that the store has nothing of a job, other than the given record unless that is nil.
-func unknownTo(id string, except *Item) []Condition {
-	out := []Condition{{Key: prefixJobs + id}, {Key: prefixProgress + id}, {Key: prefixEnds + id}}
-	for i := range out {
-		if except != nil && out[i].Key == except.Key {
-			out[i].Revision = except.Revision
-		}
-	}
-	return out
-}
-
 // write writes a batch in one transaction, and returns the submissions that have to be retried.
 func (s *submitter) write(batch []*submission) []*submission {
 	t := &Txn{}
 	for _, sub := range batch {
-		t.If = append(t.If, unknownTo(sub.job.ID, sub.replaces)...)
-		if sub.replaces != nil {
-			t.Remove = append(t.Remove, sub.replaces.Key)
+		t.If = append(t.If, Condition{Key: prefixJobs + sub.job.ID}, Condition{Key: prefixProgress + sub.job.ID, Revision: sub.replaces})
+		if sub.replaces != 0 {
+			t.Remove = append(t.Remove, prefixProgress+sub.job.ID)
 		}
 		t.Puts = append(t.Puts, Put{Key: prefixJobs + sub.job.ID, Value: sub.data})
 	}
@@ -205,18 +194,14 @@
 	var retry []*submission
 	for _, sub := range batch {
 		job, progress := found[prefixJobs+sub.job.ID], found[prefixProgress+sub.job.ID]
-		if end := found[prefixEnds+sub.job.ID]; end != nil {
-			progress = end
-		}
 		if job == nil && progress == nil {
-			sub.replaces = nil
 			retry = append(retry, sub)
 			continue
 		}
 		stored := s.storedOwner(job, progress)
 		switch sameTeam := stored.owner.Team == sub.job.Team; {
 		case stored.withdrawn && !sameTeam:
-			sub.replaces = progress
+			sub.replaces = progress.Revision
 			retry = append(retry, sub)
 		case sub.inDoubt && job != nil && bytes.Equal(job.Value, sub.data):
 			sub.done <- nil // An earlier write of this submission was carried out.
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -92,7 +92,9 @@
 func (l *leadership) onNotify(in *ccpeer.NotifyRequest) {
 	l.post(func(now ms) {
 		for _, j := range in.Jobs {
-			l.addReported(j, in.Token != l.token || slices.Contains(in.Begun, j.ID), now)
+			if !l.p.stateCache.ended(j.ID) {
+				l.cell.AddReportedJob(j, in.Token != l.token || slices.Contains(in.Begun, j.ID), now, unixNow())
+			}
 		}
 		if in.RanUnstored {
 			l.cell.NotePriorUnstored()
--- a/io/cccontrol/withdraw.go
+++ b/io/cccontrol/withdraw.go
@@ -31,17 +31,14 @@
 	if caller.Team != "" {
 		record.Owner = &cccell.Owner{Team: caller.Team, Key: caller.Key, Queue: caller.Queue}
 	}
-	t := &Txn{If: unknownTo(id, nil), Puts: []Put{{Key: prefixEnds + id, Value: encode(&record)}}}
+	t := &Txn{If: []Condition{{Key: prefixJobs + id}, {Key: prefixProgress + id}}, Puts: []Put{{Key: prefixProgress + id, Value: encode(&record)}}}
 	for {
 		_, err := p.cfg.Store.Write(ctx, t)
 		var conflict *Conflict
 		if errors.As(err, &conflict) {
-			var replaces *Item
-			if replaces, err = withdrawnBefore(conflict, caller.Team); replaces != nil {
-				t.If, t.Remove = unknownTo(id, replaces), nil
-				if replaces.Key != "" && replaces.Key != t.Puts[0].Key {
-					t.Remove = []string{replaces.Key}
-				}
+			var replaces int64
+			if replaces, err = withdrawnBefore(conflict, caller.Team); replaces != 0 {
+				t.If[1].Revision = replaces
 				continue
 			}
 		}
@@ -59,31 +56,26 @@
 	}
 }
 
-// withdrawnBefore returns nil if the team has withdrawn the job before, the record if another team has, an item without a key if
-// nothing is left of what caused the conflict, and else errStoredMeanwhile or ErrBadRecord.
-func withdrawnBefore(c *Conflict, team string) (byOther *Item, err error) {
-	byOther = &Item{}
+// withdrawnBefore returns nil if the team has withdrawn the job before, the revision of the record if another team has, and else
+// errStoredMeanwhile or ErrBadRecord.
+func withdrawnBefore(c *Conflict, team string) (byOther int64, err error) {
 	for i := range c.Found {
 		item := &c.Found[i]
-		if item.Revision == 0 {
+		if _, ok := trimPrefix(item.Key, prefixProgress); !ok || item.Revision == 0 {
 			continue
 		}
-		if _, isJob := trimPrefix(item.Key, prefixJobs); isJob {
-			return nil, errStoredMeanwhile
-		}
 		state, err := decodeState(item)
 		if err != nil {
-			return nil, err
+			return 0, err
 		}
 		if state.withdrawn && state.owner.Team == team {
-			return nil, nil
+			return 0, nil
 		}
-		if !state.withdrawn {
-			return nil, errStoredMeanwhile
+		if state.withdrawn {
+			return item.Revision, nil
 		}
-		byOther = item
 	}
-	return byOther, nil
+	return 0, errStoredMeanwhile
 }
 
 // refuseWithdrawn returns the error for a submission of a withdrawn job. A leader may have started some of it.
