--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -226,29 +226,27 @@
 
 // AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
-	known := c.jobs[spec.ID] != nil
-	c.addStored(spec, foundJob, false, now, nowUnix)
-	if !known {
-		c.jobs[spec.ID].found = true
-	}
+	c.addStored(spec, foundJob, now, nowUnix)
 }
 
 // AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
 // true if a prior leader may have started tasks of it.
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
-	c.addStored(spec, reportedJob, begun, now, nowUnix)
+	c.addStored(spec, reportedJob, now, nowUnix)
 	j := c.jobs[spec.ID]
-	j.found, j.adopted = false, j.adopted || begun
+	if j.source == foundJob {
+		j.source = reportedJob
+	}
+	j.adopted = j.adopted || begun
 }
 
-// addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
-func (c *Cell) addStored(spec *Job, source jobSource, begun bool, now, nowUnix ms) {
+// addStored adds an accepted job, or marks it as stored.
+func (c *Cell) addStored(spec *Job, source jobSource, now, nowUnix ms) {
 	if j := c.jobs[spec.ID]; j != nil {
 		c.markStored(j, now)
 		return
 	}
 	j := c.insert(spec, source, now, nowUnix)
-	j.adopted = j.adopted || begun || now < c.handoverAt
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
@@ -265,9 +263,8 @@
 func (c *Cell) insert(spec *Job, source jobSource, now, nowUnix ms) *job {
 	j := &job{
 		spec: spec, source: source, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
-		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(),
+		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(), adopted: now < c.handoverAt || c.begunBefore[spec.ID],
 	}
-	j.adopted = c.begunBefore[spec.ID]
 	delete(c.unclaimed, spec.ID)
 	c.jobs[spec.ID] = j
 	if j.team != nil {
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -14,11 +14,8 @@
 		// Started by a prior leader, or removed here before its end was listed.
 		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.foundStage(e.Task, now)}
 		c.logLostEnd(a, e.End, now)
-		if a.stage != nil && a.number>>attemptBits < c.cfg.Token {
-			a.stage.job.adopted = true
-			if e.End == EndDone {
-				c.logStartedTwice(a, a.stage)
-			}
+		if a.stage != nil && c.notePrior(a, a.stage) && e.End == EndDone {
+			c.logStartedTwice(a, a.stage)
 		}
 	}
 	c.endAttempt(a, e.End, e.Checkpoint, now)
@@ -112,10 +109,18 @@
 		"Done", a.stage.done.has(a.task.Index), "Again", len(a.stage.tasks[a.task.Index]))
 }
 
+// notePrior reports whether a prior leader has started an attempt at a task of a stage. If so, other tasks of the job may run at
+// workers that have not replied.
+func (c *Cell) notePrior(a *attempt, s *stage) bool {
+	prior := a.number>>attemptBits < c.cfg.Token
+	s.job.adopted = s.job.adopted || prior
+	return prior
+}
+
 // logStartedTwice logs an attempt of a prior leader at a task that this leader has started as well, with what tells why it did
 // not wait: since when it knows the worker, and how it has learned of the job.
 func (c *Cell) logStartedTwice(a *attempt, s *stage) {
-	if a.number>>attemptBits >= c.cfg.Token || s.spec.Speculative {
+	if s.spec.Speculative {
 		return
 	}
 	for _, other := range s.tasks[a.task.Index] {
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -4,7 +4,7 @@
 func (c *Cell) SetWorker(info WorkerInfo, now ms) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now, recorded: !c.cfg.AwaitRoster || c.recorded[info.ID]}
+		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now, recorded: c.isRecorded(info.ID)}
 		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
 		// end after that. A leader of an earlier release may do so at a worker that the roster does not have.
 		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
@@ -57,10 +57,15 @@
 func (c *Cell) SetRecorded(ids map[string]bool) {
 	c.recorded = ids
 	for id, w := range c.workers {
-		w.recorded = !c.cfg.AwaitRoster || ids[id]
+		w.recorded = c.isRecorded(id)
 	}
 }
 
+// isRecorded reports whether tasks may be started on a worker as far as the roster is concerned.
+func (c *Cell) isRecorded(id string) bool {
+	return !c.cfg.AwaitRoster || c.recorded[id]
+}
+
 // Unrecorded returns the number of registered workers that get no tasks because they are not recorded.
 func (c *Cell) Unrecorded() int {
 	n := 0
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -365,11 +365,11 @@
 }
 
 // assignToStage adds an attempt that a prior leader started to the attempts of its task. It is stopped if it is not needed.
-// Other tasks of the job may run at workers that have not replied.
 func (c *Cell) assignToStage(a *attempt, s *stage) {
-	c.logStartedTwice(a, s)
+	if c.notePrior(a, s) {
+		c.logStartedTwice(a, s)
+	}
 	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
-	s.job.adopted = s.job.adopted || a.number>>attemptBits < c.cfg.Token
 	a.stage, a.need, a.state = s, s.need, ordered
 	a.stopWanted = a.stopWanted || unneeded
 	a.worker.addAttempt(a)
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -31,8 +31,6 @@
 	version, persisted int64
 	// adopted is true when a prior leader may have started tasks of the job.
 	adopted bool
-	// found is true for an accepted job that was found in the store, of which no process has told yet.
-	found bool
 	// unstored is true until the submission is known to be in the store.
 	unstored bool
 	// endsStored is true when the store may hold ends of the job's tasks that were found before the job was known.
@@ -65,7 +63,7 @@
 const (
 	// loadedJob: read from the store at the takeover.
 	loadedJob jobSource = "Loaded"
-	// foundJob: found in the store since.
+	// foundJob: found in the store since, and no process has told of it yet.
 	foundJob jobSource = "Found"
 	// reportedJob: the process that accepted it has told of it.
 	reportedJob jobSource = "Reported"
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	j := c.insert(spec, unstoredJob, now, nowUnix)
-	j.adopted = j.adopted || begun || now < c.handoverAt
+	j.adopted = j.adopted || begun
 	j.unstored = true
 	c.unstoredCount++
 	c.cfg.Log("job begun before it is stored", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Begun", begun}, teamField(spec)...)...)
@@ -59,7 +59,7 @@
 		return true
 	case !c.cfg.PriorUnstored:
 		return false
-	case j.found || !c.initialPollDone || c.priorRanUnstored:
+	case j.source == foundJob || !c.initialPollDone || c.priorRanUnstored:
 		return true
 	case j.spec.Returning:
 		return c.unstoredSeen
--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -84,7 +84,7 @@
 	if p.cfg.StoreBeforeStart || (l == nil && (repliedAt == 0 || now-repliedAt > p.isolationTimeoutMs())) || !s.BeginDue(leader.Token, storeLost, now) {
 		return
 	}
-	in := &ccpeer.BeginRequest{Job: j, Begun: othersMayHaveBegun(sub.newFor, leader.Token), Token: leader.Token}
+	in := &ccpeer.BeginRequest{Job: j, Begun: sub.newFor != leader.Token, Token: leader.Token}
 	var out *ccpeer.BeginReply
 	var err error
 	if l != nil {
@@ -114,8 +114,8 @@
 	if !s.MayHaveBegun() {
 		return
 	}
-	p.notifier.addUnstored(j.ID, p.now()+unstoredKeptMs)
 	if failure != nil || s.BegunBy == 0 {
+		p.notifier.addUnstored(j.ID, p.now()+unstoredKeptMs)
 		return
 	}
 	p.notifier.addUnstored(j.ID, math.MaxInt64)
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -156,7 +156,7 @@
 	in := &ccpeer.NotifyRequest{VM: vm, Token: token, Unstored: out.unstored, RanUnstored: out.ranUnstored, Cancels: out.cancels, Withdrawn: out.withdrawn, AdviceReplies: out.adviceReplies}
 	for _, sent := range out.jobs {
 		in.Jobs = append(in.Jobs, sent.job)
-		if othersMayHaveBegun(sent.newFor, token) {
+		if sent.newFor != token {
 			in.Begun = append(in.Begun, sent.job.ID)
 		}
 	}
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -79,12 +79,6 @@
 	}
 }
 
-// othersMayHaveBegun reports whether a leader before the one with the given token may have started tasks of a job that is new for
-// another one, or for none.
-func othersMayHaveBegun(newFor, token int64) bool {
-	return newFor == 0 || newFor != token
-}
-
 // newSubmission returns the submission of a job that is written until the deadline.
 func newSubmission(j *cccell.Job, deadline ms) *submission {
 	return &submission{job: j, data: encode(j), deadline: deadline, done: make(chan error, 1)}
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -159,8 +159,10 @@
 // leader waits until the leases have lapsed at those of them that it can't reach, and counts those that it reaches. A worker
 // gets no tasks before it is in the roster.
 func (l *leadership) writeRoster(now ms) {
-	due := now-l.rosterAt >= rosterIntervalMs || (now-l.rosterWriteAt >= rosterIntervalMs && l.cell.Unrecorded() > 0)
-	if l.writingRoster || now < l.handover.EndsAt() || !due {
+	if l.writingRoster || now < l.handover.EndsAt() {
+		return
+	}
+	if now-l.rosterAt < rosterIntervalMs && (now-l.rosterWriteAt < rosterIntervalMs || l.cell.Unrecorded() == 0) {
 		return
 	}
 	l.rosterAt = now
