--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -57,6 +57,9 @@
 	cmd                             *exec.Cmd
 	ended                           chan struct{}
 	stopping                        bool
+	// darkUntil is the time until which the machine has no power, lost the number of its losses.
+	darkUntil time.Time
+	lost      int
 	// overMemory counts the times that the process was killed since it was over its memory limit, starts its starts.
 	overMemory, starts int
 	// peakMB is the highest memory seen.
@@ -167,7 +170,10 @@
 		n.mu.Unlock()
 		if again {
 			s.rec.printf("%s ended: %v", n.name, cmd.ProcessState)
-			time.Sleep(restartDelay)
+			n.mu.Lock()
+			dark := time.Until(n.darkUntil)
+			n.mu.Unlock()
+			time.Sleep(max(restartDelay, dark))
 			n.mu.Lock()
 			again = !n.stopping
 			n.mu.Unlock()
@@ -217,6 +223,15 @@
 	}
 }
 
+// loseFor takes the power of a machine away for a time.
+func (n *node) loseFor(d time.Duration) {
+	n.mu.Lock()
+	n.darkUntil = time.Now().Add(d)
+	n.lost++
+	n.mu.Unlock()
+	n.signal(syscall.SIGKILL)
+}
+
 // stopAll ends all processes.
 func (s *system) stopAll() {
 	for _, n := range s.nodes {
