Review: a task runs twice after a worker has restarted beside a lost start

Case 8, from KNOWN-RED.txt (TestLeasesAfterARestartAreAwaited): the leader gives the restarted worker a lease of 10 s and tells nobody, and the next leader waits for 4.7 s.

--- a/review/standin2/advice.go
+++ b/review/standin2/advice.go
@@ -141,7 +141,7 @@
 		return false, err
 	}
 	defer e.Close()
-	f, err := newFleet(rec, e, adviceWorkers, map[string]int{"cpu": 128000, "mem_mb": 262144, "gpu": 8}, func(task string) time.Duration {
+	f, err := newFleet(rec, e, adviceWorkers, map[string]int{"cpu": 128000, "mem_mb": 262144, "gpu": 8}, func(_ *worker, task string) time.Duration {
 		if strings.HasPrefix(task, smoothMark) {
 			return smoothTask
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -47,6 +47,8 @@
 		held, err = runOldRoute(rec, program, dir, trouble)
 	case "scheduled":
 		held, err = runScheduled(rec, program, dir, trouble)
+	case "lease":
+		held, err = runLease(rec, program, dir, trouble)
 	case "advice":
 		held, err = runAdvice(rec, program, dir, trouble)
 	default:
--- a/review/standin2/oldroute.go
+++ b/review/standin2/oldroute.go
@@ -34,7 +34,7 @@
 		return false, err
 	}
 	defer e.Close()
-	f, err := newFleet(rec, e, oldWorkers, smallWorker, func(string) time.Duration { return oldTask })
+	f, err := newFleet(rec, e, oldWorkers, smallWorker, func(*worker, string) time.Duration { return oldTask })
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/scheduled.go
+++ b/review/standin2/scheduled.go
@@ -35,7 +35,7 @@
 		return false, err
 	}
 	defer e.Close()
-	f, err := newFleet(rec, e, scheduledWorkers, smallWorker, func(task string) time.Duration {
+	f, err := newFleet(rec, e, scheduledWorkers, smallWorker, func(_ *worker, task string) time.Duration {
 		if strings.Split(task, ".")[2] == "0" {
 			return firstTask
 		}
