Review: a job of many runs starts from its first one after a change of the leader

Case 9: a progress record with more than 131,072 runs can't be decoded, and the job is adopted without progress.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -49,6 +49,8 @@
 		held, err = runScheduled(rec, program, dir, trouble)
 	case "lease":
 		held, err = runLease(rec, program, dir, trouble)
+	case "manyruns":
+		held, err = runManyRuns(rec, program, dir, trouble)
 	case "advice":
 		held, err = runAdvice(rec, program, dir, trouble)
 	default:
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -245,8 +245,18 @@
 	}
 }
 
-// leader returns the node that leads by its own state dump, nil if none says so.
+// leader returns the node that leads by its own state dump, nil if none says so for some seconds.
 func (s *system) leader() *node {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if n := s.leaderNow(); n != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// leaderNow returns the node that leads now, nil if none says so.
+func (s *system) leaderNow() *node {
 	for _, n := range s.nodes {
 		resp, err := (&http.Client{Timeout: 500 * time.Millisecond}).Get("http://" + net.JoinHostPort(n.ip, strconv.Itoa(metricsPort)) + "/dump")
 		if err != nil {
