--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -139,6 +140,14 @@
 			return nil, err
 		}
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		s.stopAll()
+		_ = os.RemoveAll(s.dir)
+		os.Exit(2)
+	}()
 	return s, nil
 }
 
@@ -151,11 +160,16 @@
 	cmd := exec.Command(s.program, "entry")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", "CORIANDERCROSS_CONFIG=" + n.settings}
 	cmd.Stdout, cmd.Stderr = log, log
+	n.mu.Lock()
+	if n.stopping {
+		n.mu.Unlock()
+		return log.Close()
+	}
 	if err := cmd.Start(); err != nil {
+		n.mu.Unlock()
 		return err
 	}
 	ended := make(chan struct{})
-	n.mu.Lock()
 	n.cmd, n.ended = cmd, ended
 	n.starts++
 	n.mu.Unlock()
