The leader no longer crashes when a queue loses its policy service

Cause: a queued request is refreshed with the settings of the policy service that the queue no longer has. keepAdvice looked at unplaced tasks only. Ruled out: requests in flight, late results and requests that are taken back; they pass keepAdvice too and are cases of the test.

Change: keepAdvice drops a request whose queue has no policy service in force.

Before: TestPolicyServiceIsRemovedBesideRequests/Queued panics in AdviceConfig.CallMs, as the case does. After: all three cases pass.

--- a/core/cccell/advice.go
+++ b/core/cccell/advice.go
@@ -102,13 +102,13 @@
 }
 
 // keepAdvice reports whether a request that is queued or assigned is still needed, and extends its deadline and renews
-// its rank if so.
+// its rank if so. A new configuration may have removed the policy service of the queue since the request was made.
 func (c *Cell) keepAdvice(r *AdviceRequest, now ms) bool {
 	s := c.stageByID(r.Stage)
 	if s == nil || !s.tickets.requested || s.tickets.requestID != r.ID {
 		return false
 	}
-	if _, open := c.open[s]; !open || s.unplaced == 0 {
+	if _, open := c.open[s]; !open || s.unplaced == 0 || c.queue(s.job).Advice == nil {
 		s.tickets.requested = false
 		return false
 	}
@@ -118,7 +118,7 @@
 }
 
 // refreshAdvice chooses the workers of a request anew, since workers may have become full or free while it was queued.
-// It returns false if no worker is left to request a ticket for.
+// The request must be one that keepAdvice keeps. It returns false if no worker is left to request a ticket for.
 func (c *Cell) refreshAdvice(r *AdviceRequest, now ms) bool {
 	if r.chosenAt == now {
 		return true
--- a/core/cccell/advicequeue_test.go
+++ b/core/cccell/advicequeue_test.go
@@ -251,3 +251,61 @@
 		}
 	}
 }
+
+// A new configuration removes the policy service of a queue while requests of its stages are queued, in flight or taken back
+// from a caller. The leader crashed at the next call that it assigned.
+func TestPolicyServiceIsRemovedBesideRequests(t *testing.T) {
+	const (
+		priority, workers    = 1, 4
+		runMs             ms = 1500
+	)
+	tests := map[string]struct {
+		callers, lost int
+		jobs          int
+	}{
+		"Queued":    {callers: 2, jobs: 30},
+		"InFlight":  {callers: 31, jobs: 30},
+		"TakenBack": {callers: 31, lost: 31, jobs: 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newAdviceLoad(t, test.callers, test.lost, workers)
+			now := ms(2000)
+			l.submit("job0", priority, now)
+			queue := l.cell.jobs["job0"].spec.Queue
+			for i := 1; i < test.jobs; i++ {
+				l.submit(fmt.Sprintf("job%d", i), priority, now)
+			}
+			assert.Equal(t, len(l.startsOf(now)), 0)
+			assert.Assert(t, l.calls > 0 && l.calls <= test.jobs)
+			without := queue
+			without.Advice = nil
+			l.cell.SetQueues([]Queue{without})
+			callsBefore, started := l.calls, map[TaskID]bool{}
+			var running []StartOrder
+			for end := now + 6000; now < end; now += 50 {
+				for _, o := range l.startsOf(now) {
+					started[o.Task] = true
+					running = append(running, o)
+				}
+				for len(running) > 0 && now-running[0].attempt.sentAt >= runMs {
+					l.cell.endAttempt(running[0].attempt, EndDone, "", now)
+					running = running[1:]
+				}
+			}
+			assert.Equal(t, len(started), test.jobs*4, "all tasks start without the policy service")
+			assert.Equal(t, l.calls, callsBefore)
+			assert.Equal(t, l.queue.Len(), 0)
+
+			l.cell.SetQueues([]Queue{queue})
+			l.lost = map[string]bool{}
+			l.submit("next", priority, now)
+			var placed []string
+			for end := now + 4000; now < end && len(placed) == 0; now += 50 {
+				placed = l.round(now)
+			}
+			assert.DeepEqual(t, placed, []string{"next"})
+			assert.Assert(t, l.calls > callsBefore)
+		})
+	}
+}
