A scheduled run that is done is not opened again after a change of the leader

Cause: a run that the record names as done was restored with empty stages. An end that a worker still lists finishes one of them, and the others open. Related paths: running attempts of such a run were not stopped, a failed end failed the job, stored ends of an unknown job opened the run.

Change: the tasks of such a run are restored as done.

--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -53,7 +53,11 @@
 		r := c.newRun(j, n)
 		r.done = rp.Done
 		for i, s := range r.stages {
-			s.restore(rp.Stages[i])
+			if r.done {
+				s.restoreDone()
+			} else {
+				s.restore(rp.Stages[i])
+			}
 		}
 		if len(rp.Stages) > 0 || rp.Done {
 			j.started = true
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -214,3 +214,10 @@
 		}
 	}
 }
+
+// restoreDone marks all tasks of a stage as done. The progress of a run that is done has no stages.
+func (s *stage) restoreDone() {
+	for i := range s.spec.Count {
+		s.done.add(i)
+	}
+}
--- a/core/cccell/scheduled_test.go
+++ b/core/cccell/scheduled_test.go
@@ -105,3 +105,60 @@
 		})
 	}
 }
+
+// The prior leader stored that a run was done and was lost before the workers had forgotten its ends. What they still list of
+// that run began it again.
+func TestRunThatIsDoneIsNotReopened(t *testing.T) {
+	const doneRun, attempt = 0, 1
+	last := TaskID{Job: "a", Run: doneRun, Stage: 1}
+	first := TaskID{Job: "a", Run: doneRun, Stage: 0, Index: 1}
+	ended := func(task TaskID, end End) *TaskLists {
+		return &TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: attempt, End: end}}}
+	}
+	tests := map[string]struct {
+		lists *TaskLists
+		// unknown are stored ends of the job, as found while it was not known.
+		unknown *Progress
+		stopped bool
+	}{
+		"Nothing":         {lists: &TaskLists{}},
+		"LastEnd":         {lists: ended(last, EndDone)},
+		"EndOfFirstStage": {lists: ended(first, EndDone)},
+		"Failed":          {lists: ended(first, EndFailed)},
+		"Lapsed":          {lists: ended(first, EndLapsed)},
+		"StillRunning":    {lists: &TaskLists{Running: []RunningTask{{Task: first, Attempt: attempt}}}, stopped: true},
+		"EndsOfUnknownJob": {lists: &TaskLists{}, unknown: &Progress{Runs: map[int]RunProgress{
+			doneRun: {Stages: map[int]StageProgress{1: {Done: []uint64{1}}}},
+		}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCell(2, 1000)
+			c.SetHandover(1000)
+			c.SetWorker(testWorker("w"), 1000)
+			j := testJob("a", 2)
+			j.Stages = append(j.Stages, Stage{Count: 1, Size: j.Stages[0].Size, EstimateMs: 500, After: []int{0}})
+			j.ScheduledRuns, j.Queue.MaxAttempts = 2, 1
+			c.Adopt(StoredJob{Job: j, Progress: &Progress{Runs: map[int]RunProgress{doneRun: {Done: true}}}, Revision: 1}, 1000, 1000)
+			if test.unknown != nil {
+				c.AdoptUnknownEnds("a", test.unknown, 1, 1000)
+			}
+			var started []TaskID
+			stopped := false
+			for now := ms(1010); now < 3000; now += 50 {
+				out := pollAll(t, c, now, map[string]*TaskLists{"w": test.lists})
+				for i := range out.Starts {
+					started = append(started, out.Starts[i].Task)
+					c.OnStartReply(&out.Starts[i], executedReply(now), now)
+					test.lists.Running = append(test.lists.Running, RunningTask{Task: out.Starts[i].Task, Attempt: out.Starts[i].Attempt})
+				}
+				for i := range out.Stops {
+					stopped = stopped || out.Stops[i].Task.Run == doneRun
+				}
+			}
+			assert.DeepEqual(t, started, []TaskID{{Job: "a", Run: 1}, {Job: "a", Run: 1, Index: 1}})
+			assert.Equal(t, stopped, test.stopped)
+			assert.Equal(t, c.jobs["a"].final, State(""))
+		})
+	}
+}
