The leader no longer prolongs a long lease that an earlier incarnation may have left

Cause: handleRestart raised leaseUntil to a bound for the lease that the start may have left (hold_max_ms), and nextLeaseEnd sent the same field in the next orders, so that the worker did hold a lease of some 10 s. A successor waits for 4.7 s. Ruled out: a lease that the start itself gave; it was never carried out.

Change: the type leases keeps what was sent apart from what may be held.

--- a/core/cccell/lease_test.go
+++ b/core/cccell/lease_test.go
@@ -59,3 +59,32 @@
 	assert.Assert(t, lastStart > 0)
 	assert.Assert(t, until <= int64(maxLeaseDuration(leaseMs)), "a lease of %d ms", until)
 }
+
+// A worker restarts beside a start in doubt. The leader allows for the long lease that the start may have left there, but
+// renews the leases of the new incarnation for no longer than the successor waits: it does not prolong the long one.
+func TestLongLeaseOfAnEarlierIncarnationIsNotProlonged(t *testing.T) {
+	const leaseMs, maxMs, bornMs = 4400, 10_000, 2000
+	c := New(Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2}, 1000)
+	c.SetWorker(testWorker("w"), 1000)
+	pollAll(t, c, 1010, nil)
+	c.AddJob(testJob("j", 1), 1050, 1050)
+	out := runRound(c, 1060)
+	assert.Equal(t, len(out.Starts), 1)
+	c.OnStartReply(&out.Starts[0], Reply{Outcome: ReplyLost, Sent: 1060, Received: 1070}, 1070)
+	assert.Equal(t, len(out.Polls), 1)
+	const clock = 40 // Of the new incarnation at 1100.
+	c.OnPollReply(&out.Polls[0], Reply{Outcome: Executed, ClockMs: clock, IncarnationMs: bornMs, Sent: 1060, Received: 1100}, &TaskLists{}, 1100)
+	for now := ms(1130); now < 4000; now += 50 {
+		c.Schedule(now, now)
+		out := c.TakeOrders()
+		r := Reply{Outcome: Executed, ClockMs: clock + int64(now) - 1100, IncarnationMs: bornMs, Sent: now, Received: now}
+		for i := range out.Polls {
+			assert.Assert(t, out.Polls[i].LeaseUntilMs <= r.ClockMs+leaseMs, "a lease of %d ms at %d", out.Polls[i].LeaseUntilMs-r.ClockMs, now)
+			c.OnPollReply(&out.Polls[i], r, &TaskLists{}, now)
+		}
+		assert.Assert(t, !c.workers["w"].leases.expired(clock+maxMs))
+		for i := range out.Starts {
+			assert.Assert(t, out.Starts[i].LeaseUntilMs <= r.ClockMs+leaseMs, "a lease of %d ms at %d", out.Starts[i].LeaseUntilMs-r.ClockMs, now)
+		}
+	}
+}
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -407,12 +407,10 @@
 		checkpoint = s.checkpoints[0]
 	}
 	a.resumed = checkpoint != ""
-	leaseUntil := w.nextLeaseEnd(now, c.cfg.LeaseMs)
-	w.leaseUntil = max(w.leaseUntil, leaseUntil)
 	ticket, _ := s.tickets.valid(w, now)
 	c.stats.Starts++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
-		OrderHeader: c.header(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: checkpoint, Ticket: ticket, LeaseUntilMs: leaseUntil, attempt: a,
+		OrderHeader: c.header(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: checkpoint, Ticket: ticket, LeaseUntilMs: w.giveLease(now, c.cfg.LeaseMs), attempt: a,
 	})
 	return a
 }
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -64,8 +64,7 @@
 		// A poll without a reply may have renewed the leases. A silent worker's leases have to end, so they are not
 		// renewed.
 		if w.listed && w.admitted && w.silentSince == 0 && now < c.authorityUntil {
-			o.LeaseUntilMs = w.nextLeaseEnd(now, c.cfg.LeaseMs)
-			w.leaseUntil = max(w.leaseUntil, o.LeaseUntilMs)
+			o.LeaseUntilMs = w.giveLease(now, c.cfg.LeaseMs)
 		}
 		if urgent {
 			w.urgentPollInFlight = true
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -289,7 +289,7 @@
 	}
 	w.incarnation, w.incarnationAt = r.IncarnationMs, now
 	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds = 0, 0, 0, nil
-	w.clockAt, w.leaseUntil, w.listsClock = 0, 0, 0
+	w.clockAt, w.listsClock = 0, 0
 	w.health = health{score: 1}
 	w.admitted = false
 	for _, a := range w.attempts {
@@ -301,11 +301,13 @@
 			a.state, a.confirmedAt, a.stopWanted, a.stopConfirmed = inDoubt, 0, true, false
 		}
 	}
+	possible := int64(0)
 	if len(w.attempts) > 0 {
 		// The lease in a start that was meant for the earlier incarnation ends by the clock of that one, which may be far
 		// ahead. The worker shortens it.
-		w.leaseUntil = r.ClockMs + int64(max(c.cfg.LeaseMs, c.cfg.MaxLeaseMs))
+		possible = r.ClockMs + int64(max(c.cfg.LeaseMs, c.cfg.MaxLeaseMs))
 	}
+	w.leases.restart(possible)
 	c.confirmCrashes(w.info.Address, r.IncarnationMs, now)
 }
 
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -134,8 +134,7 @@
 	// at clockAt or earlier.
 	clock   int64
 	clockAt ms
-	// leaseUntil is the latest lease end that was sent, on the worker's clock.
-	leaseUntil int64
+	leases  leases
 	// ackedEnd is the highest end number whose change is persisted, so that the worker may forget it; readEnd is the
 	// highest one read.
 	ackedEnd, readEnd int64
@@ -270,20 +269,22 @@
 // leasesExpired reports whether all leases at the worker have ended for certain and its tasks are killed.
 func (w *worker) leasesExpired(now ms) bool {
 	if clock, ok := w.clockNow(now); ok {
-		return now >= w.priorLeasesEndAt && clock > w.leaseUntil+expiryMarginMs
+		return now >= w.priorLeasesEndAt && w.leases.expired(clock)
 	}
 	return now >= w.priorLeasesEndAt
 }
 
-// nextLeaseEnd returns the end of a lease that begins now, on the worker's clock, or 0 when that clock is not known. It
-// is never before a lease end that was sent earlier.
-func (w *worker) nextLeaseEnd(now ms, lease ms) int64 {
-	if w.clockAt == 0 {
+// giveLease returns the end of the lease that an order gives which is sent now, on the worker's clock, or 0 when that clock is
+// not known.
+func (w *worker) giveLease(now ms, length ms) int64 {
+	// The lower bound of the clock is used so that the lease is not longer than the given length on the worker's clock.
+	clock, known := w.clockNow(now)
+	if !known {
 		return 0
 	}
-	// The lower bound is used so that the lease is not longer than the given length on the worker's clock.
-	clock, _ := w.clockNow(now)
-	return max(w.leaseUntil, clock+int64(lease))
+	until := w.leases.next(clock, length)
+	w.leases.give(until)
+	return until
 }
 
 const (
