A successor waits for the long leases of workers that have restarted

Cause: the leases at a worker that has restarted may be as long as hold_max_ms, by orders that were meant for its earlier incarnation. The leader knows when it finds the restart; the next one reckons with the leases of the leader record, LeaseMs, for each worker that it does not reach. Ruled out: one flat wait of hold_max_ms (10 s on half of the sites) for each silent worker at each change of the leader; a trial of the findings, no fix.

Change: a roster marks the workers that may hold a long lease (LongLease). The next leader waits for the longest lease at these, and at those whose incarnation is not the one of the roster. A worker that has restarted gets no tasks before the roster in the store has the mark, or until the lease can't be long any more. Records of earlier releases have no mark and are read as before.

The test TestLeasesAfterARestartAreAwaited bounded all orders by LeaseMs, also those that are sent before the leader hears of the restart; no leader can keep that, since their end is a time of another clock. It is replaced by the rule that it stood for: a successor, at any time, waits for what the worker holds. Orders for the incarnation that is known are bounded by LeaseMs exactly, without the margin of before.

--- a/core/cccell/capacity_test.go
+++ b/core/cccell/capacity_test.go
@@ -177,10 +177,10 @@
 	tests := map[string]func(c *Cell){
 		"RegistrationFirst": func(c *Cell) {
 			c.SetWorker(shrunk, 1000)
-			c.AddUnlistedWorker(testWorker("w"), 1000)
+			c.AdoptWorker(testWorker("w"), 1000)
 		},
 		"RosterFirst": func(c *Cell) {
-			c.AddUnlistedWorker(testWorker("w"), 1000)
+			c.AdoptWorker(testWorker("w"), 1000)
 			c.SetWorker(shrunk, 1010)
 		},
 		"ReadAgain": func(c *Cell) {
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -185,7 +185,7 @@
 	}
 	c.handoverAt = at
 	for _, w := range c.workers {
-		w.priorLeasesEndAt = min(w.priorLeasesEndAt, at+maxLeaseDuration(c.cfg.PriorLeaseMs))
+		w.priorLeasesEndAt = min(w.priorLeasesEndAt, at+maxLeaseDuration(c.priorLease(w, w.newestIncarnation())))
 	}
 }
 
--- a/core/cccell/lease.go
+++ b/core/cccell/lease.go
@@ -8,6 +8,8 @@
 	// possible is a bound for the end of a lease that orders for earlier incarnations may have left. It is never sent: an
 	// order that carried it would make it true, and a successor waits for leases of Config.LeaseMs only.
 	possible int64
+	// unrecorded is true while the roster in the store does not tell of possible.
+	unrecorded bool
 }
 
 // longestLease returns the length of the longest lease that a worker may hold.
@@ -26,12 +28,54 @@
 	l.sent = max(l.sent, until)
 }
 
-// restart begins the leases of a new incarnation. possible bounds the lease that it may hold already.
+// restart begins the leases of a new incarnation. possible bounds the lease that it may hold already, 0 for none.
 func (l *leases) restart(possible int64) {
-	*l = leases{possible: possible}
+	*l = leases{possible: possible, unrecorded: possible > 0}
+}
+
+// long reports whether the lease may end later than one of the given length that begins now, by the worker's clock.
+func (l *leases) long(clock int64, length ms) bool {
+	return l.possible > clock+int64(length)
 }
 
 // expired reports whether the lease has ended by the worker's clock, and the tasks are killed.
 func (l *leases) expired(clock int64) bool {
 	return clock > max(l.sent, l.possible)+expiryMarginMs
 }
+
+// longLease reports whether a worker may hold a lease that ends later than those that the leader gives. The next leader has to
+// know if it does not reach the worker.
+func (c *Cell) longLease(w *worker, now ms) bool {
+	clock, known := w.clockNow(now)
+	return known && w.leases.long(clock, c.cfg.LeaseMs)
+}
+
+// awaitsLeaseRecord reports whether a worker gets no tasks, since the next leader would not wait long enough for the end of its
+// lease. Load: workers restart, and the leader is lost and they are cut off soon after.
+func (c *Cell) awaitsLeaseRecord(w *worker, now ms) bool {
+	return c.cfg.AwaitRoster && w.leases.unrecorded && c.longLease(w, now)
+}
+
+// RosterStored records that the store has a roster, and that no write of an earlier one can be carried out later.
+func (c *Cell) RosterStored(roster []WorkerInfo) {
+	for i := range roster {
+		// The rosters after this one have LongLease as well, for as long as it is true.
+		if w := c.workers[roster[i].ID]; w != nil && roster[i].LongLease {
+			w.leases.unrecorded = false
+		}
+	}
+}
+
+// priorLease returns the length of the longest lease that prior leaders may have left at an incarnation of a worker. If it is
+// not the incarnation of the prior leader's roster, orders that were meant for that one may have given it the longest lease.
+func (c *Cell) priorLease(w *worker, incarnation int64) ms {
+	if p := &w.priorInfo; p.LongLease || (p.ID != "" && p.IncarnationMs != incarnation) {
+		return max(c.cfg.PriorLeaseMs, c.longestLease())
+	}
+	return c.cfg.PriorLeaseMs
+}
+
+// awaitPriorLeases sets when the leases of prior leaders have ended at a worker that this leader does not reach.
+func (c *Cell) awaitPriorLeases(w *worker) {
+	w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.priorLease(w, w.newestIncarnation()))
+}
--- a/core/cccell/lease_test.go
+++ b/core/cccell/lease_test.go
@@ -6,58 +6,147 @@
 	"gotest.tools/v3/assert"
 )
 
-// A start was in doubt as its worker restarted, and the leader went on to give the worker leases that are longer than a successor
-// waits for.
+// A start was in doubt as its worker restarted, and a successor did not wait for the leases that the worker had from then on:
+// those of orders that were meant for its earlier incarnation, and those that the leader gave it. The successor knows the
+// registrations, and the roster that the leader wrote last.
 func TestLeasesAfterARestartAreAwaited(t *testing.T) {
-	const leaseMs, maxMs = 4400, 6000
-	c := New(Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2}, 1000)
-	c.SetWorker(testWorker("w"), 1000)
-	c.SetWorker(testWorker("silent"), 1000)
+	const (
+		leaseMs, maxMs, clockBegan, clockBefore    = 4400, 6000, 1000, 100_000
+		rosterInterval                          ms = 500
+		// The leader reads the registrations of the new incarnations late.
+		registrationsReadAt ms = 1400
+	)
+	cfg := Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2, AwaitRoster: true}
+	c := New(cfg, 1000)
+	ids := []string{"w", "silent"}
+	for _, id := range ids {
+		c.SetWorker(testWorker(id), 1000)
+	}
 	restarted := func(now ms) Reply {
-		return Reply{Outcome: Executed, ClockMs: int64(now) - 1000, IncarnationMs: 2000, Sent: now - 2, Received: now}
+		return Reply{Outcome: Executed, ClockMs: int64(now) - clockBegan, IncarnationMs: 2000, Sent: now - 2, Received: now}
 	}
-	pollAll(t, c, 1010, nil)
+	c.Schedule(1010, 1010)
+	out := c.TakeOrders()
+	for i := range out.Polls {
+		c.OnPollReply(&out.Polls[i], Reply{Outcome: Executed, ClockMs: clockBefore, IncarnationMs: 1000, Sent: 1010, Received: 1010}, &TaskLists{}, 1010)
+	}
+	var roster []WorkerInfo
+	var rosterAt ms
+	storeRoster := func(now ms) {
+		roster, rosterAt = c.Roster(), now
+		c.RosterStored(roster)
+		c.SetRecorded(map[string]bool{"w": true, "silent": true})
+	}
+	storeRoster(1020)
 	c.AddJob(testJob("j", 2), 1050, 1050)
-	out := runRound(c, 1060)
+	out = runRound(c, 1060)
 	assert.Equal(t, len(out.Starts), 2)
 	for i := range out.Starts { // The replies to the starts are lost as both workers restart.
 		c.OnStartReply(&out.Starts[i], Reply{Outcome: ReplyLost, Sent: 1060, Received: 1070}, 1070)
 	}
+	lists, leaseEnd := map[string]*TaskLists{}, map[string]ms{}
+	// execute lets a worker carry out an order with a lease. An order for the incarnation that runs gives no longer one than
+	// the leader record says.
+	execute := func(h *OrderHeader, leaseUntil int64, now ms) *TaskLists {
+		clock := int64(now) - clockBegan
+		if leaseUntil > 0 && h.IncarnationMs == 2000 && c.workers[h.WorkerID].incarnation == 2000 {
+			assert.Assert(t, leaseUntil <= clock+leaseMs, "a lease of %d ms at %d", leaseUntil-clock, now)
+		}
+		leaseEnd[h.WorkerID] = max(leaseEnd[h.WorkerID], ms(min(leaseUntil, clock+maxMs)+clockBegan))
+		if lists[h.WorkerID] == nil {
+			lists[h.WorkerID] = &TaskLists{}
+		}
+		return lists[h.WorkerID]
+	}
+	registered := func(id string) WorkerInfo {
+		info := testWorker(id)
+		info.IncarnationMs = 2000
+		return info
+	}
 	var lastStart ms
-	var until int64
-	lists := map[string]*TaskLists{}
-	for now := ms(1100); now < 3000; now += 50 {
+	for now := ms(1100); now < 5000; now += 50 {
+		if now == registrationsReadAt {
+			c.SetWorkers([]WorkerInfo{registered("w"), registered("silent")}, nil, now)
+		}
+		if now-rosterAt >= rosterInterval {
+			storeRoster(now)
+		}
 		c.Schedule(now, now)
 		out := c.TakeOrders()
 		for i := range out.Polls {
 			o := &out.Polls[i]
-			if o.LeaseUntilMs > 0 && now > 1200 {
-				until = max(until, o.LeaseUntilMs-(int64(now)-1000))
-			}
-			l := lists[o.WorkerID]
-			if l == nil {
-				l = &TaskLists{}
-			}
-			c.OnPollReply(o, restarted(now), l, now)
+			c.OnPollReply(o, restarted(now), execute(&o.OrderHeader, o.LeaseUntilMs, now), now)
 		}
 		for i := range out.Stops {
 			c.OnStopReply(&out.Stops[i], restarted(now), now)
 		}
 		for i := range out.Starts {
 			o := &out.Starts[i]
-			l := lists[o.WorkerID]
-			if l == nil {
-				l = &TaskLists{}
-				lists[o.WorkerID] = l
-			}
+			l := execute(&o.OrderHeader, o.LeaseUntilMs, now)
 			l.Running = append(l.Running, RunningTask{Task: o.Task, Attempt: o.Attempt})
 			lastStart = now
-			until = max(until, o.LeaseUntilMs-(int64(now)-1000))
 			c.OnStartReply(o, restarted(now), now)
 		}
+		next := cfg
+		next.Token, next.PriorUnstored = 2, true
+		successor := New(next, now)
+		for _, id := range ids {
+			successor.SetWorker(registered(id), now)
+		}
+		for i := range roster {
+			successor.AdoptWorker(roster[i], now)
+		}
+		for id, l := range lists {
+			if until := successor.workers[id].priorLeasesEndAt; len(l.Running) > 0 {
+				assert.Assert(t, leaseEnd[id] <= until, "worker %s: the lease ends %d ms after the successor starts its tasks at %d", id, leaseEnd[id]-until, until)
+			}
+		}
 	}
 	assert.Assert(t, lastStart > 0)
-	assert.Assert(t, until <= int64(maxLeaseDuration(leaseMs)), "a lease of %d ms", until)
+}
+
+// The roster that the store holds does not tell the next leader that a worker which has restarted may hold a long lease. Tasks
+// started there would run twice if the leader were lost and the worker cut off.
+func TestRestartedWorkerGetsNoTasksBeforeItsLeaseIsRecorded(t *testing.T) {
+	const leaseMs, maxMs = 4400, 6000
+	tests := map[string]struct {
+		storedAt ms // When the store gets a roster of the leader, 0 for never.
+		from, to ms // The time of the first start.
+	}{
+		"RosterStored": {storedAt: 2500, from: 2500, to: 2600},
+		// The lease may have begun at 2000, and has 4.4 s left at 3600.
+		"StoreAway": {from: 3600, to: 3800},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2, AwaitRoster: true}, 1000)
+			c.SetWorker(testWorker("w"), 1000)
+			c.SetRecorded(map[string]bool{"w": true})
+			pollAll(t, c, 1010, nil)
+			c.RosterStored(c.Roster())
+			c.PollIdle(true)
+			c.AddJob(testJob("j", 1), 2000, 2000)
+			c.HoldStarts(true)
+			started := ms(0)
+			for now := ms(2000); now < 5000 && started == 0; now += 50 {
+				c.Schedule(now, now)
+				out := c.TakeOrders()
+				for i := range out.Polls {
+					c.OnPollReply(&out.Polls[i], Reply{Outcome: Executed, ClockMs: int64(now) - 1990, IncarnationMs: 1990, Sent: now, Received: now}, &TaskLists{}, now)
+				}
+				c.HoldStarts(false)
+				if len(out.Starts) > 0 {
+					started = now
+				}
+				if now == test.storedAt {
+					assert.Equal(t, c.Unrecorded(), 1)
+					c.RosterStored(c.Roster())
+				}
+			}
+			assert.Assert(t, started >= test.from && started <= test.to, "started at %d", started)
+			assert.Equal(t, c.Unrecorded(), 0)
+		})
+	}
 }
 
 // A worker restarts beside a start in doubt. The leader allows for the long lease that the start may have left there, but
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -172,10 +172,10 @@
 	c.SetRecorded(ids(roster))
 	sim.listWorkers(l)
 	for _, info := range roster {
-		c.AddUnlistedWorker(info, sim.now)
+		c.AdoptWorker(info, sim.now)
 	}
 	if !sim.lapses {
-		sim.roster = c.Roster()
+		sim.storeRoster(c)
 	}
 	for _, id := range sim.jobIDs {
 		r := sim.progress[id]
@@ -221,7 +221,7 @@
 	}
 	l.cell.SetWorkers(infos, nil, sim.now)
 	if l.token == sim.token && !sim.storeDown && !sim.lapses {
-		sim.roster = l.cell.Roster()
+		sim.storeRoster(l.cell)
 	}
 }
 
--- a/core/cccell/modelreports_test.go
+++ b/core/cccell/modelreports_test.go
@@ -192,10 +192,17 @@
 
 // writeRoster lets the newest leader write the roster.
 func (sim *simulation) writeRoster() {
-	sim.roster, sim.rosterAt = sim.newest().Roster(), sim.now
+	sim.rosterAt = sim.now
+	sim.storeRoster(sim.newest())
 	sim.newest().SetRecorded(ids(sim.roster))
 }
 
+// storeRoster writes the roster of a leader.
+func (sim *simulation) storeRoster(c *cccell.Cell) {
+	sim.roster = c.Roster()
+	c.RosterStored(sim.roster)
+}
+
 // ids returns the IDs of workers.
 func ids(workers []cccell.WorkerInfo) map[string]bool {
 	out := map[string]bool{}
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -5,9 +5,6 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = &worker{attempts: map[attemptKey]*attempt{}, health: health{score: 1}, knownAt: now, recorded: c.isRecorded(info.ID)}
-		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
-		// end after that. A leader of an earlier release may do so at a worker that the roster does not have.
-		w.priorLeasesEndAt = c.handoverAt + maxLeaseDuration(c.cfg.PriorLeaseMs)
 		c.workers[info.ID] = w
 	} else if w.info.Capacity != info.Capacity {
 		c.cfg.Log("worker capacity changed", "Worker", info.ID, "Before", w.info.Capacity, "Capacity", info.Capacity, "Used", w.used, "Attempts", len(w.attempts))
@@ -23,7 +20,13 @@
 	if w.incarnation != 0 && info.IncarnationMs > w.incarnation {
 		w.admitted = false // The worker has restarted: its task lists have to be read before it gets tasks.
 	}
+	before := w.newestIncarnation()
 	w.info, w.rack, w.workerType, w.listed = info, info.Rack(), info.Kind(), true
+	if w.priorLeasesEndAt == 0 || w.newestIncarnation() != before {
+		// The prior leader may give orders until handoverAt, also without contact with this process, and its leases
+		// end after that. A leader of an earlier release may do so at a worker that the roster does not have.
+		c.awaitPriorLeases(w)
+	}
 	w.largest = w.largest.Max(info.Capacity)
 	c.confirmCrashes(info.Address, info.IncarnationMs, now)
 }
@@ -45,7 +48,9 @@
 	out := make([]WorkerInfo, 0, len(c.workers))
 	for _, w := range c.workers {
 		if !c.drained(w) {
-			out = append(out, w.info)
+			info := w.info
+			info.LongLease = c.longLease(w, c.roundAt)
+			out = append(out, info)
 		}
 	}
 	return out
@@ -70,7 +75,7 @@
 func (c *Cell) Unrecorded() int {
 	n := 0
 	for _, w := range c.workers {
-		if w.listed && !w.recorded && w.drainSince == 0 {
+		if w.listed && (!w.recorded || c.awaitsLeaseRecord(w, c.roundAt)) && w.drainSince == 0 {
 			n++
 		}
 	}
@@ -103,16 +108,18 @@
 	return (w.drainSince != 0 || !w.listed) && !c.needsFreshPoll(w) && len(w.attempts) == 0 && len(w.unackedEnds) == 0
 }
 
-// AddUnlistedWorker adds a worker of the prior leader's roster that is not registered in the store: tasks may run there
-// until their leases end.
-func (c *Cell) AddUnlistedWorker(info WorkerInfo, now ms) {
-	if w := c.workers[info.ID]; w != nil {
-		w.largest = w.largest.Max(info.Capacity)
-		return
-	}
-	c.SetWorker(info, now)
+// AdoptWorker adds a worker of the prior leader's roster, after those that are registered in the store. On one that is not
+// registered, tasks may run until their leases end.
+func (c *Cell) AdoptWorker(info WorkerInfo, now ms) {
 	w := c.workers[info.ID]
-	w.listed = false
+	if w == nil {
+		c.SetWorker(info, now)
+		w = c.workers[info.ID]
+		w.listed = false
+	}
+	w.largest = w.largest.Max(info.Capacity)
+	w.priorInfo = info
+	c.awaitPriorLeases(w)
 }
 
 // AwaitUnknownWorkers records that tasks may run on workers of which the store does not tell this leader. The handover is then
@@ -148,7 +155,7 @@
 // is known or its lease has ended. Until handoverAt the prior leader can start tasks on a worker that has seen no token
 // of this leader: on a new worker, or on one that has just restarted.
 func (c *Cell) handoverComplete(now ms) bool {
-	if now < c.handoverAt || (c.unknownWorkers && now < c.handoverAt+maxLeaseDuration(c.cfg.PriorLeaseMs)) {
+	if now < c.handoverAt || (c.unknownWorkers && now < c.handoverAt+maxLeaseDuration(max(c.cfg.PriorLeaseMs, c.longestLease()))) {
 		return false
 	}
 	for _, w := range c.workers {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -303,7 +303,7 @@
 		}
 	}
 	possible := int64(0)
-	if restarted {
+	if restarted || c.priorLease(w, r.IncarnationMs) > c.cfg.PriorLeaseMs {
 		// The lease in a start or a poll that was meant for the earlier incarnation ends by the clock of that one, which may
 		// be far ahead. The worker shortens it.
 		possible = r.ClockMs + int64(c.longestLease())
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -24,6 +24,8 @@
 	Draining      bool
 	// DrainLeftMs is the minimum time until a draining worker leaves.
 	DrainLeftMs int64
+	// LongLease is true in a roster while the worker may hold a lease that is longer than those of the leader record.
+	LongLease bool `cbor:",omitempty"`
 }
 
 // ErrBadWorker reports a registration that names no worker to use.
@@ -167,8 +169,10 @@
 	drainSince ms
 	// priorLeasesEndAt is when the leases of prior leaders have ended at a worker that this leader has not reached.
 	priorLeasesEndAt ms
-	health           health
-	slowdown         slowdown
+	// priorInfo is the worker in the prior leader's roster, without ID if it is not there.
+	priorInfo WorkerInfo
+	health    health
+	slowdown  slowdown
 	// heldFor is the stage that the worker is held for in this round, or nil; see Cell.holdWorkers.
 	heldFor *stage
 	// heldMs is the time after which the worker is needed for heldFor, 0 when it is not known.
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -92,6 +92,17 @@
 	return out
 }
 
+// longLeases returns the IDs of the workers that may hold a long lease.
+func longLeases(workers []cccell.WorkerInfo) map[string]bool {
+	out := map[string]bool{}
+	for i := range workers {
+		if workers[i].LongLease {
+			out[workers[i].ID] = true
+		}
+	}
+	return out
+}
+
 // encode encodes a record. It panics on failure, since all types of records can be encoded.
 func encode(v any) []byte {
 	data, err := cbor.Marshal(v)
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -103,6 +103,8 @@
 	roster ccquorum.Incarnations
 	// drained is what this term persisted last of Cell.Drained.
 	drained map[string]int64
+	// longLeases has the workers of roster with WorkerInfo.LongLease.
+	longLeases map[string]bool
 	// rosterAt is when the roster of the cell was last compared with roster, rosterWriteAt when the last write of it began.
 	rosterAt, rosterWriteAt ms
 	// writingRoster is true while a write of the roster is under way; rosterRevision is the revision that it replaces.
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -123,7 +123,7 @@
 			l.cell.AwaitUnknownWorkers()
 			continue
 		}
-		l.cell.AddUnlistedWorker(w, now)
+		l.cell.AdoptWorker(w, now)
 	}
 	for id, incarnation := range record.Drained {
 		l.cell.AdoptDrained(id, incarnation, now)
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -168,7 +168,8 @@
 	l.rosterAt = now
 	list, drained := l.cell.Roster(), l.cell.Drained()
 	// A worker that a failed write has left out is not recorded until the next one.
-	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained) && l.cell.Unrecorded() == 0
+	longLeases := longLeases(list)
+	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained) && maps.Equal(longLeases, l.longLeases) && l.cell.Unrecorded() == 0
 	for i := range list {
 		same = same && l.roster[list[i].ID] == list[i].IncarnationMs
 	}
@@ -191,7 +192,8 @@
 			var conflict *Conflict
 			switch {
 			case err == nil:
-				l.rosterRevision, l.roster, l.drained = rev, roster, drained
+				l.rosterRevision, l.roster, l.drained, l.longLeases = rev, roster, drained, longLeases
+				l.cell.RosterStored(list)
 				l.quorum.RecordedWorkers(roster)
 				l.cell.SetRecorded(l.quorum.InEachRoster())
 				return
