A start whose confirmation overtakes the news of a restart is not taken for lost

Cause: a confirmation of a start names no incarnation, only the worker's clock. If that was ahead of the clock in the reply which told of the restart, the start counted as executed by the earlier incarnation. But the new one may have executed it after it had written that reply, which then arrived later.

Change: if the two readings are no further apart than the call and the confirmation, the attempt is kept until the next list, which tells. Its crash is recorded then, too.

Before: TestStartConfirmedBesideARestart/ExecutedAfterThePoll: the attempt is dropped and its task started again. After: it passes, and attempts that ran before are still taken for lost.

--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -159,6 +159,9 @@
 		Attempt: a.number, RanMs: int64(ran), Started: a.state == running, Alone: a.alone, Together: c.lostTogether(w, a.task.Job, now),
 		Address: w.info.Address, IncarnationMs: w.incarnation,
 	}
+	if a.priorIncarnation != 0 {
+		k.IncarnationMs = a.priorIncarnation
+	}
 	s.crashes[i] = append(s.crashes[i], k)
 	c.markDirty(s.job)
 	c.addSuspect(s, i, &k)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -272,7 +272,15 @@
 	if a.incarnation != 0 {
 		return a.incarnation != r.IncarnationMs
 	}
-	return r.ClockMs > 0 && a.confirmedClock > r.ClockMs
+	return r.ClockMs > 0 && a.confirmedClock > r.ClockMs && !a.overtook(r)
+}
+
+// overtook reports whether the present incarnation may have executed the start after it had written a reply, although that reply
+// arrived later than the confirmation. The two readings of its clock are then at most as far apart as the call and the
+// confirmation.
+func (a *attempt) overtook(r *Reply) bool {
+	ahead := a.confirmedClock - r.ClockMs
+	return a.incarnation == 0 && ahead > 0 && ahead <= int64(a.confirmedAt-r.Sent)
 }
 
 // handleRestart resets the state of a worker whose reply tells of a new incarnation, also at its first reply. The attempts
@@ -283,11 +291,11 @@
 		c.cfg.Log("worker started again", "Worker", w.info.ID, "Born", r.IncarnationMs, "Before", w.incarnation, "Attempts", len(w.attempts))
 	}
 	for _, a := range w.attempts {
-		if a.incarnation != r.IncarnationMs {
+		if a.incarnation != r.IncarnationMs && !(a.state == running && a.overtook(r)) {
 			c.suspectCrash(a, now)
 		}
 	}
-	restarted := w.incarnation != 0
+	before := w.incarnation
 	w.incarnation, w.incarnationAt = r.IncarnationMs, now
 	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds = 0, 0, 0, nil
 	w.clockAt, w.listsClock = 0, 0
@@ -296,6 +304,8 @@
 	for _, a := range w.attempts {
 		switch {
 		case a.incarnation == r.IncarnationMs: // Its start was confirmed by the new incarnation.
+		case a.state == running && a.overtook(r):
+			a.priorIncarnation = before // The next list tells which incarnation has it.
 		case a.state == running && a.ranBefore(r):
 			c.loseAttempt(a, lostRestart, now)
 		default:
@@ -303,7 +313,7 @@
 		}
 	}
 	possible := int64(0)
-	if restarted || c.priorLease(w, r.IncarnationMs) > c.cfg.PriorLeaseMs {
+	if before != 0 || c.priorLease(w, r.IncarnationMs) > c.cfg.PriorLeaseMs {
 		// The lease in a start or a poll that was meant for the earlier incarnation ends by the clock of that one, which may
 		// be far ahead. The worker shortens it.
 		possible = r.ClockMs + int64(c.longestLease())
@@ -315,12 +325,20 @@
 // endMissing ends the attempts that were confirmed before the poll was sent but are not in its list. A list says
 // nothing about an attempt that was not confirmed by then, since the start may reach the worker later.
 func (c *Cell) endMissing(w *worker, present map[attemptKey]bool, r Reply, now ms) {
+	crashed := false
 	for key, a := range w.attempts {
 		if present[key] || a.confirmedAt == 0 || r.Sent <= a.confirmedAt {
 			continue
 		}
+		if a.priorIncarnation != 0 {
+			c.suspectCrash(a, now)
+			crashed = true
+		}
 		c.loseAttempt(a, lostUnlisted, now)
 	}
+	if crashed {
+		c.confirmCrashes(w.info.Address, w.incarnation, now)
+	}
 }
 
 // recordRunning handles a row of a worker's list of running tasks.
@@ -329,7 +347,7 @@
 	if a == nil {
 		a = c.adoptAttempt(w, t, now)
 	}
-	a.incarnation = w.incarnation
+	a.incarnation, a.priorIncarnation = w.incarnation, 0
 	if a.stage != nil {
 		c.confirmStart(a, now)
 	}
--- a/core/cccell/replies_test.go
+++ b/core/cccell/replies_test.go
@@ -401,3 +401,49 @@
 		})
 	}
 }
+
+// A worker restarts and executes a start just after it has written its reply to a poll. The confirmation of the start overtakes
+// that reply, which is the first to tell of the restart. The attempt was taken for one of the earlier incarnation, and its task
+// started a second time.
+func TestStartConfirmedBesideARestart(t *testing.T) {
+	const bornBefore, born, polledClock = 1000, 2000, 470
+	tests := map[string]struct {
+		// confirmedClock is the clock at which the worker confirmed the start.
+		confirmedClock int64
+		// executed is true if the present incarnation has executed the start, kept if the attempt is kept until the next list.
+		executed, kept bool
+		// crashes is the number of recorded crashes of the task.
+		crashes int
+	}{
+		"ExecutedAfterThePoll":       {confirmedClock: 480, executed: true, kept: true},
+		"ExecutedByTheEarlier":       {confirmedClock: 50_000, crashes: 1},
+		"ExecutedByAYoungEarlier":    {confirmedClock: 480, kept: true, crashes: 1},
+		"ExecutedByASomewhatEarlier": {confirmedClock: 500, crashes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			w := c.workers["w"]
+			reply := func(sent, received ms, clock, incarnation int64) Reply {
+				return Reply{Outcome: Executed, ClockMs: clock, IncarnationMs: incarnation, Sent: sent, Received: received}
+			}
+			c.OnPollReply(&PollOrder{worker: w}, reply(1050, 1060, 50_000, bornBefore), &TaskLists{}, 1060)
+			c.AddJob(testJob("j", 1), 1100, 1100)
+			out := runRound(c, 1105)
+			assert.Equal(t, len(out.Starts), 1)
+			task, attempt := out.Starts[0].Task, out.Starts[0].Attempt
+			c.OnStartReply(&out.Starts[0], Reply{Outcome: Executed, ClockMs: test.confirmedClock, Sent: 1105, Received: 1120}, 1120)
+			c.OnPollReply(&PollOrder{worker: w}, reply(1100, 1125, polledClock, born), &TaskLists{}, 1125)
+			assert.Equal(t, len(w.attempts) == 1, test.kept)
+			lists := &TaskLists{}
+			if test.executed {
+				lists.Running = []RunningTask{{Task: task, Attempt: attempt}}
+			}
+			c.OnPollReply(&PollOrder{worker: w}, reply(1130, 1140, polledClock+30, born), lists, 1140)
+			assert.Equal(t, len(c.jobs["j"].runs[0].stages[0].crashes[0]), test.crashes)
+			again := runRound(c, 1150)
+			assert.Equal(t, len(again.Starts) == 0, test.executed)
+			assert.Equal(t, len(again.Stops), 0)
+		})
+	}
+}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -219,6 +219,8 @@
 	// the worker's clock in a confirmation of the start that names no incarnation.
 	incarnation    int64
 	confirmedClock int64
+	// priorIncarnation is an earlier incarnation that may have executed the start instead of the present one, 0 for none.
+	priorIncarnation int64
 	// stopWanted is true when the attempt has to be stopped. stopSentAt is when a stop was last sent, stopInFlight is
 	// true while its reply is pending, and stopConfirmed is true once a stop was confirmed.
 	stopWanted    bool
