Orders for an earlier incarnation of a worker are fenced off

Cause: orders don't name an incarnation. One that is carried out seconds late by the next incarnation gives it a long lease at any later time, starts a task there that was given up, or lets it forget an end of the same number that no leader has read.

Change: each term has a range of 1,024 tokens. The leader takes the next one for a worker that has started again, which then refuses the orders of before. A worker gets tasks once it has seen its token, and the bound of its lease counts from there. A refusal of an own earlier order deposes nobody. The highest token of the range is in the leader record, so that processes of earlier releases still take a higher one than was used.

The model plays leaders with ranges from now on.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -12,6 +12,9 @@
 	// Token is the fencing token of this leader, higher than that of each leader before it. Workers refuse calls with a
 	// lower token than they have seen.
 	Token int64
+	// RestartTokens is the number of tokens directly below Token that are this leader's as well; see tokenFor. With 0, the
+	// incarnations of a worker are not fenced from each other.
+	RestartTokens int64
 	// LeaseMs is the length of a lease at a worker. With a longer lease, tasks survive a longer time without a leader;
 	// with a shorter one, the tasks of a worker that does not reply start elsewhere sooner.
 	LeaseMs ms
@@ -104,6 +107,8 @@
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
 	usable []*worker
+	// restarts counts the restarts of workers that this leader has found, by the IDs of the workers.
+	restarts map[string]int64
 	// suspects refers to the crashes that are not confirmed, by the address of the worker.
 	suspects map[string][]suspect
 	// held counts the workers that are held in the current round, by service.
@@ -149,7 +154,7 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{},
 		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
--- a/core/cccell/lease.go
+++ b/core/cccell/lease.go
@@ -8,6 +8,8 @@
 	// possible is a bound for the end of a lease that orders for earlier incarnations may have left. It is never sent: an
 	// order that carried it would make it true, and a successor waits for leases of Config.LeaseMs only.
 	possible int64
+	// unfenced is true while orders for earlier incarnations can still be carried out, and extend the lease.
+	unfenced bool
 	// unrecorded is true while the roster in the store does not tell of possible.
 	unrecorded bool
 }
@@ -30,7 +32,15 @@
 
 // restart begins the leases of a new incarnation. possible bounds the lease that it may hold already, 0 for none.
 func (l *leases) restart(possible int64) {
-	*l = leases{possible: possible, unrecorded: possible > 0}
+	*l = leases{possible: possible, unfenced: possible > 0, unrecorded: possible > 0}
+}
+
+// fence records that no order for an earlier incarnation can be carried out any more. possible bounds the lease that these
+// may have left.
+func (l *leases) fence(possible int64) {
+	if l.unfenced {
+		l.possible, l.unfenced = possible, false
+	}
 }
 
 // long reports whether the lease may end later than one of the given length that begins now, by the worker's clock.
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -103,6 +103,8 @@
 	modelMaxLeaseMs  = 6000
 	modelAuthorityMs = 2000
 	modelWorkers     = 4
+	// modelRestartTokens is more than the restarts of a worker in a simulation.
+	modelRestartTokens = 255
 )
 
 // modelCapacity is the capacity of a worker that has not shrunk.
@@ -164,9 +166,9 @@
 	if sim.storeDown {
 		return
 	}
-	sim.token++
+	sim.token += 1 + modelRestartTokens
 	sim.revision++
-	c := cccell.New(cccell.Config{Token: sim.token, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1, AwaitRoster: sim.lapses, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
+	c := cccell.New(cccell.Config{Token: sim.token, RestartTokens: modelRestartTokens, LeaseMs: modelLeaseMs, MaxLeaseMs: modelMaxLeaseMs, PriorLeaseMs: modelLeaseMs, AuthorityMs: sim.authorityMs, PriorAuthorityMs: sim.authorityMs, RemoteFactor: 2, Log: sim.log(sim.token), PriorUnstored: sim.token > 1+modelRestartTokens, AwaitRoster: sim.lapses, Ended: sim.ended, RunTimes: sim.runTimes}, sim.now)
 	l := &leader{cell: c, token: sim.token, aloneFrom: sim.now + sim.authorityMs}
 	roster := sim.roster // That of the prior leader, which the new one replaces.
 	c.SetRecorded(ids(roster))
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -6,13 +6,13 @@
 	// IncarnationMs identifies the incarnation of the worker that the order is for, by its start time in Unix
 	// milliseconds. The platform's worker protocol does not carry it, so a later incarnation may execute the order.
 	IncarnationMs int64
-	// Token is the leader's fencing token.
+	// Token is the leader's fencing token for that incarnation.
 	Token int64
 }
 
 // header returns the header of an order to a worker.
 func (c *Cell) header(w *worker) OrderHeader {
-	return OrderHeader{WorkerID: w.info.ID, Address: w.info.Address, IncarnationMs: w.newestIncarnation(), Token: c.cfg.Token}
+	return OrderHeader{WorkerID: w.info.ID, Address: w.info.Address, IncarnationMs: w.newestIncarnation(), Token: c.tokenFor(w)}
 }
 
 // StartOrder requests the start of one attempt at a task.
@@ -114,6 +114,8 @@
 const (
 	// Fenced: the worker has seen a higher token, so a newer leader exists.
 	Fenced Reason = "Fenced"
+	// EarlierOrder: the order was meant for an earlier incarnation of the worker, which this leader has fenced.
+	EarlierOrder Reason = "EarlierOrder"
 	// OldAttempt: the worker has ended or stopped an attempt at the task with the same or a higher number.
 	OldAttempt Reason = "OldAttempt"
 	// LateLease: the lease would end before the current time of the worker's clock.
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -30,7 +30,7 @@
 		c.unknownRunning = c.boundUnknownRunning(now)
 		for _, w := range c.workers {
 			w.heldFor, w.heldMs = nil, 0
-			if w.usable(now) && !c.awaitsLeaseRecord(w, now) {
+			if c.usableWorker(w, now) {
 				c.usable = append(c.usable, w)
 			}
 		}
@@ -166,7 +166,7 @@
 // eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage unless the
 // tasks end before it is needed, and is large enough for one task when empty. Tickets are not checked.
 func (c *Cell) eligible(s *stage, w *worker, now ms) bool {
-	return w.info.Service == c.queue(s.job).Service && w.usable(now) && !c.awaitsLeaseRecord(w, now) && (w.heldFor == nil || w.heldFor == s || c.endsInTime(s, w, now)) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
+	return w.info.Service == c.queue(s.job).Service && c.usableWorker(w, now) && (w.heldFor == nil || w.heldFor == s || c.endsInTime(s, w, now)) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
 		s.need.Fits(&w.info.Capacity)
 }
 
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -13,6 +13,7 @@
 func (c *Cell) OnStartReply(o *StartOrder, r Reply, now ms) {
 	a := o.attempt
 	w := a.worker
+	c.correctFenced(&o.OrderHeader, w, &r)
 	if w.attempts[attemptKey{a.task, a.number}] != a {
 		return // The attempt was removed already: a task list showed its end or lacked it, or the worker's leases ended.
 	}
@@ -86,6 +87,8 @@
 		s.notBefore = now + malformedRetryDelayMs
 	case OldAttempt, LateLease:
 		// The next attempt has a higher number, and this reply has corrected the worker's clock.
+	case EarlierOrder:
+		// The next one is for the present incarnation.
 	default:
 		w.health.noStartsUntil = now + refusalDelayMs
 		if r.Outcome == Unsent {
@@ -134,6 +137,7 @@
 func (c *Cell) OnStopReply(o *StopOrder, r Reply, now ms) {
 	a := o.attempt
 	a.stopInFlight = false
+	c.correctFenced(&o.OrderHeader, a.worker, &r)
 	switch {
 	case r.Outcome == Executed && a.worker.maybeEarlier(&o.OrderHeader, &r):
 		// The start may still reach the present incarnation.
@@ -162,6 +166,10 @@
 		w.pollInFlight = false
 	}
 	w.pollDoneAt = now
+	c.correctFenced(&o.OrderHeader, w, &r)
+	if r.Reason == EarlierOrder {
+		return
+	}
 	if r.Outcome != Executed {
 		w.failedPolls++
 		w.failedPollSentAt = max(w.failedPollSentAt, r.Sent)
@@ -234,9 +242,11 @@
 	// A poll that was sent to an earlier incarnation acknowledges end numbers of that incarnation. When a restarted
 	// worker handles it, the worker drops ends of the same numbers that no leader has read. Its lists are then
 	// incomplete, so the worker is not admitted by this reply. The same holds for an urgent poll while such a poll may
-	// still be pending at the worker.
-	if listsMayBeIncomplete := (o.AckedEnd > 0 && o.IncarnationMs != w.incarnation) || (o.urgent && w.pollInFlight); !w.admitted && !listsMayBeIncomplete {
+	// still be pending at the worker, and until the worker has seen the token of its present incarnation.
+	listsMayBeIncomplete := (o.AckedEnd > 0 && o.IncarnationMs != w.incarnation) || (o.urgent && w.pollInFlight) || c.forEarlier(&o.OrderHeader, w)
+	if !w.admitted && !listsMayBeIncomplete {
 		w.admitted = true
+		w.leases.fence(r.ClockMs + int64(c.longestLease()))
 		c.cfg.Log("worker taken", "Worker", w.info.ID, "Born", w.incarnation, "Running", len(lists.Running), "Ended", len(lists.Ended), "Token", c.cfg.Token, "KnownMs", now-w.knownAt)
 	}
 	w.advanceAck(now)
@@ -296,6 +306,9 @@
 		}
 	}
 	before := w.incarnation
+	if before != 0 {
+		c.countRestart(w)
+	}
 	w.incarnation, w.incarnationAt = r.IncarnationMs, now
 	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds = 0, 0, 0, nil
 	w.clockAt, w.listsClock = 0, 0
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -215,6 +215,11 @@
 	return w.listed && w.recorded && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
 }
 
+// usableWorker reports whether tasks may be started on a worker as far as its earlier incarnations are concerned, too.
+func (c *Cell) usableWorker(w *worker, now ms) bool {
+	return w.usable(now) && !c.awaitsLeaseRecord(w, now) && !c.unfenced(w)
+}
+
 // addAttempt adds an attempt, which holds capacity from then on.
 func (w *worker) addAttempt(a *attempt) {
 	w.attempts[attemptKey{a.task, a.number}] = a
--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -272,3 +272,8 @@
 	}
 	return w.reply(now, cccell.Executed, ""), lists
 }
+
+// LeaseUntil returns the end of the lease on the worker's clock.
+func (w *Worker) LeaseUntil() int64 {
+	return w.leaseUntil
+}
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -328,7 +328,7 @@
 // complete, the voters stay those of the prior leader, and the durations cover the leaders before it as well.
 func (p *Process) successorRecord(failure *leaderFailure, stored *leaderRecord) leaderRecord {
 	prior := failure.leader
-	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: prior.Token + 1, LeaseMs: p.cfg.LeaseMs, AuthorityMs: termAuthorityMs(p.memberCount())}
+	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: prior.Token + 1 + restartTokens, LeaseMs: p.cfg.LeaseMs, AuthorityMs: termAuthorityMs(p.memberCount())}
 	r.Voters, r.VotersToken, r.ByWorkers = stored.Voters, stored.VotersToken, stored.ByWorkers
 	if stored.Token == 0 {
 		r.VotersToken, r.ByWorkers = r.Token, true // There is no prior leader.
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -54,8 +54,8 @@
 	VM      string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
 	StartMs int64  `cbor:"3,keyasint"`
-	// Token is the fencing token of the term. It is higher than that of every earlier term, and a worker refuses orders
-	// with a token lower than one that it has seen.
+	// Token is the highest fencing token of the term, which has restartTokens more below it. All are higher than those of
+	// every earlier term, and a worker refuses orders with a token lower than one that it has seen.
 	Token int64 `cbor:"4,keyasint"`
 	// LeaseMs is the duration of the leases that the leader grants to workers.
 	LeaseMs ms `cbor:"5,keyasint"`
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -42,6 +42,8 @@
 	// directoryWaitMs is the longest time for which starts wait for the registrations of the workers after an outage of
 	// the store.
 	directoryWaitMs ms = 1000
+	// restartTokens is the number of tokens of a term for restarts of a worker; see cccell.Config.RestartTokens.
+	restartTokens = 1<<10 - 1
 	// rosterIntervalMs is the least interval between writes of the roster.
 	rosterIntervalMs ms = 1000
 )
@@ -149,7 +151,7 @@
 		l.readRunTimes()
 	}
 	l.cell = cccell.New(cccell.Config{
-		Token: r.Token, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
+		Token: r.Token, RestartTokens: restartTokens, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
 		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, AwaitRoster: true, Ended: p.stateCache.ended,
 		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
