Done runs of a job are kept as ranges, and a job with unreadable progress is not run

Cause: the progress record lists each done run; with more than 131,072 the decoder refuses it, and the next leader took the job for one without progress.

Change: done runs are ranges, in memory and in records of more than 1,000; the decoder reads the long records of earlier releases; a job whose progress can't be read is withheld.

--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "slices"
+
 // StoredJob is a job with its progress, as read from the store.
 type StoredJob struct {
 	Job      *Job
@@ -34,6 +36,11 @@
 	}
 }
 
+// Withhold keeps a job from being run whose progress is stored and can't be read: all its tasks would start again.
+func (c *Cell) Withhold(id string) {
+	c.withheld[id] = true
+}
+
 // age returns the time since the job was accepted, 0 if that is not known.
 func (j *Job) age(nowUnix ms) ms {
 	if j.AcceptedMs == 0 {
@@ -49,7 +56,19 @@
 // restore sets a job to its stored progress.
 func (c *Cell) restore(j *job, p *Progress, now ms) {
 	j.final, j.published = p.State, p.State
+	j.doneRuns = slices.Clone(p.DoneRuns)
+	j.started = len(p.DoneRuns) > 0
 	for n, rp := range p.Runs {
+		if rp.Done && j.spec.ScheduledRuns > 0 {
+			j.started = true
+			if !j.doneRuns.Has(n) {
+				j.doneRuns.add(n)
+			}
+			continue
+		}
+		if j.doneRuns.Has(n) {
+			continue
+		}
 		r := c.newRun(j, n)
 		r.done = rp.Done
 		for i, s := range r.stages {
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -107,6 +107,8 @@
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
 	usable []*worker
+	// withheld has the IDs of the jobs that are not run; see Withhold.
+	withheld map[string]bool
 	// restarts counts the restarts of workers that this leader has found, by the IDs of the workers.
 	restarts map[string]int64
 	// suspects refers to the crashes that are not confirmed, by the address of the worker.
@@ -154,7 +156,7 @@
 	}
 	return &Cell{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{}, withheld: map[string]bool{},
 		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
@@ -239,6 +241,9 @@
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
 	c.addStored(spec, reportedJob, now, nowUnix)
 	j := c.jobs[spec.ID]
+	if j == nil {
+		return // It is withheld.
+	}
 	if j.source == foundJob {
 		j.source = reportedJob
 	}
@@ -247,6 +252,9 @@
 
 // addStored adds an accepted job, or marks it as stored.
 func (c *Cell) addStored(spec *Job, source jobSource, now, nowUnix ms) {
+	if c.withheld[spec.ID] {
+		return
+	}
 	if j := c.jobs[spec.ID]; j != nil {
 		c.markStored(j, now)
 		return
@@ -320,7 +328,7 @@
 	notYet := false
 	open, limit := j.openRuns(), j.openRunLimit()
 	for ; j.nextRun < j.spec.ScheduledRuns; j.nextRun++ {
-		if j.runs[j.nextRun] != nil {
+		if j.runs[j.nextRun] != nil || j.doneRuns.Has(j.nextRun) {
 			continue
 		}
 		if int64(nowUnix) < j.spec.FirstRunMs+int64(j.nextRun)*j.spec.PeriodMs || open >= limit {
@@ -352,13 +360,13 @@
 	return r
 }
 
-// runOf returns a run of a job, nil if the job has no such run or has ended. It begins a scheduled run that is not due by
+// runOf returns a run of a job, nil if the job has no such run, or the run is done, or the job has ended. It begins a scheduled run that is not due by
 // this leader's clock, since a prior leader has: the caller has found tasks of it.
 func (c *Cell) runOf(j *job, number int, now ms) *run {
 	if r := j.runs[number]; r != nil {
 		return r
 	}
-	if j.final != "" || number < 0 || number >= j.spec.ScheduledRuns {
+	if j.final != "" || number < 0 || number >= j.spec.ScheduledRuns || j.doneRuns.Has(number) {
 		return nil
 	}
 	r := c.newRun(j, number)
@@ -394,13 +402,11 @@
 	r.done = true
 	j := r.stages[0].job
 	c.markDirty(j)
-	done := 0
-	for _, other := range j.runs {
-		if other.done {
-			done++
-		}
+	if j.spec.ScheduledRuns > 0 {
+		delete(j.runs, r.number)
+		j.doneRuns.add(r.number)
 	}
-	if done >= max(j.spec.ScheduledRuns, 1) {
+	if j.doneRuns.Count() >= j.spec.ScheduledRuns {
 		c.finish(j, Completed, now)
 	}
 }
--- a/core/cccell/progress.go
+++ b/core/cccell/progress.go
@@ -16,8 +16,10 @@
 type Progress struct {
 	// State is the final state, or empty while the job has not ended.
 	State State `cbor:"1,keyasint,omitempty"`
-	// Runs holds the progress of each run that has started, by number.
+	// Runs holds the progress of each run that has started, by number, but for those of DoneRuns.
 	Runs map[int]RunProgress `cbor:"2,keyasint,omitempty"`
+	// DoneRuns holds the runs that are done, if they are more than maxListedRuns. Earlier releases list them all in Runs.
+	DoneRuns RunSet `cbor:"6,keyasint,omitempty"`
 	// EndedMs is the time of day at which the job ended, in Unix milliseconds. Final records are never removed: a query of
 	// the state that finds no submission relies on it.
 	EndedMs int64 `cbor:"3,keyasint,omitempty"`
@@ -100,6 +102,7 @@
 // clone returns a copy that shares nothing with the record.
 func (p *Progress) clone() Progress {
 	out := *p
+	out.DoneRuns = slices.Clone(p.DoneRuns)
 	out.Runs = make(map[int]RunProgress, len(p.Runs))
 	for n, rp := range p.Runs {
 		stages := make(map[int]StageProgress, len(rp.Stages))
@@ -116,14 +119,17 @@
 	return out
 }
 
-// Check returns ErrBadProgress for an unknown state.
+// Check returns ErrBadProgress for an unknown state, or ranges of runs that are out of order.
 func (p *Progress) Check() error {
 	if err := p.State.Check(); err != nil {
 		return errors.Mark(err, ErrBadProgress)
 	}
-	return nil
+	return p.DoneRuns.Check()
 }
 
+// maxListedRuns is the number of done runs that are listed one by one, in the format that earlier releases read.
+const maxListedRuns = 1000
+
 // bitset is a set of task indexes.
 type bitset []uint64
 
@@ -161,6 +167,15 @@
 		return p
 	}
 	p.Runs = map[int]RunProgress{}
+	if j.doneRuns.Count() > maxListedRuns {
+		p.DoneRuns = slices.Clone(j.doneRuns)
+	} else {
+		for _, r := range j.doneRuns {
+			for n := r.First; n <= r.Last; n++ {
+				p.Runs[n] = RunProgress{Done: true}
+			}
+		}
+	}
 	for n, r := range j.runs {
 		if r.done {
 			p.Runs[n] = RunProgress{Done: true}
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -386,7 +386,8 @@
 	a := &attempt{task: t.Task, number: t.Attempt, worker: w, state: running, sentAt: now, progressAt: now, confirmedAt: now, adopted: true}
 	s := c.foundStage(t.Task, now)
 	if s == nil {
-		a.stopWanted = !c.cfg.PriorUnstored
+		j := c.jobs[t.Task.Job]
+		a.stopWanted = !c.cfg.PriorUnstored || (j != nil && j.doneRuns.Has(t.Task.Run))
 		if c.unknown(t.Task.Job) {
 			c.noteUnclaimed(t.Task.Job)
 		}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -15,8 +15,10 @@
 	queue *Queue
 	// account is that of the job's team.
 	account *ccquota.Account
-	// runs holds the runs that have started, by number. A job without a schedule has only run 0.
-	runs map[int]*run
+	// runs holds the runs that have started, by number, but for scheduled runs that are done; these are in doneRuns. A job
+	// without a schedule has only run 0.
+	runs     map[int]*run
+	doneRuns RunSet
 	// All runs below nextRun have started.
 	nextRun int
 	// final is the final state as decided, or empty. It is published once it is persisted.
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -112,6 +112,18 @@
 	return data
 }
 
+// maxRecordPairs bounds the entries of a map in a record. The size of a value in the store is bounded, too.
+const maxRecordPairs = 1 << 24
+
+// decoder decodes records. The default limit of the library is below what progress records of earlier releases can have.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxMapPairs: maxRecordPairs}.DecMode()
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "options of the decoder"))
+	}
+	return m
+}()
+
 // validator is a record that can be validated after decoding.
 type validator interface {
 	Check() error
@@ -119,7 +131,7 @@
 
 // decode decodes and validates a record. It fails with ErrBadRecord.
 func decode(key string, data []byte, v any) error {
-	if err := cbor.Unmarshal(data, v); err != nil {
+	if err := decoder.Unmarshal(data, v); err != nil {
 		return errors.Mark(errors.Wrapf(err, "key %s", key), ErrBadRecord)
 	}
 	if c, ok := v.(validator); ok {
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -134,12 +134,14 @@
 func (l *leadership) adoptJobs(submissions, progress []Item, now ms) {
 	p := l.p
 	records := map[string]*cccell.Progress{}
-	revisions := map[string]int64{}
+	revisions, unreadable := map[string]int64{}, map[string]bool{}
 	for i := range progress {
 		id, _ := trimPrefix(progress[i].Key, prefixProgress)
 		pr := &cccell.Progress{}
 		if err := decode(progress[i].Key, progress[i].Value, pr); err != nil {
-			p.cfg.Log.Error("progress of the job can't be decoded", "Job", id, "Error", err)
+			p.cfg.Log.Error("job is not run: its progress can't be decoded", "Job", id, "Error", err)
+			l.cell.Withhold(id)
+			unreadable[id] = true
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
@@ -159,7 +161,7 @@
 	}
 	for i := range submissions {
 		id, ok := trimPrefix(submissions[i].Key, prefixJobs)
-		if !ok {
+		if !ok || unreadable[id] {
 			continue
 		}
 		j := &cccell.Job{}
