--- a/core/cccell/fence.go
+++ b/core/cccell/fence.go
@@ -15,7 +15,7 @@
 func (c *Cell) countRestart(w *worker) {
 	c.restarts[w.info.ID]++
 	if c.unfenced(w) && c.restarts[w.info.ID] == c.cfg.RestartTokens+1 {
-		c.cfg.Log("worker gets no more tasks in this term: it has restarted too often", "Worker", w.info.ID, "Restarts", c.restarts[w.info.ID])
+		c.cfg.Log("worker gets no more tasks in this term", "Worker", w.info.ID, "Restarts", c.restarts[w.info.ID])
 	}
 }
 
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -120,6 +120,9 @@
 	w.largest = w.largest.Max(info.Capacity)
 	w.priorInfo = info
 	c.awaitPriorLeases(w)
+	if c.priorLease(w, w.newestIncarnation()) > c.cfg.PriorLeaseMs {
+		c.cfg.Log("long lease awaited", "Worker", info.ID, "Marked", info.LongLease, "Incarnation", w.newestIncarnation(), "Recorded", info.IncarnationMs)
+	}
 }
 
 // AwaitUnknownWorkers records that tasks may run on workers of which the store does not tell this leader. The handover is then
