The mark of a long lease outlives a leader that does not reach the worker

Found in reading the last changes, no caller has seen it: a leader that does not reach a marked worker wrote it into its own roster without the mark, and under the new incarnation. A third leader within hold_max_ms would have waited for 4.4 s only.

Change: a worker that this leader has not reached is marked for as long as the leases of prior leaders there may outlast the usual one.

Before: TestMarkOfALongLeaseOutlivesALeaderThatDoesNotReachTheWorker: the second leader's successor waits until 7,239 for a lease that ends at 11,000. After: it passes.

--- a/core/cccell/lease.go
+++ b/core/cccell/lease.go
@@ -57,7 +57,10 @@
 // know if it does not reach the worker.
 func (c *Cell) longLease(w *worker, now ms) bool {
 	clock, known := w.clockNow(now)
-	return known && w.leases.long(clock, c.cfg.LeaseMs)
+	if !known { // Not reached so far: what prior leaders may have left counts.
+		return w.priorLeasesEndAt > now+maxLeaseDuration(c.cfg.LeaseMs)
+	}
+	return w.leases.long(clock, c.cfg.LeaseMs)
 }
 
 // awaitsLeaseRecord reports whether a worker gets no tasks, since the next leader would not wait long enough for the end of its
--- a/core/cccell/lease_test.go
+++ b/core/cccell/lease_test.go
@@ -105,6 +105,35 @@
 	assert.Assert(t, lastStart > 0)
 }
 
+// Three leaders follow each other while a worker is silent that the first one has marked. The second one does not reach it, and
+// its roster must tell the third.
+func TestMarkOfALongLeaseOutlivesALeaderThatDoesNotReachTheWorker(t *testing.T) {
+	const leaseMs, maxMs, leaseEnd = 4400, 10_000, 1000 + 10_000
+	tests := map[string]struct {
+		recorded WorkerInfo // In the roster of the first leader.
+	}{
+		"Marked":           {WorkerInfo{IncarnationMs: 2000, LongLease: true}},
+		"OtherIncarnation": {WorkerInfo{IncarnationMs: 1000}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			registered, recorded := testWorker("w"), testWorker("w")
+			registered.IncarnationMs = 2000
+			recorded.IncarnationMs, recorded.LongLease = test.recorded.IncarnationMs, test.recorded.LongLease
+			roster := []WorkerInfo{recorded}
+			for token, tookOverAt := range []ms{1000, 2500, 4000} {
+				cfg := Config{Token: int64(token) + 2, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}
+				c := New(cfg, tookOverAt)
+				c.SetWorker(registered, tookOverAt)
+				c.AdoptWorker(roster[0], tookOverAt)
+				assert.Assert(t, c.workers["w"].priorLeasesEndAt >= leaseEnd, "leader %d waits until %d", token, c.workers["w"].priorLeasesEndAt)
+				c.Schedule(tookOverAt+100, tookOverAt+100)
+				roster = c.Roster()
+			}
+		})
+	}
+}
+
 // The roster that the store holds does not tell the next leader that a worker which has restarted may hold a long lease. Tasks
 // started there would run twice if the leader were lost and the worker cut off.
 func TestRestartedWorkerGetsNoTasksBeforeItsLeaseIsRecorded(t *testing.T) {
