The clock of an unknown incarnation does not replace that of the known one

Found in reading, no caller has seen it: a worker restarts, executes a start and falls silent before a poll tells of the restart. Its clock in the confirmation was recorded beside leases that are counted by the clock of the incarnation before. They then ended, for the leader, only after the time for which that one had run: the tasks there were not started elsewhere (LOST).

Change: a clock that goes back, in the reply to a call that was sent after the last reading, is that of a later incarnation. It is not recorded, the worker is polled before it gets more tasks, and its lease counts as the longest.

Before: TestLeaseOfAnUnknownIncarnationEnds: the task is not started elsewhere within 12 s, for a lease that ends after 10 s. After: it passes.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -360,8 +360,8 @@
 	return r
 }
 
-// runOf returns a run of a job, nil if the job has no such run, or the run is done, or the job has ended. It begins a scheduled run that is not due by
-// this leader's clock, since a prior leader has: the caller has found tasks of it.
+// runOf returns a run of a job, nil if the job has no such run, or the run is done, or the job has ended. It begins a scheduled
+// run that is not due by this leader's clock, since a prior leader has: the caller has found tasks of it.
 func (c *Cell) runOf(j *job, number int, now ms) *run {
 	if r := j.runs[number]; r != nil {
 		return r
--- a/core/cccell/lease.go
+++ b/core/cccell/lease.go
@@ -35,6 +35,11 @@
 	*l = leases{possible: possible, unfenced: possible > 0, unrecorded: possible > 0}
 }
 
+// raise records that the lease may end as late as a given time.
+func (l *leases) raise(possible int64) {
+	l.possible = max(l.possible, possible)
+}
+
 // fence records that no order for an earlier incarnation can be carried out any more. possible bounds the lease that these
 // may have left.
 func (l *leases) fence(possible int64) {
--- a/core/cccell/lease_test.go
+++ b/core/cccell/lease_test.go
@@ -260,3 +260,38 @@
 	}
 	t.Fatal("the task is not started elsewhere")
 }
+
+// A start is executed by a later incarnation of its worker, of whose restart no call has told, and the worker is cut off at
+// once. Its clock, far behind that of the earlier incarnation, was taken for the worker's, so that the leases that were sent by
+// the earlier one's clock did not end for as long as that had run.
+func TestLeaseOfAnUnknownIncarnationEnds(t *testing.T) {
+	const leaseMs, maxMs, ranMs, restartedAt = 4400, 10_000, 3_600_000, 1090
+	c := New(Config{Token: 1, LeaseMs: leaseMs, MaxLeaseMs: maxMs, PriorLeaseMs: leaseMs, AuthorityMs: 60_000, RemoteFactor: 2}, 1000)
+	c.SetWorker(testWorker("w"), 1000)
+	c.Schedule(1010, 1010)
+	out := c.TakeOrders()
+	c.OnPollReply(&out.Polls[0], Reply{Outcome: Executed, ClockMs: ranMs, IncarnationMs: 1000, Sent: 1010, Received: 1011}, &TaskLists{}, 1011)
+	c.AddJob(testJob("j", 1), 1100, 1100)
+	out = runRound(c, 1100)
+	assert.Equal(t, len(out.Starts), 1)
+	assert.Assert(t, out.Starts[0].LeaseUntilMs > ranMs)
+	c.OnStartReply(&out.Starts[0], Reply{Outcome: Executed, ClockMs: 1102 - restartedAt, Sent: 1100, Received: 1104}, 1104)
+	const leaseEnd ms = 1102 + maxMs
+	c.OnPollReply(&out.Polls[0], Reply{Outcome: ReplyLost, Sent: 1100, Received: 1200}, &TaskLists{}, 1200)
+	c.SetWorker(testWorker("other"), 1200)
+	for now := ms(1210); now < leaseEnd+2000; now += 50 {
+		out = runRound(c, now)
+		if len(out.Starts) > 0 {
+			assert.Assert(t, now > leaseEnd, "started elsewhere %d ms before the lease has ended", leaseEnd-now)
+			return
+		}
+		for i := range out.Polls {
+			r := executedReply(now)
+			if out.Polls[i].WorkerID == "w" {
+				r = Reply{Outcome: ReplyLost, Sent: now, Received: now}
+			}
+			c.OnPollReply(&out.Polls[i], r, &TaskLists{}, now)
+		}
+	}
+	t.Fatal("the task is not started elsewhere")
+}
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -2,11 +2,20 @@
 
 // recordReply records that a worker has replied, and the clock that it reported. The reply must not be of an earlier
 // incarnation.
-func (w *worker) recordReply(r *Reply) {
-	if r.ClockMs > 0 && (w.clockAt == 0 || r.Received >= w.clockAt) {
+func (c *Cell) recordReply(w *worker, r *Reply) {
+	w.silentSince = 0
+	switch {
+	case r.ClockMs == 0 || (w.clockAt != 0 && r.Received < w.clockAt):
+	case w.clockAt == 0 || r.ClockMs >= w.clock:
 		w.clock, w.clockAt = r.ClockMs, r.Received
+	case r.Sent >= w.clockAt:
+		// A later incarnation has executed the order, which may have given it the longest lease. The clock of the earlier one
+		// stands for the time until a poll tells of the restart.
+		c.cfg.Log("clock of a worker went back", "Worker", w.info.ID, "ClockMs", r.ClockMs, "Before", w.clock)
+		w.admitted = false
+		clock, _ := w.clockNow(r.Received)
+		w.leases.raise(clock + int64(c.longestLease()))
 	}
-	w.silentSince = 0
 }
 
 // OnStartReply handles the reply to a start.
@@ -29,7 +38,7 @@
 		}
 		if !w.maybeEarlier(&o.OrderHeader, &r) {
 			c.recordNewer(w, &r, now)
-			w.recordReply(&r)
+			c.recordReply(w, &r)
 		}
 	}
 	switch {
@@ -143,7 +152,7 @@
 		// The start may still reach the present incarnation.
 	case r.Outcome == Executed:
 		c.recordNewer(a.worker, &r, now)
-		a.worker.recordReply(&r)
+		c.recordReply(a.worker, &r)
 		a.stopConfirmed = true
 		// A poll that is sent after this confirmation shows the attempt or its end. If it shows neither, the attempt
 		// never ran and never will.
@@ -198,7 +207,7 @@
 	if r.IncarnationMs != 0 && w.incarnation != r.IncarnationMs {
 		c.handleRestart(w, &r, now)
 	}
-	w.recordReply(&r)
+	c.recordReply(w, &r)
 	w.recordDelay(o, &r)
 	w.failedPolls = 0
 	c.withdrawCrashes(w)
