A cell knows the time before its first round

A roster that is asked for before the first round, as the model does, counted leases from time 0, so that each worker was marked. The product writes rosters after rounds only.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -155,7 +155,7 @@
 		cfg.Log = func(string, ...any) {}
 	}
 	return &Cell{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
+		cfg: cfg, roundAt: now, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
 		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{}, withheld: map[string]bool{},
 		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
