Stages before one that has begun count as finished after a takeover

Cause: the end of one task of the first stage was read, not stored (the store was silent) and lost with its worker, and the leader with all its memory. The next leader found tasks of the second stage running, which shows that the first one had finished, and did not use that. Ruled out by the log: capacity, tickets, a worker that is not known to be lost.

Change: a task or an end of a prior leader marks the stages before its own as finished.

--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -88,3 +88,32 @@
 		}
 	}
 }
+
+// finishBefore marks the stages as finished that come before one of which a prior leader has started a task: it had read the ends
+// of all their tasks. Load: store, leader and the workers with some of these ends are lost together. The tasks would run again,
+// and those of the later stage that were lost would wait for them.
+func (c *Cell) finishBefore(s *stage, now ms) {
+	r := s.job.runs[s.id.Run]
+	if r == nil || s.job.final != "" || !c.markBefore(r, s) {
+		return
+	}
+	c.markDirty(s.job)
+	c.stopUnneeded(r)
+	c.advanceRun(r, now)
+}
+
+// markBefore marks the tasks of the stages before a stage as done, and returns whether any was not.
+func (c *Cell) markBefore(r *run, s *stage) bool {
+	marked := false
+	for _, i := range s.spec.After {
+		before := r.stages[i]
+		if before.finished() {
+			continue // So are those before it.
+		}
+		c.cfg.Log("stage was finished: a prior leader has started a later one", "Job", s.id.Job, "Run", s.id.Run, "Stage", i, "Later", s.id.Stage, "Unread", before.spec.Count-before.done.count())
+		before.restoreDone()
+		marked = true
+		c.markBefore(r, before)
+	}
+	return marked
+}
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -14,8 +14,11 @@
 		// Started by a prior leader, or removed here before its end was listed.
 		a = &attempt{task: e.Task, number: e.Attempt, worker: w, stage: c.foundStage(e.Task, now)}
 		c.logLostEnd(a, e.End, now)
-		if a.stage != nil && c.notePrior(a, a.stage) && e.End == EndDone {
-			c.logStartedTwice(a, a.stage)
+		if a.stage != nil && c.notePrior(a, a.stage) {
+			c.finishBefore(a.stage, now)
+			if e.End == EndDone {
+				c.logStartedTwice(a, a.stage)
+			}
 		}
 	}
 	c.endAttempt(a, e.End, e.Checkpoint, now)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -404,14 +404,15 @@
 		w.addAttempt(a)
 		return a
 	}
-	c.assignToStage(a, s)
+	c.assignToStage(a, s, now)
 	return a
 }
 
 // assignToStage adds an attempt that a prior leader started to the attempts of its task. It is stopped if it is not needed.
-func (c *Cell) assignToStage(a *attempt, s *stage) {
+func (c *Cell) assignToStage(a *attempt, s *stage, now ms) {
 	if c.notePrior(a, s) {
 		c.logStartedTwice(a, s)
+		c.finishBefore(s, now)
 	}
 	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
 	a.stage, a.need, a.state = s, s.need, ordered
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -479,3 +479,53 @@
 		})
 	}
 }
+
+// Store, leader and a worker are lost together. The ends of the first stage that the leader had read are not stored, and one of
+// them was listed by that worker alone. The second stage had begun: the tasks of the first one ran again, and the lost tasks of
+// the second one waited for them.
+func TestStagesBeforeOneThatHasBegunAreFinished(t *testing.T) {
+	const begun = 2 // The stage of which a prior leader has started tasks, after stages 0 and 1.
+	task := TaskID{Job: "j", Stage: begun, Index: 1}
+	tests := map[string]struct {
+		lists    *TaskLists
+		unknown  *Progress
+		reported bool // The job is not found in the store, and reported after the lists were read.
+		want     []int
+	}{
+		"Running":         {lists: &TaskLists{Running: []RunningTask{{Task: task, Attempt: priorAttempt}}}, want: []int{0, 2}},
+		"RunningReported": {lists: &TaskLists{Running: []RunningTask{{Task: task, Attempt: priorAttempt}}}, reported: true, want: []int{0, 2}},
+		"Done":            {lists: &TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: priorAttempt, End: EndDone}}}, want: []int{0, 2}},
+		"Failed":          {lists: &TaskLists{Ended: []EndedTask{{Number: 1, Task: task, Attempt: priorAttempt, End: EndFailed}}}, want: []int{0, 1, 2}},
+		"StoredEnds":      {lists: &TaskLists{}, unknown: &Progress{Runs: map[int]RunProgress{0: {Stages: map[int]StageProgress{begun: {Done: []uint64{1 << 1}}}}}}, want: []int{0, 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(Config{Token: 2, LeaseMs: 4000, PriorLeaseMs: 4000, AuthorityMs: 60_000, RemoteFactor: 2, PriorUnstored: true}, 1000)
+			c.SetHandover(1000)
+			c.SetWorker(testWorker("w"), 1000)
+			j := testJob("j", 2)
+			size := j.Stages[0].Size
+			j.Stages = append(j.Stages, Stage{Count: 1, Size: size, EstimateMs: 500, After: []int{0}}, Stage{Count: 3, Size: size, EstimateMs: 500, After: []int{1}}, Stage{Count: 1, Size: size, EstimateMs: 500, After: []int{0}})
+			if !test.reported {
+				stored := &Progress{Runs: map[int]RunProgress{0: {Stages: map[int]StageProgress{0: {Done: []uint64{1}}}}}}
+				c.Adopt(StoredJob{Job: j, Progress: stored, Revision: 1}, 1000, 1000)
+			}
+			if test.unknown != nil {
+				c.AdoptUnknownEnds("j", test.unknown, 1, 1000)
+			}
+			pollAll(t, c, 1010, map[string]*TaskLists{"w": test.lists})
+			if test.reported {
+				c.AddReportedJob(j, true, 1020, 1020)
+			}
+			started := map[int][]int{}
+			for now := ms(1050); now < 1400; now += 50 {
+				out := pollAll(t, c, now, map[string]*TaskLists{"w": test.lists})
+				for _, o := range out.Starts {
+					started[o.Task.Stage] = append(started[o.Task.Stage], o.Task.Index)
+				}
+			}
+			// The fourth stage comes after the first one, too, and has not begun.
+			assert.DeepEqual(t, started, map[int][]int{begun: test.want, 3: {0}})
+		})
+	}
+}
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -160,7 +160,7 @@
 				continue
 			}
 			w.removeAttempt(a)
-			c.assignToStage(a, s)
+			c.assignToStage(a, s, now)
 			c.confirmStart(a, now)
 		}
 	}
