--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -82,7 +82,7 @@
 mutant own-fence-deposes $cells/fence.go 'r.Reason = EarlierOrder' '' ./$cells "$lease"
 mutant advice-of-no-policy-service $cells/advice.go '|| s.unplaced == 0 || c.queue(s.job).Advice == nil {' '|| s.unplaced == 0 {' ./$cells "-run=TestPolicyServiceIsRemoved"
 mutant stages-before-are-not-finished $cells/adopt.go 'before.restoreDone()' '' ./$cells "-run=TestStagesBefore"
-mutant unreadable-job-is-run $cells/cell.go 'if c.withheld[spec.ID] {' 'if false {' ./$cells "-run=Withheld"
+mutant unreadable-job-is-run $cells/adopt.go 'j.withheld = s.Unreadable' '' ./$cells "-run=TestJobWithUnreadable"
 mutant paths-are-job-ids platform/ccplatform/ingress.go 'if err = checkJobID(r.Method, id); err == nil {' 'if true {' ./platform/ccplatform "-run=TestIngressStatuses"
 mutant emptied-though-not-read $cells/registry.go '&& !c.needsFreshPoll(w) && len(w.attempts) == 0' '&& len(w.attempts) == 0' ./$cells "$cell"
 mutant completions-shown-before-they-are-stored $cells/cell.go 'j.final = state' 'j.final, j.published = state, state; c.publishState(j)' ./$cells "$cell"
--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -10,6 +10,9 @@
 	Revision int64
 	// CancelRequested is true when the store holds a cancel request.
 	CancelRequested bool
+	// Unreadable is true when there is a progress record that can't be read. The job is not run: all its tasks would start
+	// again. It can be cancelled.
+	Unreadable bool
 }
 
 // Adopt adds a job that was read from the store at a takeover. nowUnix is the time of day in Unix milliseconds.
@@ -23,6 +26,7 @@
 	// accepted.
 	j.arrivedAt = j.acceptedAt
 	j.revision = s.Revision
+	j.withheld = s.Unreadable
 	if s.Progress != nil {
 		c.restore(j, s.Progress, now)
 	}
@@ -36,11 +40,6 @@
 	}
 }
 
-// Withhold keeps a job from being run whose progress is stored and can't be read: all its tasks would start again.
-func (c *Cell) Withhold(id string) {
-	c.withheld[id] = true
-}
-
 // age returns the time since the job was accepted, 0 if that is not known.
 func (j *Job) age(nowUnix ms) ms {
 	if j.AcceptedMs == 0 {
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -107,8 +107,6 @@
 	workerTypes         workerTypeTable
 	// usable holds the workers that may get tasks in the current round.
 	usable []*worker
-	// withheld has the IDs of the jobs that are not run; see Withhold.
-	withheld map[string]bool
 	// restarts counts the restarts of workers that this leader has found, by the IDs of the workers.
 	restarts map[string]int64
 	// suspects refers to the crashes that are not confirmed, by the address of the worker.
@@ -156,7 +154,7 @@
 	}
 	return &Cell{
 		cfg: cfg, roundAt: now, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{}, withheld: map[string]bool{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{},
 		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
@@ -241,9 +239,6 @@
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
 	c.addStored(spec, reportedJob, now, nowUnix)
 	j := c.jobs[spec.ID]
-	if j == nil {
-		return // It is withheld.
-	}
 	if j.source == foundJob {
 		j.source = reportedJob
 	}
@@ -252,9 +247,6 @@
 
 // addStored adds an accepted job, or marks it as stored.
 func (c *Cell) addStored(spec *Job, source jobSource, now, nowUnix ms) {
-	if c.withheld[spec.ID] {
-		return
-	}
 	if j := c.jobs[spec.ID]; j != nil {
 		c.markStored(j, now)
 		return
@@ -316,7 +308,7 @@
 // startDueRuns starts the runs of a job that are due. If these are very many, the later ones start when earlier ones are
 // done.
 func (c *Cell) startDueRuns(j *job, now, nowUnix ms) {
-	if j.final != "" {
+	if j.final != "" || j.withheld {
 		return
 	}
 	if j.spec.ScheduledRuns == 0 {
@@ -366,7 +358,7 @@
 	if r := j.runs[number]; r != nil {
 		return r
 	}
-	if j.final != "" || number < 0 || number >= j.spec.ScheduledRuns || j.doneRuns.Has(number) {
+	if j.final != "" || j.withheld || number < 0 || number >= j.spec.ScheduledRuns || j.doneRuns.Has(number) {
 		return nil
 	}
 	r := c.newRun(j, number)
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -19,6 +19,8 @@
 	// without a schedule has only run 0.
 	runs     map[int]*run
 	doneRuns RunSet
+	// withheld is true for a job that is not run; see StoredJob.Unreadable.
+	withheld bool
 	// All runs below nextRun have started.
 	nextRun int
 	// final is the final state as decided, or empty. It is published once it is persisted.
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -24,7 +24,7 @@
 		j.adopted = j.adopted || begun
 		return true
 	}
-	if c.unstoredCount >= maxUnstored || c.withheld[spec.ID] {
+	if c.unstoredCount >= maxUnstored {
 		return false
 	}
 	j := c.insert(spec, unstoredJob, now, nowUnix)
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -140,8 +140,7 @@
 		pr := &cccell.Progress{}
 		if err := decode(progress[i].Key, progress[i].Value, pr); err != nil {
 			p.cfg.Log.Error("job is not run: its progress can't be decoded", "Job", id, "Error", err)
-			l.cell.Withhold(id)
-			unreadable[id] = true
+			unreadable[id], revisions[id] = true, progress[i].Revision
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
@@ -161,7 +160,7 @@
 	}
 	for i := range submissions {
 		id, ok := trimPrefix(submissions[i].Key, prefixJobs)
-		if !ok || unreadable[id] {
+		if !ok {
 			continue
 		}
 		j := &cccell.Job{}
@@ -169,7 +168,7 @@
 			p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 			continue
 		}
-		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id]}, now, unixNow())
+		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id], Unreadable: unreadable[id]}, now, unixNow())
 	}
 }
 
