--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -1,6 +1,9 @@
 package cccell
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // StoredJob is a job with its progress, as read from the store.
 type StoredJob struct {
@@ -57,12 +60,11 @@
 	j.final, j.published = p.State, p.State
 	j.doneRuns = slices.Clone(p.DoneRuns)
 	j.started = len(p.DoneRuns) > 0
-	for n, rp := range p.Runs {
+	for _, n := range slices.Sorted(maps.Keys(p.Runs)) { // In order, so that done runs extend one range.
+		rp := p.Runs[n]
 		if rp.Done && j.spec.ScheduledRuns > 0 {
 			j.started = true
-			if !j.doneRuns.Has(n) {
-				j.doneRuns.add(n)
-			}
+			j.doneRuns.add(n)
 			continue
 		}
 		if j.doneRuns.Has(n) {
--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -84,7 +84,7 @@
 		return out
 	}
 	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
-	lapsed := now >= c.handoverAt+maxLeaseDuration(max(c.cfg.PriorLeaseMs, c.longestLease()))
+	lapsed := now >= c.handoverAt+maxLeaseDuration(c.longestPriorLease())
 	for _, w := range c.workers {
 		if w.orphans > 0 || (!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt) {
 			out = out.Plus(w.mayRunMore())
--- a/core/cccell/fence_test.go
+++ b/core/cccell/fence_test.go
@@ -44,7 +44,7 @@
 			}
 			f.cell.SetWorker(info, 1000)
 			f.cell.PollIdle(true)
-			// play runs a round, in which the worker carries out all orders but those that hold names.
+			// play runs a round. The worker carries out its orders, or, with hold, the replies are lost and the orders kept.
 			play := func(now ms, hold bool) {
 				f.cell.Schedule(now, now)
 				out := f.cell.TakeOrders()
--- a/core/cccell/lease.go
+++ b/core/cccell/lease.go
@@ -19,6 +19,11 @@
 	return max(c.cfg.LeaseMs, c.cfg.MaxLeaseMs)
 }
 
+// longestPriorLease returns the length of the longest lease that prior leaders may have left at any worker.
+func (c *Cell) longestPriorLease() ms {
+	return max(c.cfg.PriorLeaseMs, c.longestLease())
+}
+
 // next returns the end of a lease of the given length that begins now, by the worker's clock. It is never before an end that
 // was sent earlier.
 func (l *leases) next(clock int64, length ms) int64 {
@@ -88,7 +93,7 @@
 // not the incarnation of the prior leader's roster, orders that were meant for that one may have given it the longest lease.
 func (c *Cell) priorLease(w *worker, incarnation int64) ms {
 	if p := &w.priorInfo; p.LongLease || (p.ID != "" && p.IncarnationMs != incarnation) {
-		return max(c.cfg.PriorLeaseMs, c.longestLease())
+		return c.longestPriorLease()
 	}
 	return c.cfg.PriorLeaseMs
 }
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -158,7 +158,7 @@
 // is known or its lease has ended. Until handoverAt the prior leader can start tasks on a worker that has seen no token
 // of this leader: on a new worker, or on one that has just restarted.
 func (c *Cell) handoverComplete(now ms) bool {
-	if now < c.handoverAt || (c.unknownWorkers && now < c.handoverAt+maxLeaseDuration(max(c.cfg.PriorLeaseMs, c.longestLease()))) {
+	if now < c.handoverAt || (c.unknownWorkers && now < c.handoverAt+maxLeaseDuration(c.longestPriorLease())) {
 		return false
 	}
 	for _, w := range c.workers {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -291,7 +291,7 @@
 	if a.incarnation != 0 {
 		return a.incarnation != r.IncarnationMs
 	}
-	return r.ClockMs > 0 && a.confirmedClock > r.ClockMs && !a.overtook(r)
+	return r.ClockMs > 0 && a.confirmedClock > r.ClockMs
 }
 
 // overtook reports whether the present incarnation may have executed the start after it had written a reply, although that reply
@@ -299,7 +299,7 @@
 // confirmation.
 func (a *attempt) overtook(r *Reply) bool {
 	ahead := a.confirmedClock - r.ClockMs
-	return a.incarnation == 0 && ahead > 0 && ahead <= int64(a.confirmedAt-r.Sent)
+	return a.state == running && a.incarnation == 0 && ahead > 0 && ahead <= int64(a.confirmedAt-r.Sent)
 }
 
 // handleRestart resets the state of a worker whose reply tells of a new incarnation, also at its first reply. The attempts
@@ -310,7 +310,7 @@
 		c.cfg.Log("worker started again", "Worker", w.info.ID, "Born", r.IncarnationMs, "Before", w.incarnation, "Attempts", len(w.attempts))
 	}
 	for _, a := range w.attempts {
-		if a.incarnation != r.IncarnationMs && !(a.state == running && a.overtook(r)) {
+		if a.incarnation != r.IncarnationMs && !a.overtook(r) {
 			c.suspectCrash(a, now)
 		}
 	}
@@ -326,7 +326,7 @@
 	for _, a := range w.attempts {
 		switch {
 		case a.incarnation == r.IncarnationMs: // Its start was confirmed by the new incarnation.
-		case a.state == running && a.overtook(r):
+		case a.overtook(r):
 			a.priorIncarnation = before // The next list tells which incarnation has it.
 		case a.state == running && a.ranBefore(r):
 			c.loseAttempt(a, lostRestart, now)
--- a/core/cccell/runset.go
+++ b/core/cccell/runset.go
@@ -49,10 +49,13 @@
 	return n
 }
 
-// add adds a run that is not in the set.
+// add adds a run.
 func (s *RunSet) add(n int) {
 	list := *s
 	i := list.find(n)
+	if i < len(list) && list[i].First <= n {
+		return
+	}
 	joinsPrior := i > 0 && list[i-1].Last == n-1
 	joinsNext := i < len(list) && list[i].First == n+1
 	switch {
--- a/core/cccell/unknown.go
+++ b/core/cccell/unknown.go
@@ -100,7 +100,7 @@
 			}
 			r.stages[i].merge(sp)
 			done, failed = done+r.stages[i].done.count(), failed+len(sp.Failures)
-			c.finishBefore(r.stages[i], now)
+			c.markBefore(r, r.stages[i])
 		}
 		c.cfg.Log("ends of a begun job found", "Job", u.id, "Run", n, "Done", done, "Failed", failed, "Stored", u.revision > 0)
 		j.started = true
--- a/io/cccontrol/load.go
+++ b/io/cccontrol/load.go
@@ -134,13 +134,13 @@
 func (l *leadership) adoptJobs(submissions, progress []Item, now ms) {
 	p := l.p
 	records := map[string]*cccell.Progress{}
-	revisions, unreadable := map[string]int64{}, map[string]bool{}
+	revisions := map[string]int64{}
 	for i := range progress {
 		id, _ := trimPrefix(progress[i].Key, prefixProgress)
 		pr := &cccell.Progress{}
 		if err := decode(progress[i].Key, progress[i].Value, pr); err != nil {
 			p.cfg.Log.Error("job is not run: its progress can't be decoded", "Job", id, "Error", err)
-			unreadable[id], revisions[id] = true, progress[i].Revision
+			revisions[id] = progress[i].Revision
 			continue
 		}
 		records[id], revisions[id] = pr, progress[i].Revision
@@ -168,7 +168,7 @@
 			p.cfg.Log.Error("job can't be decoded", "Job", id, "Error", err)
 			continue
 		}
-		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id], Unreadable: unreadable[id]}, now, unixNow())
+		l.cell.Adopt(cccell.StoredJob{Job: j, Progress: records[id], Revision: revisions[id], CancelRequested: cancels[id], Unreadable: revisions[id] != 0 && records[id] == nil}, now, unixNow())
 	}
 }
 
--- a/io/cccontrol/watches.go
+++ b/io/cccontrol/watches.go
@@ -168,10 +168,9 @@
 	l.rosterAt = now
 	list, drained := l.cell.Roster(), l.cell.Drained()
 	// A worker that a failed write has left out is not recorded until the next one.
-	marked := longLeases(list)
-	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained) && maps.Equal(marked, l.longLeases) && l.cell.Unrecorded() == 0
+	same := len(list) == len(l.roster) && maps.Equal(drained, l.drained) && l.cell.Unrecorded() == 0
 	for i := range list {
-		same = same && l.roster[list[i].ID] == list[i].IncarnationMs
+		same = same && l.roster[list[i].ID] == list[i].IncarnationMs && l.longLeases[list[i].ID] == list[i].LongLease
 	}
 	if same {
 		return
@@ -192,7 +191,7 @@
 			var conflict *Conflict
 			switch {
 			case err == nil:
-				l.rosterRevision, l.roster, l.drained, l.longLeases = rev, roster, drained, marked
+				l.rosterRevision, l.roster, l.drained, l.longLeases = rev, roster, drained, longLeases(list)
 				l.cell.RosterStored(list)
 				l.quorum.RecordedWorkers(roster)
 				l.cell.SetRecorded(l.quorum.InEachRoster())
