Tests: crowds of clients with legal requests that never end

No test of ours had more than a few clients.

The crowds run after the other tests, one at a time, since they measure memory.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,10 @@
 	$(GO) tool staticcheck ./...
 
 # SKIP names tests that are passed over; CI sets it to what KNOWN-RED.txt lists.
+# The crowds, which measure the memory and the descriptors of processes, run after the other tests and one at a time.
 test: build lint
-	$(GO) test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...
+	$(GO) test -race -count=1 -skip '^TestCrowd$(if $(SKIP),|$(SKIP))' ./...
+	$(GO) test -race -count=1 -p 1 -run '^TestCrowd' $(if $(SKIP),-skip '$(SKIP)') ./platform/ccsoak
 
 # One line for each promise; ROUNDS is the number of random interleavings of each randomised proof.
 prove:
