--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # The crowds, which measure the memory and the descriptors of processes, run after the other tests and one at a time.
 test: build lint
 	$(GO) test -race -count=1 -skip '^TestCrowd$(if $(SKIP),|$(SKIP))' ./...
-	$(GO) test -race -count=1 -p 1 -run '^TestCrowd' $(if $(SKIP),-skip '$(SKIP)') ./platform/ccsoak
+	$(GO) test -race -count=1 -p 1 -run '^TestCrowd' $(if $(SKIP),-skip '$(SKIP)') ./platform/ccsoak ./io/ccharness
 
 # One line for each promise; ROUNDS is the number of random interleavings of each randomised proof.
 prove:
--- a/platform/ccsoak/usage_test.go
+++ b/io/ccharness/usage.go
@@ -1,4 +1,4 @@
-package ccsoak
+package ccharness
 
 import (
 	"bufio"
@@ -11,27 +11,38 @@
 	"time"
 )
 
-// usage is the most that a process has used.
-type usage struct {
-	memoryKB    int64
-	unreadBytes int64
-	sockets     int
+// Usage is the most that a process has used.
+type Usage struct {
+	// MemoryKB is the resident memory in KB.
+	MemoryKB int64
+	// UnreadBytes are bytes that the kernel has received on the process's connections and that it has not read.
+	UnreadBytes int64
+	// Sockets is the number of sockets and pipes.
+	Sockets int
 }
 
-// usageInterval is the time between two samples of the sockets. The kernel itself keeps the peak of the memory.
+// Watched is a process whose usage is sampled.
+type Watched struct {
+	Name string
+	PID  int
+	// Addresses are those on which the process listens.
+	Addresses []string
+}
+
+// usageInterval is the time between two samples. The kernel itself keeps the peak of the memory.
 const usageInterval = 20 * time.Millisecond
 
-// watchUsage samples the processes until the function that it returns is called, which returns their usage by name.
-func (s *soak) watchUsage() (stop func() map[string]*usage) {
-	out := map[string]*usage{}
-	for _, p := range s.processes {
-		out[p.name] = &usage{}
+// WatchUsage samples processes until the function that it returns is called, which returns their usage by name.
+func WatchUsage(processes []Watched) (stop func() map[string]*Usage) {
+	out := map[string]*Usage{}
+	for _, p := range processes {
+		out[p.Name] = &Usage{}
 	}
 	quit, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
 		for {
-			s.sampleUsage(out)
+			sampleUsage(processes, out)
 			select {
 			case <-quit:
 				return
@@ -39,7 +50,7 @@
 			}
 		}
 	}()
-	return func() map[string]*usage {
+	return func() map[string]*Usage {
 		close(quit)
 		<-done
 		return out
@@ -47,19 +58,19 @@
 }
 
 // sampleUsage adds one sample. What can't be read, as of a process that has ended, is left out.
-func (s *soak) sampleUsage(out map[string]*usage) {
+func sampleUsage(processes []Watched, out map[string]*Usage) {
 	unread := unreadBytes()
-	for _, p := range s.processes {
-		u, pid := out[p.name], p.cmd.Process.Pid
-		if data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
-			u.memoryKB = max(u.memoryKB, statusField(data, "VmHWM:"))
+	for _, p := range processes {
+		u := out[p.Name]
+		if data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID)); err == nil {
+			u.MemoryKB = max(u.MemoryKB, statusField(data, "VmHWM:"))
 		}
-		u.sockets = max(u.sockets, countSockets(pid))
+		u.Sockets = max(u.Sockets, countSockets(p.PID))
 		var n int64
-		for _, address := range []string{p.callers, p.readyz, p.peers, p.metrics} {
+		for _, address := range p.Addresses {
 			n += unread[address]
 		}
-		u.unreadBytes = max(u.unreadBytes, n)
+		u.UnreadBytes = max(u.UnreadBytes, n)
 	}
 }
 
