One bound for what the connections and bodies of callers occupy

Callers saw that a crowd of large bodies ended a process: each body was read whole, and nothing bounded how many there were, how long one might stay short of its end, or how many connections were open. A body that was refused before it was read was read on for ever by net/http, without a deadline.

Ruled out: a limit for each trick (a deadline for bodies, a count of bodies, a cap of connections by themselves): a crowd of another form passes each of them. The soft limit of the Go runtime bounds nothing that is live.

Change: core/ccintake keeps one account of what connections and bodies occupy. Memory for requests is a quarter of the process's, descriptors for callers a quarter of those for sockets. A body may hold as much as remains free for others, so that large ones leave room for small ones; a lone one may hold everything. A new connection takes the place of the one whose client has owed a whole request for the longest; while a listener is full, responses close their connections. io/ccserver applies this to all listeners of the process, each with its own bound of connections, with small receive buffers, a deadline for bodies (the caller's own time) and for responses that nobody reads.

TestCrowdOfOne: one largest legal request is served in each form.

--- a/io/cccaller/server.go
+++ b/io/cccaller/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -112,12 +111,9 @@
 		}
 		req.DeadlineMs = ms
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
-	if err != nil {
-		return req, errors.Wrapf(cchttp.ErrTooLarge, "limit is %d bytes, or the body was truncated", s.cfg.MaxBody)
-	}
-	req.Body = body
-	return req, nil
+	var err error
+	req.Body, err = cchttp.ReadBody(w, r, s.cfg.MaxBody)
+	return req, err
 }
 
 // SubmitRequest is the body of a job submission.
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,10 +13,12 @@
 	"time"
 
 	"coriandercross/core/ccclock"
+	"coriandercross/core/ccintake"
 	"coriandercross/io/cccontrol"
 	"coriandercross/io/cchttp"
 	"coriandercross/io/cclog"
 	"coriandercross/io/ccpeer"
+	"coriandercross/io/ccserver"
 	"coriandercross/platform/ccplatform"
 
 	"github.com/charmbracelet/log"
@@ -35,6 +36,9 @@
 	Metrics  string `long:"metrics" description:"address for metrics and the state dump; port 9464 of the IP in the settings if left out"`
 
 	LearnRunTimes bool `long:"learn-run-times" description:"learn from finished runs how long tasks take, and use that in place of the callers' estimates; the same at all processes"`
+	// RequestMemoryMB and MaxConnections bound what callers occupy.
+	RequestMemoryMB int64 `long:"request-memory-mb" description:"memory in MB that connections and requests in progress may occupy; a quarter of memory_mb in the settings if left out"`
+	MaxConnections  int   `long:"max-connections" description:"connections of callers that may be open; a quarter of the descriptors for sockets, or less if half of the memory for requests is less, if left out"`
 	// StoreBeforeStart gives up the work that is done while the store is away, for operators who want none of it.
 	StoreBeforeStart bool `long:"store-before-start" description:"start no task before its job is in the store, also while the store is slow or silent; the same at all processes"`
 }
@@ -55,6 +59,7 @@
 	loopExitTimeout = 300 * time.Millisecond
 	// settingsPollInterval is the time between two checks of the settings file, which may change without a signal.
 	settingsPollInterval = 2 * time.Second
+	bytesPerMB           = 1 << 20
 )
 
 // run implements runner.
@@ -87,7 +92,6 @@
 func limitRuntime(s *ccplatform.Settings) {
 	runtime.GOMAXPROCS(max(s.Limits.Cores, 1))
 	debug.SetGCPercent(gcPercent)
-	const bytesPerMB = 1 << 20
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB*bytesPerMB) * memoryLimitShare))
 }
 
@@ -101,6 +105,8 @@
 	process   *cccontrol.Process
 	ingress   *ccplatform.Ingress
 	registry  *prometheus.Registry
+	intake    *ccserver.Intake
+	command   *entryCommand
 }
 
 // newEntryProcess builds the process. It opens no socket.
@@ -142,7 +148,17 @@
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), MaxLeaseMs: s.Bounds.MaxLeaseMs, RemoteFactor: max(s.Bounds.RemoteFactor, 1),
 		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: c.LearnRunTimes, StoreBeforeStart: c.StoreBeforeStart,
 	})
-	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg}
+	intake := ccserver.NewIntake(ccserver.Config{Limits: c.intakeLimits(s), Clock: clock, Log: logger, Sampler: sampler, Metrics: ccserver.NewMetrics(reg)})
+	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg, intake: intake, command: c}
+}
+
+// intakeLimits returns what the clients of the process may occupy.
+func (c *entryCommand) intakeLimits(s *ccplatform.Settings) ccintake.Limits {
+	memory := c.RequestMemoryMB * bytesPerMB
+	if memory == 0 {
+		memory = int64(float64(s.Limits.MemoryMB*bytesPerMB) * ccintake.RequestMemoryShare)
+	}
+	return ccintake.NewLimits(memory, s.MaxSockets(), c.MaxConnections)
 }
 
 // leaseMs is the length of a lease at a worker. It has to outlast the loss of a leader, or a power failure everywhere,
@@ -153,19 +169,23 @@
 // serve opens the sockets and runs until SIGTERM or SIGINT, which begin a planned stop. SIGHUP reloads the settings.
 func (p *entryProcess) serve() error {
 	s := p.settings
-	handlers := map[string]http.Handler{s.Listen.Callers: p.ingress.CallerHandler(), s.Listen.Ready: p.ingress.ReadyHandler(), p.metrics: p.operatorHandler()}
-	peerListener, err := net.Listen("tcp", s.Listen.Peers)
+	interfaces := map[string]ccserver.ServerConfig{
+		s.Listen.Callers: {Kind: ccserver.Callers, Handler: p.ingress.CallerHandler()},
+		s.Listen.Ready:   {Kind: ccserver.Readiness, Handler: p.ingress.ReadyHandler()},
+		p.metrics:        {Kind: ccserver.Operators, Handler: p.operatorHandler()},
+	}
+	peerListener, err := p.intake.Listen(ccserver.Peers, s.Listen.Peers)
 	if err != nil {
-		return errors.Wrapf(err, "listening on %s", s.Listen.Peers)
+		return err
 	}
 	var servers []*http.Server
-	failed := make(chan error, len(handlers)+1)
-	for address, h := range handlers {
-		l, err := net.Listen("tcp", address)
+	failed := make(chan error, len(interfaces)+1)
+	for address, cfg := range interfaces {
+		l, err := p.intake.Listen(cfg.Kind, address)
 		if err != nil {
-			return errors.Wrapf(err, "listening on %s", address)
+			return err
 		}
-		server := newServer(h)
+		server := p.intake.NewServer(cfg)
 		servers = append(servers, server)
 		go func() { failed <- server.Serve(l) }()
 	}
@@ -221,7 +241,7 @@
 	p.log.Info("stopped", "Requests", p.ingress.Active())
 }
 
-// reload reads the settings again. It changes GOMAXPROCS, the memory limit, the grace period and the seeds; all other
+// reload reads the settings again. It changes GOMAXPROCS, the memory limit, the limits of the intake, the grace period and the seeds; all other
 // settings stay as they were at the start of the process. If why is "poll", it does nothing unless a limit, a bound or
 // a seed has changed.
 func (p *entryProcess) reload(why string) {
@@ -236,6 +256,7 @@
 	p.settings.Limits, p.settings.Bounds, p.settings.Seeds = s.Limits, s.Bounds, s.Seeds
 	p.process.SetSeeds(s.Seeds)
 	limitRuntime(s)
+	p.intake.SetLimits(p.command.intakeLimits(s))
 	p.log.Info("settings reloaded", "Why", why, "Seeds", len(s.Seeds), "MemoryMB", s.Limits.MemoryMB)
 }
 
--- a/io/ccharness/crowd.go
+++ b/io/ccharness/crowd.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -56,7 +57,7 @@
 
 // SendAll writes data and reports whether the connection has taken all of it.
 func SendAll(c net.Conn, data string) bool {
-	_, err := c.Write([]byte(data))
+	_, err := io.WriteString(c, data)
 	return err == nil
 }
 
--- a/io/cchttp/reply.go
+++ b/io/cchttp/reply.go
@@ -3,10 +3,12 @@
 package cchttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
 
+	"coriandercross/core/ccintake"
 	"coriandercross/core/ccjob"
 	"coriandercross/core/ccteam"
 	"coriandercross/core/ccwork"
@@ -51,6 +53,8 @@
 var errorMappings = []errorMapping{
 	{ccstore.ErrInDoubt, "InDoubt", http.StatusGatewayTimeout, ccwork.Unknown, longRetryMs},
 	{ErrBadRequest, "BadRequest", http.StatusBadRequest, ccwork.NotRun, 0},
+	{ccintake.ErrNoRoom, "NoRoom", http.StatusTooManyRequests, ccwork.NotRun, longRetryMs},
+	{ccintake.ErrBodyLate, "BodyLate", http.StatusServiceUnavailable, ccwork.NotRun, longRetryMs},
 	{ErrTooLarge, "TooLarge", http.StatusRequestEntityTooLarge, ccwork.NotRun, 0},
 	{ccjob.ErrBadJob, "BadJob", http.StatusBadRequest, ccwork.NotRun, 0},
 	{ccjob.ErrDifferent, "Different", http.StatusConflict, ccwork.NotRun, 0},
@@ -133,11 +137,16 @@
 // its reply.
 func HandleJSON[In Validator, Out any](limit int64, newIn func() In, f func(r *http.Request, in In) (Out, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		data, err := ReadBody(w, r, limit)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
 		in := newIn()
-		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+		dec := json.NewDecoder(bytes.NewReader(data))
 		dec.DisallowUnknownFields()
 		if err := dec.Decode(in); err != nil {
-			WriteError(w, bodyError(err))
+			WriteError(w, errors.Mark(errors.Wrap(err, "decoding the body"), ErrBadRequest))
 			return
 		}
 		if err := in.Check(); err != nil {
@@ -164,12 +173,3 @@
 	}
 	WriteJSON(w, http.StatusOK, out)
 }
-
-// bodyError maps a decoding error to ErrTooLarge or ErrBadRequest.
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return errors.Wrapf(ErrTooLarge, "limit is %d bytes", tooLarge.Limit)
-	}
-	return errors.Mark(errors.Wrap(err, "decoding the body"), ErrBadRequest)
-}
