--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -282,7 +282,7 @@
 	// maxOpenRuns bounds the runs of a job that are started at a time, and maxOpenTasks the tasks of these runs. A single
 	// run of any size is started.
 	maxOpenRuns  = 1000
-	maxOpenTasks = maxStages * maxTasks
+	maxOpenTasks = MaxStages * maxTasks
 )
 
 // openRunLimit returns how many runs of the job may be started at a time.
--- a/core/cccell/job.go
+++ b/core/cccell/job.go
@@ -16,8 +16,8 @@
 var ErrBadJob = errors.New("job is malformed")
 
 const (
-	// maxStages bounds the stages of a job. The largest job seen on the platform has 5.
-	maxStages = 64
+	// MaxStages bounds the stages of a job. The largest job seen on the platform has 5.
+	MaxStages = 64
 	// maxTasks bounds the tasks of a stage. The widest stage seen on the platform has 48.
 	maxTasks = 4096
 )
@@ -141,8 +141,8 @@
 
 // Check returns ErrBadJob for a job that can't be run as described.
 func (j *Job) Check() error {
-	if j.ID == "" || len(j.Stages) == 0 || len(j.Stages) > maxStages {
-		return errors.Wrapf(ErrBadJob, "job has no ID, or %d stages; use 1 to %d", len(j.Stages), maxStages)
+	if j.ID == "" || len(j.Stages) == 0 || len(j.Stages) > MaxStages {
+		return errors.Wrapf(ErrBadJob, "job has no ID, or %d stages; use 1 to %d", len(j.Stages), MaxStages)
 	}
 	if j.ScheduledRuns < 0 || j.PeriodMs < 0 {
 		return errors.Wrap(ErrBadJob, "number of scheduled runs or period is negative")
--- a/core/cccell/unknown.go
+++ b/core/cccell/unknown.go
@@ -48,7 +48,7 @@
 
 // plausible reports whether a task can be one of a job that is accepted.
 func (t *TaskID) plausible() bool {
-	return t.Run >= 0 && t.Stage >= 0 && t.Stage < maxStages && t.Index >= 0 && t.Index < maxTasks
+	return t.Run >= 0 && t.Stage >= 0 && t.Stage < MaxStages && t.Index >= 0 && t.Index < maxTasks
 }
 
 // AdoptUnknownEnds adds the stored ends of the tasks of a job that was unknown to a prior leader, at a takeover after the
