The product's own deployment has the same bound of connections and bodies

Callers of the product's own interface met the same cause: bodies of 1 MB stopped short took 1,149 MB, edits at the operators' listener 1,028 MB, whole jobs of 350,000 empty tasks 8,154 MB, and nothing bounded connections (600 of 500).

Change: its listeners, those of peers too, are of the same intake, with two settings (Limits.RequestMemoryMB, Limits.MaxConnections). A body is read before it is decoded, and the tasks of a job are decoded one by one, up to the most that a job may have.

Limits of the intake follow from the number of callers' connections instead of the sockets, which serves both deployments.

--- a/core/ccintake/limits.go
+++ b/core/ccintake/limits.go
@@ -16,11 +16,12 @@
 	// ConnBytes is what one connection occupies besides bodies: buffers, stacks, a header, and what is unread in the
 	// socket.
 	ConnBytes = 48 << 10
-	// connMemoryShare bounds the part of the memory for requests that connections may occupy.
+	// connMemoryShare bounds the part of the memory for requests that the connections of callers may occupy.
 	connMemoryShare = 0.5
-	// callerFileShare and peerFileShare are shares of the descriptors that are for sockets. Workers have half of them.
-	callerFileShare = 0.25
-	peerFileShare   = 0.125
+	// callerSocketShare is the share of a process's sockets that callers get. Workers have half of them.
+	callerSocketShare = 0.25
+	// peerRatio is the number of connections of peers for one of a caller.
+	peerRatio = 0.5
 	// maxOperatorConns and maxReadinessConns are far above the number of operators and of balancers.
 	maxOperatorConns  = 16
 	maxReadinessConns = 32
@@ -28,16 +29,19 @@
 	minConns = 8
 )
 
-// NewLimits divides memory for requests, in bytes, and a number of sockets. maxCallers bounds CallerConns unless it is 0.
-func NewLimits(memory int64, sockets, maxCallers int) Limits {
-	share := func(of int, share float64) int { return max(int(float64(of)*share), minConns) }
+// CallerConns returns how many connections of callers fit into a number of sockets.
+func CallerConns(sockets int) int {
+	return int(float64(sockets) * callerSocketShare)
+}
+
+// NewLimits divides memory for requests, in bytes. callers is the number of connections of callers that there may be if
+// the memory allows it.
+func NewLimits(memory int64, callers int) Limits {
 	l := Limits{
-		CallerConns: min(share(sockets, callerFileShare), share(int(memory/ConnBytes), connMemoryShare)), PeerConns: share(sockets, peerFileShare),
+		CallerConns:   max(min(callers, int(float64(memory)*connMemoryShare)/ConnBytes), minConns),
+		PeerConns:     max(int(float64(callers)*peerRatio), minConns),
 		OperatorConns: maxOperatorConns, ReadinessConns: maxReadinessConns,
 	}
-	if maxCallers > 0 {
-		l.CallerConns = maxCallers
-	}
 	l.BodyBytes = max(memory-int64(l.CallerConns+l.OperatorConns+l.ReadinessConns)*ConnBytes, 0)
 	return l
 }
--- a/io/cccaller/server.go
+++ b/io/cccaller/server.go
@@ -122,7 +122,16 @@
 	ID   string
 	Kind string
 	// Tasks holds the payload of each task.
-	Tasks []SubmitTask
+	Tasks TaskList
+}
+
+// TaskList decodes at most as many tasks as a job may have.
+type TaskList []SubmitTask
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *TaskList) UnmarshalJSON(data []byte) error {
+	*l = nil
+	return cchttp.DecodeArray(data, ccjob.MaxTasks, true, func(t SubmitTask) { *l = append(*l, t) })
 }
 
 // SubmitTask is one task of a job submission.
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -1,6 +1,7 @@
 package cccmds
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -158,7 +159,7 @@
 	if memory == 0 {
 		memory = int64(float64(s.Limits.MemoryMB*bytesPerMB) * ccintake.RequestMemoryShare)
 	}
-	return ccintake.NewLimits(memory, s.MaxSockets(), c.MaxConnections)
+	return ccintake.NewLimits(memory, cmp.Or(c.MaxConnections, ccintake.CallerConns(s.MaxSockets())))
 }
 
 // leaseMs is the length of a lease at a worker. It has to outlast the loss of a leader, or a power failure everywhere,
--- a/io/cccmds/serve.go
+++ b/io/cccmds/serve.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"coriandercross/core/ccclock"
+	"coriandercross/core/ccintake"
 	"coriandercross/io/cccaller"
 	"coriandercross/io/cclog"
 	"coriandercross/io/ccnode"
 	"coriandercross/io/ccoperator"
 	"coriandercross/io/ccpeer"
+	"coriandercross/io/ccserver"
 	"coriandercross/io/ccsettings"
 	"coriandercross/io/ccstore"
 	"coriandercross/io/ccvmlist"
@@ -39,9 +41,6 @@
 	controlTimeout    = 2 * time.Second
 	startTimeout      = 2 * time.Second
 	syncTimeout       = 2 * time.Second
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 16 << 10
 	closeTimeout      = 2 * time.Second
 	peerConnections   = 32
 	workerConnections = 64
@@ -75,6 +74,7 @@
 	peers    *ccpeer.Client
 	callers  *http.Server
 	operator *http.Server
+	intake   *ccserver.Intake
 	drain    chan struct{}
 }
 
@@ -97,10 +97,17 @@
 		DialTimeout: dialTimeout, ControlTimeout: controlTimeout, Connections: peerConnections, OnBytes: metrics.ControlBytes("fellow"),
 	})
 	p.node = ccnode.New(nodeConfig(s, p.peers, metrics, nodeLog))
-	p.callers = newServer(cccaller.Handler(cccaller.Config{Backend: p.node, MaxBody: s.Limits.MaxBodyKB * bytesPerKB, Log: callerLog}))
-	p.operator = newServer(ccoperator.Handler(ccoperator.Config{
+	clock := ccclock.NewSystem()
+	p.intake = ccserver.NewIntake(ccserver.Config{
+		Limits: ccintake.NewLimits(s.Limits.RequestMemoryMB*bytesPerMB, s.Limits.MaxConnections),
+		Clock:  clock, Log: nodeLog, Sampler: cclog.NewSampler(clock), Metrics: ccserver.NewMetrics(reg),
+	})
+	p.callers = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Callers, Handler: cccaller.Handler(cccaller.Config{
+		Backend: p.node, MaxBody: s.Limits.MaxBodyKB * bytesPerKB, Log: callerLog,
+	})})
+	p.operator = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Operators, Handler: ccoperator.Handler(ccoperator.Config{
 		Backend: p.node, Metrics: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), Drain: p.beginDrain,
-	}))
+	})})
 	return p, nil
 }
 
@@ -127,11 +134,6 @@
 	}
 }
 
-// newServer returns an HTTP server with limits on the headers and on idle time.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
 // beginDrain begins a planned stop. Calls after the first have no effect.
 func (p *nodeProcess) beginDrain() {
 	select {
@@ -176,10 +178,13 @@
 func (p *nodeProcess) listen() ([]net.Listener, error) {
 	l := p.settings.Listen
 	var out []net.Listener
-	for _, address := range []string{l.Peers, l.Callers, l.Operators} {
-		listener, err := net.Listen("tcp", address)
+	for _, s := range []struct {
+		kind    ccserver.Kind
+		address string
+	}{{ccserver.Peers, l.Peers}, {ccserver.Callers, l.Callers}, {ccserver.Operators, l.Operators}} {
+		listener, err := p.intake.Listen(s.kind, s.address)
 		if err != nil {
-			return nil, errors.Wrapf(err, "listening on %s", address)
+			return nil, err
 		}
 		out = append(out, listener)
 	}
--- a/io/ccnode/config.go
+++ b/io/ccnode/config.go
@@ -67,6 +67,10 @@
 	// MaxBodyKB bounds the body of a request, and MaxAnswerKB the answer of a worker.
 	MaxBodyKB   int64 `yaml:"MaxBodyKB"`
 	MaxAnswerKB int64 `yaml:"MaxAnswerKB"`
+	// RequestMemoryMB bounds the memory that connections and requests in progress occupy, MaxConnections the connections of
+	// callers.
+	RequestMemoryMB int64 `yaml:"RequestMemoryMB"`
+	MaxConnections  int   `yaml:"MaxConnections"`
 	// Fanout is the number of peers that one round of gossip is sent to.
 	Fanout int `yaml:"Fanout"`
 	// JobBuckets is the number of job buckets in a region. It must be the same at all processes.
@@ -92,7 +96,7 @@
 // DefaultLimits returns the values used where the settings give none.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxWaiting: 5_000, MaxBodyKB: 1_024, MaxAnswerKB: 4_096, Fanout: 2, JobBuckets: 4,
+		MaxWaiting: 5_000, MaxBodyKB: 1_024, MaxAnswerKB: 4_096, RequestMemoryMB: 512, MaxConnections: 6_000, Fanout: 2, JobBuckets: 4,
 		IntentBuckets: 16, RetentionHours: 24, CrossRegionMs: 40, ReservePercent: 10,
 		QuarantinePercent: 20, QuarantineFailures: 5, QuarantineMs: 5_000,
 	}
