Tasks that wait occupy nothing at the leader

A submission of 3 KB may have 64 stages of 4,096 tasks.

Change: the lists of a stage grow up to the last task that has had an attempt, and the number of tasks to be started follows from those that are done and those that are live.

TestWideJobsOccupyLittleBeforeTheyRun failed with 6,418,613 bytes a job and passes with its bound of 512 KB; TestCountUnplaced plays the cases of the count.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -344,7 +344,7 @@
 		spec := &j.spec.Stages[i]
 		r.stages = append(r.stages, &stage{
 			id: StageID{Job: j.spec.ID, Run: number, Stage: i}, job: j, spec: spec, need: spec.Reserved(), done: newBitset(spec.Count),
-			tasks: make([][]*attempt, spec.Count), failures: map[int][]int64{}, crashes: map[int][]Crash{}, trialWaitSince: map[int]ms{}, checkpoints: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
+			failures: map[int][]int64{}, crashes: map[int][]Crash{}, trialWaitSince: map[int]ms{}, checkpoints: map[int]string{}, avoid: map[string]int{}, moves: map[int]int{},
 			perWorker: map[*worker]int{}, tickets: newTickets(), lost: map[attemptKey]lostAttempt{},
 		})
 	}
--- a/core/cccell/crash.go
+++ b/core/cccell/crash.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	var out []int
-	for i := range s.tasks {
+	for i := range s.spec.Count {
 		if s.needsStart(i) && s.onTrial(i, now) {
 			out = append(out, i)
 		}
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -109,7 +109,7 @@
 		c.stats.LostDone++
 	}
 	c.cfg.Log("end of a lost attempt", "Job", a.task.Job, "Task", a.task, "Attempt", a.number, "Worker", a.worker.info.ID, "End", end, "Why", l.why, "LostMs", now-l.at,
-		"Done", a.stage.done.has(a.task.Index), "Again", len(a.stage.tasks[a.task.Index]))
+		"Done", a.stage.done.has(a.task.Index), "Again", len(a.stage.live(a.task.Index)))
 }
 
 // notePrior reports whether a prior leader has started an attempt at a task of a stage. If so, other tasks of the job may run at
@@ -126,7 +126,7 @@
 	if s.spec.Speculative {
 		return
 	}
-	for _, other := range s.tasks[a.task.Index] {
+	for _, other := range s.live(a.task.Index) {
 		if other.number>>attemptBits != c.cfg.Token {
 			continue
 		}
@@ -173,7 +173,7 @@
 			s.done.add(k)
 		}
 	}
-	for _, other := range s.tasks[i] {
+	for _, other := range s.live(i) {
 		other.stopWanted = true
 	}
 	c.markDirty(s.job)
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -118,10 +118,10 @@
 
 // countUnplaced returns the number of tasks to be started. A gang counts only when no member is live.
 func (s *stage) countUnplaced() int {
-	n := 0
-	for i := range s.tasks {
-		if s.needsStart(i) {
-			n++
+	n := s.spec.Count - s.done.count()
+	for i, attempts := range s.tasks {
+		if len(attempts) > 0 && !s.done.has(i) && !s.needsStart(i) {
+			n--
 		}
 	}
 	if s.spec.Gang && n < s.spec.Count {
@@ -248,7 +248,7 @@
 		}
 		k := c.best(s, list)
 		w := list[k].w
-		if len(s.tasks[i]) > 0 && s.tasks[i][0].worker == w {
+		if live := s.live(i); len(live) > 0 && live[0].worker == w {
 			continue // A copy on the same worker would be as slow.
 		}
 		if number == 0 || !s.spec.Gang {
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -414,7 +414,7 @@
 		c.logStartedTwice(a, s)
 		c.finishBefore(s, now)
 	}
-	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.tasks[a.task.Index]) > 0)
+	unneeded := s.job.final != "" || s.done.has(a.task.Index) || (!s.spec.Speculative && len(s.live(a.task.Index)) > 0)
 	a.stage, a.need, a.state = s, s.need, ordered
 	a.stopWanted = a.stopWanted || unneeded
 	a.worker.addAttempt(a)
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -90,7 +90,8 @@
 	// need is the capacity that a task reserves at a worker.
 	need ccwork.Size
 	done bitset
-	// tasks holds the live attempts of each task.
+	// tasks holds the live attempts of each task, up to the last task that has had one; see live. A job may have a few
+	// hundred thousand tasks.
 	tasks [][]*attempt
 	// failures holds the numbers of the failed attempts of each task. Those of a gang are under task 0.
 	failures map[int][]int64
@@ -176,7 +177,7 @@
 // needsStart reports whether task i has to be started: it is not done and has no live attempt, or its only attempt is a
 // straggler that may be copied.
 func (s *stage) needsStart(i int) bool {
-	switch live := s.tasks[i]; {
+	switch live := s.live(i); {
 	case s.done.has(i) || len(live) > 1:
 		return false
 	case len(live) == 1:
@@ -185,6 +186,14 @@
 	return true
 }
 
+// live returns the live attempts of task i.
+func (s *stage) live(i int) []*attempt {
+	if i >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[i]
+}
+
 // finished reports whether every task is done.
 func (s *stage) finished() bool {
 	return s.done.count() >= s.spec.Count
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -229,6 +229,9 @@
 		return
 	}
 	s := a.stage
+	for len(s.tasks) <= a.task.Index {
+		s.tasks = append(s.tasks, nil)
+	}
 	s.tasks[a.task.Index] = append(s.tasks[a.task.Index], a)
 	s.perWorker[w]++
 	s.job.liveAttempts++
@@ -250,7 +253,7 @@
 		return
 	}
 	s := a.stage
-	list := s.tasks[a.task.Index]
+	list := s.live(a.task.Index)
 	for i, other := range list {
 		if other == a {
 			s.tasks[a.task.Index] = append(list[:i], list[i+1:]...)
