Runs of all scheduled jobs together are bounded

A crowd of 100 submissions of a job with 100,000 due runs took 310 to 344 MB at the leader: each job may have 1,000 runs open, and nothing bounded them together.

Change: the leader counts what runs of scheduled jobs and large jobs occupy, beyond 16 KB a job, so that ordinary jobs count nothing. Runs beyond the first of each job start while that is under half of the memory for jobs (--job-memory-mb, a quarter of the process's), the others when earlier ones are done, as before within one job.

In TestRunsOfAllJobsAreOpenedInPart all runs of 20 jobs are carried out in 512 KB.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -39,6 +39,8 @@
 	// ObserveRunTime is called for each task that is done with the factors by which the prediction and the estimate of its
 	// run time were off; it may be nil.
 	ObserveRunTime func(queue string, predicted, estimated float64)
+	// JobMemory is the memory for large jobs and for runs of scheduled ones, in bytes; 0 for no bound.
+	JobMemory int64
 	// Log is called with an event name and key-value pairs for each decision; it may be nil.
 	Log func(event string, kv ...any)
 }
@@ -114,6 +116,8 @@
 	// held counts the workers that are held in the current round, by service.
 	held  map[string]int
 	stats Stats
+	// jobBytes is the result of JobBytes.
+	jobBytes int64
 }
 
 // Stats counts decisions since the start of the leader.
@@ -272,6 +276,7 @@
 	}
 	delete(c.unclaimed, spec.ID)
 	c.jobs[spec.ID] = j
+	c.jobBytes += spec.LargeBytes()
 	if j.team != nil {
 		c.arrivals = append(c.arrivals, j)
 	}
@@ -323,7 +328,7 @@
 		if j.runs[j.nextRun] != nil || j.doneRuns.Has(j.nextRun) {
 			continue
 		}
-		if int64(nowUnix) < j.spec.FirstRunMs+int64(j.nextRun)*j.spec.PeriodMs || open >= limit {
+		if int64(nowUnix) < j.spec.FirstRunMs+int64(j.nextRun)*j.spec.PeriodMs || open >= limit || !c.hasRoomForRun(j, open) {
 			notYet = true
 			break
 		}
@@ -349,6 +354,7 @@
 		})
 	}
 	j.runs[number] = r
+	c.chargeRun(j)
 	return r
 }
 
@@ -396,6 +402,7 @@
 	c.markDirty(j)
 	if j.spec.ScheduledRuns > 0 {
 		delete(j.runs, r.number)
+		c.creditRuns(j, j.spec.runBytes())
 		j.doneRuns.add(r.number)
 	}
 	if j.doneRuns.Count() >= j.spec.ScheduledRuns {
@@ -419,6 +426,7 @@
 	}
 	j.final = state
 	delete(c.scheduled, j)
+	c.creditRuns(j, j.runBytes)
 	for _, r := range j.runs {
 		for _, s := range r.stages {
 			delete(c.open, s)
@@ -495,6 +503,7 @@
 	for id, j := range c.jobs {
 		if j.published != "" && j.liveAttempts == 0 && j.arrivedAt < arrivedBefore {
 			delete(c.jobs, id)
+			c.jobBytes -= j.spec.LargeBytes()
 		}
 	}
 }
--- /dev/null
+++ b/core/cccell/memory.go
@@ -0,0 +1,59 @@
+package cccell
+
+const (
+	// stageBytes is what a stage of a run occupies besides its tasks, taskBits what a task that waits does.
+	stageBytes = 1536
+	taskBits   = 1
+	// ordinaryJobBytes is the part of a job that is not counted: ordinary jobs are smaller, and are bounded by the rate at
+	// which the store takes them.
+	ordinaryJobBytes = 16 << 10
+	// runMemoryShare is the share of Config.JobMemory up to which runs are started beyond the first one of a job.
+	runMemoryShare = 0.5
+)
+
+// LargeBytes returns what the job occupies at a leader with one run beyond what an ordinary job does, in bytes.
+func (j *Job) LargeBytes() int64 {
+	n := int64(len(j.Spec)) + j.runBytes()
+	for i := range j.Stages {
+		s := &j.Stages[i]
+		n += int64(len(s.Label) + len(s.DataRack) + len(s.Image))
+	}
+	return max(n-ordinaryJobBytes, 0)
+}
+
+// runBytes returns what one run of the job occupies, in bytes.
+func (j *Job) runBytes() int64 {
+	const bitsPerByte = 8
+	var n int64
+	for i := range j.Stages {
+		n += stageBytes + int64(j.Stages[i].Count)*taskBits/bitsPerByte
+	}
+	return n
+}
+
+// JobBytes returns what the jobs of the cell occupy: large ones, and the runs of scheduled ones.
+func (c *Cell) JobBytes() int64 {
+	return c.jobBytes
+}
+
+// chargeRun counts a run of a scheduled job.
+func (c *Cell) chargeRun(j *job) {
+	if j.spec.ScheduledRuns > 0 {
+		n := j.spec.runBytes()
+		j.runBytes += n
+		c.jobBytes += n
+	}
+}
+
+// creditRuns gives back n bytes of the runs of a job, or what is left of them.
+func (c *Cell) creditRuns(j *job, n int64) {
+	n = min(n, j.runBytes)
+	j.runBytes -= n
+	c.jobBytes -= n
+}
+
+// hasRoomForRun reports whether one more run of a job may be started: the first one always.
+func (c *Cell) hasRoomForRun(j *job, open int) bool {
+	most := int64(float64(c.cfg.JobMemory) * runMemoryShare)
+	return open == 0 || c.cfg.JobMemory == 0 || c.jobBytes+j.spec.runBytes() <= most
+}
--- a/core/cccell/memory_test.go
+++ b/core/cccell/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -61,3 +62,66 @@
 		})
 	}
 }
+
+// TestRunsOfAllJobsAreOpenedInPart checks that the runs of many scheduled jobs together stay within the memory for them, that
+// each job has one, and that all are carried out.
+func TestRunsOfAllJobsAreOpenedInPart(t *testing.T) {
+	const jobs, runs, memory = 20, 100, 512 << 10
+	c := readyCell(t, testWorker("w"))
+	c.cfg.JobMemory = memory
+	pollAll(t, c, 1000+minPollIntervalMs+10, nil) // The first poll was sent before the handover.
+	for i := range jobs {
+		j := testJob(fmt.Sprint(i), 1)
+		j.ScheduledRuns = runs
+		c.AddJob(j, 1100, 1100)
+		assert.Assert(t, c.jobs[j.ID].openRuns() > 0)
+	}
+	lists := &TaskLists{}
+	ended := func() bool {
+		for _, j := range c.jobs {
+			if j.final == "" {
+				return false
+			}
+		}
+		return true
+	}
+	for now := ms(1200); !ended() && now < 200_000; now += 50 {
+		assert.Assert(t, c.JobBytes() <= memory, "%d bytes", c.JobBytes())
+		out := pollAll(t, c, now, map[string]*TaskLists{"w": lists})
+		for i := range out.Starts {
+			o := &out.Starts[i]
+			c.OnStartReply(o, executedReply(now), now)
+			lists.Ended = append(lists.Ended, EndedTask{Number: int64(len(lists.Ended) + 1), Task: o.Task, Attempt: o.Attempt, End: EndDone})
+		}
+	}
+	for id, j := range c.jobs {
+		assert.Equal(t, j.final, Completed, id)
+	}
+	assert.Equal(t, c.JobBytes(), int64(0))
+}
+
+// TestLargeBytes checks what is counted of a job, and that it is given back when the job is dropped.
+func TestLargeBytes(t *testing.T) {
+	long := testJob("long", 1)
+	long.Stages[0].Image = strings.Repeat("x", 100<<10)
+	tests := map[string]struct {
+		job         *Job
+		least, most int64
+	}{
+		"Ordinary": {testJob("ordinary", 48), 0, 0},
+		"Long":     {long, 80 << 10, 120 << 10},
+		"Wide":     {widestJob("wide"), 64 << 10, 256 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyCell(t, testWorker("w"))
+			c.AddJob(test.job, 1100, 1100)
+			n := c.JobBytes()
+			assert.Assert(t, n >= test.least && n <= test.most, "%d bytes", n)
+			c.Cancel(test.job.ID, 1200)
+			c.OnWritten(c.NextWrites(100, 1200), 1, 1200)
+			c.RemoveEndedJobs(1 << 40)
+			assert.Equal(t, c.JobBytes(), int64(0))
+		})
+	}
+}
--- a/core/cccell/state.go
+++ b/core/cccell/state.go
@@ -23,6 +23,8 @@
 	withheld bool
 	// All runs below nextRun have started.
 	nextRun int
+	// runBytes is what the open runs of a scheduled job occupy, in bytes.
+	runBytes int64
 	// final is the final state as decided, or empty. It is published once it is persisted.
 	final State
 	// published is the final state as published to callers, or empty. It is persisted.
--- a/core/ccintake/limits.go
+++ b/core/ccintake/limits.go
@@ -13,6 +13,9 @@
 	// RequestMemoryShare is the share of the process's memory that requests may occupy unless the settings say otherwise:
 	// as much again is needed for what the collector has not freed yet, and the rest is for the state of the process.
 	RequestMemoryShare = 0.25
+	// JobMemoryShare is the share of the process's memory that accepted jobs may occupy beyond what ordinary ones do, unless
+	// the settings say otherwise.
+	JobMemoryShare = 0.25
 	// ConnBytes is what one connection occupies besides bodies: buffers, stacks, a header, and what is unread in the
 	// socket.
 	ConnBytes = 48 << 10
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -40,6 +40,7 @@
 	// RequestMemoryMB and MaxConnections bound what callers occupy.
 	RequestMemoryMB int64 `long:"request-memory-mb" description:"memory in MB that connections and requests in progress may occupy; a quarter of memory_mb in the settings if left out"`
 	MaxConnections  int   `long:"max-connections" description:"connections of callers that may be open; a quarter of the descriptors for sockets, or less if half of the memory for requests is less, if left out"`
+	JobMemoryMB     int64 `long:"job-memory-mb" description:"memory in MB that accepted jobs may occupy beyond 16 KB each, and the runs of scheduled jobs beyond the first of each; a quarter of memory_mb in the settings if left out"`
 	// StoreBeforeStart gives up the work that is done while the store is away, for operators who want none of it.
 	StoreBeforeStart bool `long:"store-before-start" description:"start no task before its job is in the store, also while the store is slow or silent; the same at all processes"`
 }
@@ -147,12 +148,20 @@
 		ConfigSource: ccplatform.NewConfigReader(store), Workers: ccplatform.NewWorkerClient(clock, s.Limits.MaxFiles), PolicyService: ccplatform.NewPolicyClient(s.PolicyService),
 		Peers:   ccpeer.NewClient(ccpeer.ClientConfig{DialTimeout: entryDialTimeout, ControlTimeout: entryCallTimeout, Connections: 4}),
 		LeaseMs: min(leaseMs, s.Bounds.MaxLeaseMs), MaxLeaseMs: s.Bounds.MaxLeaseMs, RemoteFactor: max(s.Bounds.RemoteFactor, 1),
-		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: c.LearnRunTimes, StoreBeforeStart: c.StoreBeforeStart,
+		FinalRetentionMs: ccclock.Millis(s.Bounds.FinalRetentionS * msPerSecond), LearnRunTimes: c.LearnRunTimes, StoreBeforeStart: c.StoreBeforeStart, JobMemory: c.jobMemory(s),
 	})
 	intake := ccserver.NewIntake(ccserver.Config{Limits: c.intakeLimits(s), Clock: clock, Log: logger, Sampler: sampler, Metrics: ccserver.NewMetrics(reg)})
 	return &entryProcess{settings: s, path: path, log: logger, process: p, ingress: ccplatform.NewIngress(p), registry: reg, intake: intake, command: c}
 }
 
+// jobMemory returns the memory for accepted jobs, in bytes.
+func (c *entryCommand) jobMemory(s *ccplatform.Settings) int64 {
+	if c.JobMemoryMB != 0 {
+		return c.JobMemoryMB * bytesPerMB
+	}
+	return int64(float64(s.Limits.MemoryMB*bytesPerMB) * ccintake.JobMemoryShare)
+}
+
 // intakeLimits returns what the clients of the process may occupy.
 func (c *entryCommand) intakeLimits(s *ccplatform.Settings) ccintake.Limits {
 	memory := c.RequestMemoryMB * bytesPerMB
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -153,7 +153,7 @@
 	l.cell = cccell.New(cccell.Config{
 		Token: r.Token, RestartTokens: restartTokens, LeaseMs: p.cfg.LeaseMs, MaxLeaseMs: p.cfg.MaxLeaseMs, PriorLeaseMs: max(prior.LeaseMs, r.LeaseMs), AuthorityMs: l.quorum.Authority() - began,
 		PriorAuthorityMs: l.handover.EndsAt() - began, PriorUnstored: prior.Token != 0, AwaitRoster: true, Ended: p.stateCache.ended,
-		RemoteFactor: p.cfg.RemoteFactor, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
+		RemoteFactor: p.cfg.RemoteFactor, JobMemory: p.cfg.JobMemory, Log: p.decision, RunTimes: l.runTimes, ObserveRunTime: p.cfg.Metrics.observeRunTime,
 	}, began)
 	if p.runsUnstored.Load() {
 		l.cell.NotePriorUnstored()
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -33,6 +33,8 @@
 
 	Clock ccclock.Clock
 	Log   *log.Logger
+	// JobMemory is the memory for accepted jobs that are large and for runs of scheduled ones, in bytes; 0 for no bound.
+	JobMemory int64
 	// Sampler limits the rate of log lines for each kind of decision; with nil, every decision is logged.
 	Sampler       *cclog.Sampler
 	Metrics       *Metrics
