Large jobs are refused while accepted ones hold the memory for them

A crowd of callers that submit legal jobs of 262,144 bytes one after the other took 145 MB of 128 at the leader. Accepted jobs can't be taken back, and every successor loads them from the store, so that the next leaders would end the same way.

Change: the leader counts what accepted jobs occupy beyond 16 KB each, tells it with the least memory for jobs of all processes in its replies to syncs, and each process refuses a large job (429) for which there is no room; as with bodies, a large job leaves as much room as it takes and one that is alone is accepted. A caller that another process may have seen gets 504, a known job its acceptance, ordinary jobs count nothing. What a process accepts counts there until a new leader is told of it.

--- a/core/ccintake/account.go
+++ b/core/ccintake/account.go
@@ -156,11 +156,11 @@
 	switch {
 	case c.evicted:
 		return Refused, nil
-	case a.fits(c, n, a.held):
+	case fits(c.held, n, a.held, a.bodyBytes):
 		a.held += n
 		c.held += n
 		return Granted, nil
-	case a.fits(c, n, a.held-a.leaving):
+	case fits(c.held, n, a.held-a.leaving, a.bodyBytes):
 		return Waiting, nil
 	}
 	if victim = oldest(a.reading, func(c *Conn) bool { return c.held > 0 && !c.evicted }); victim == nil || victim == c {
@@ -171,9 +171,9 @@
 	return Waiting, victim
 }
 
-// fits reports whether n more bytes for the body of c fit beside what is held.
-func (a *Account) fits(c *Conn, n, held int64) bool {
-	return held == c.held || c.held+n <= a.bodyBytes-held-n
+// fits reports whether something that holds own bytes may take n more, given what all hold and a limit.
+func fits(own, n, held, limit int64) bool {
+	return held == own || own+n <= limit-held-n
 }
 
 // Release gives back what the body of c occupies, when its request has ended.
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -267,6 +267,7 @@
 	p.process.SetSeeds(s.Seeds)
 	limitRuntime(s)
 	p.intake.SetLimits(p.command.intakeLimits(s))
+	p.process.SetJobMemory(p.command.jobMemory(s))
 	p.log.Info("settings reloaded", "Why", why, "Seeds", len(s.Seeds), "MemoryMB", s.Limits.MemoryMB)
 }
 
--- a/io/cccontrol/advice.go
+++ b/io/cccontrol/advice.go
@@ -51,6 +51,8 @@
 	slowSentAt ms
 	// toldUnstored is SyncReply.RunsUnstored of the last reply to the peer.
 	toldUnstored atomic.Bool
+	// jobMemory is SyncRequest.JobMemory of the peer's last call.
+	jobMemory atomic.Int64
 }
 
 // newAdviceDispatcher returns a dispatcher that knows this process only. Peers are added as they call Sync.
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -116,7 +116,10 @@
 	return nil
 }
 
-// submit writes a job to the store, through the leader if this process can't reach the store, and notifies the leader.
+// errJobsFull reports a large job for which there is no room beside the large jobs that have not ended.
+var errJobsFull = errors.New("accepted jobs occupy all the memory for large ones")
+
+// submit accepts a job that is not known yet, unless there is no room for it.
 func (p *Process) submit(ctx context.Context, caller *Caller, j *cccell.Job, s *ccadmit.Submission) error {
 	if _, team, known := p.stateCache.job(j.ID); known {
 		ok, err := p.authorize(ctx, caller, j.ID, team)
@@ -128,6 +131,21 @@
 		}
 		return nil // The job was accepted before.
 	}
+	settle, ok := p.jobRoom.accept(j)
+	if !ok {
+		if s.Answer() == ccadmit.Unknown {
+			return errors.Mark(errJobsFull, ccstore.ErrInDoubt)
+		}
+		return &Refusal{Reason: errors.Mark(errJobsFull, ccwork.ErrOverload), RetryAfterMs: jitterRetryAfter(fullRetryAfterMs)}
+	}
+	err := p.store(ctx, caller, j, s)
+	var refusal *Refusal
+	settle(!errors.As(err, &refusal))
+	return err
+}
+
+// store writes a job to the store, through the leader if this process can't reach the store, and notifies the leader.
+func (p *Process) store(ctx context.Context, caller *Caller, j *cccell.Job, s *ccadmit.Submission) error {
 	j.AcceptedMs = int64(unixNow())
 	sub := newSubmission(j, s.AnswerAt())
 	sub.newFor = p.soleToken.Load()
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -140,7 +140,7 @@
 	token, seq := p.stateCache.position()
 	in := &ccpeer.SyncRequest{
 		VM: p.cfg.VM, Token: token, Seq: seq, Draining: p.draining.Load(),
-		StartMs: p.cfg.StartMs, Following: leader.Token, ReceivedMs: p.receivedFrom(leader.Token), Version: p.configVersion(),
+		StartMs: p.cfg.StartMs, Following: leader.Token, ReceivedMs: p.receivedFrom(leader.Token), Version: p.configVersion(), JobMemory: p.jobRoom.own(),
 	}
 	p.measurePace()
 	in.SlowTenths = p.succession.slowTenths()
@@ -183,6 +183,7 @@
 		return ""
 	}
 	p.runsUnstored.Store(out.RunsUnstored)
+	p.jobRoom.learn(out.JobLimit, out.JobBytes)
 	if out.StoreAgeMs > storeLostMs {
 		go p.probeStore(ctx) // The leader calls the store most often, so it notices an outage before its peers do.
 	}
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -301,6 +301,8 @@
 		l.dispatcher.wakeAll() // The next leader needs to know.
 	}
 	l.sendOrders(l.cell.TakeOrders(), now)
+	p.jobRoom.learn(l.dispatcher.leastJobMemory(p.jobRoom.own()), l.cell.JobBytes())
+	p.cfg.Metrics.jobBytes.Set(float64(l.cell.JobBytes()))
 	l.flush(now)
 	l.writeRoster(now)
 	l.writeRunTimes(now)
--- a/io/cccontrol/metrics.go
+++ b/io/cccontrol/metrics.go
@@ -15,6 +15,8 @@
 	terms       prometheus.Counter
 	// unstored is the number of jobs that run and are not stored yet.
 	unstored prometheus.Gauge
+	// jobBytes is what accepted jobs occupy at the leader beyond what ordinary ones do.
+	jobBytes prometheus.Gauge
 	// unrecorded is the number of registered workers that get no tasks because the roster does not have them.
 	unrecorded prometheus.Gauge
 	// adviceWaiting is the number of advice requests that no process is free for, and adviceCalls counts results.
@@ -64,6 +66,9 @@
 		unstored: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coriandercross_unstored_jobs", Help: "Jobs that the leader runs and that are not in the store yet.",
 		}),
+		jobBytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "coriandercross_job_bytes", Help: "Memory that accepted jobs occupy at the leader beyond what ordinary ones do.",
+		}),
 		unrecorded: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coriandercross_unrecorded_workers", Help: "Registered workers that get no tasks before the roster in the store has them.",
 		}),
@@ -99,7 +104,7 @@
 			Name: "coriandercross_vm_slowness", Help: "How many times longer a fixed work takes than normally on this VM.",
 		}),
 	}
-	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.unstored, m.unrecorded, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
+	reg.MustRegister(m.submitted, m.workerCalls, m.decisions, m.flushMs, m.terms, m.unstored, m.jobBytes, m.unrecorded, m.adviceWaiting, m.adviceCalls, m.runTimeErrors, m.slowness)
 	reg.MustRegister(m.teams, m.unknownKeys, m.refusedConfigs, m.teamSubmitted.vec, m.transfers, m.transferBytes, m.transferMs)
 	return m
 }
--- a/io/cccontrol/metrics_test.go
+++ b/io/cccontrol/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"coriandercross/io/cccontrol"
 	"coriandercross/io/ccharness"
+	"coriandercross/io/ccserver"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -16,7 +17,7 @@
 // TestEveryMetricIsOnTheOperatorsPage checks that the operators' page lists every metric of the process on the
 // platform, and no other.
 func TestEveryMetricIsOnTheOperatorsPage(t *testing.T) {
-	registered := ccharness.RegisteredMetrics(func(r prometheus.Registerer) { cccontrol.NewMetrics(r) })
+	registered := ccharness.RegisteredMetrics(func(r prometheus.Registerer) { cccontrol.NewMetrics(r); ccserver.NewMetrics(r) })
 	// These metrics are registered by the command, not by NewMetrics.
 	registered = append(registered, "coriandercross_store_calls_total", "coriandercross_bad_registrations_total")
 	slices.Sort(registered)
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -9,6 +9,7 @@
 
 	"coriandercross/core/cccell"
 	"coriandercross/core/ccclock"
+	"coriandercross/core/ccintake"
 	"coriandercross/core/ccquorum"
 	"coriandercross/io/cclog"
 	"coriandercross/io/ccpeer"
@@ -111,6 +112,7 @@
 	// none.
 	handedOver atomic.Int64
 	succession succession
+	jobRoom    jobRoom
 	done       sync.WaitGroup
 }
 
@@ -119,6 +121,7 @@
 	p := &Process{cfg: cfg, stateCache: newStateCache(), members: map[string]member{}, leaderChanged: make(chan struct{})}
 	p.submitter = newSubmitter(p)
 	p.notifier = newNotifier(p)
+	p.jobRoom.jobs = ccintake.NewJobs(cfg.JobMemory)
 	return p
 }
 
@@ -156,6 +159,11 @@
 	p.cfg.Seeds = seeds
 }
 
+// SetJobMemory replaces Config.JobMemory. A leader bounds runs by the value at the start of its term.
+func (p *Process) SetJobMemory(bytes int64) {
+	p.jobRoom.setOwn(bytes)
+}
+
 func (p *Process) now() ms {
 	return p.cfg.Clock.Now()
 }
--- a/io/cccontrol/sync.go
+++ b/io/cccontrol/sync.go
@@ -30,6 +30,7 @@
 	}
 	peer := l.dispatcher.peer(in.VM, in.Draining)
 	l.dispatcher.recordSlowness(peer, in.SlowTenths)
+	peer.jobMemory.Store(in.JobMemory)
 	if in.Following == l.token {
 		peer.confirm(ccquorum.Voter{VM: in.VM, StartMs: in.StartMs}, ms(in.ReceivedMs))
 	}
@@ -63,6 +64,7 @@
 			StoreAgeMs: p.cfg.Store.AgeMs(), Resigning: p.draining.Load(), HeartbeatMs: int64(heartbeat), Version: p.configVersion(), PriorEnded: l.handedOver.Load(), RunsUnstored: p.runsUnstored.Load(),
 		}
 		p.stateCache.mu.Unlock()
+		out.JobLimit, out.JobBytes = p.jobRoom.known()
 		if l.accepts(peer) {
 			if !l.handOver(in.VM) {
 				return p.noLeaderReply(), nil
--- a/io/ccnode/metrics_test.go
+++ b/io/ccnode/metrics_test.go
@@ -7,6 +7,7 @@
 
 	"coriandercross/io/ccharness"
 	"coriandercross/io/ccnode"
+	"coriandercross/io/ccserver"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -19,5 +20,5 @@
 	assert.NilError(t, err)
 	_, page, found := bytes.Cut(page, []byte("# The product's own deployment"))
 	assert.Assert(t, found)
-	assert.DeepEqual(t, ccharness.RegisteredMetrics(func(r prometheus.Registerer) { ccnode.NewMetrics(r) }), ccharness.ListedMetrics(page))
+	assert.DeepEqual(t, ccharness.RegisteredMetrics(func(r prometheus.Registerer) { ccnode.NewMetrics(r); ccserver.NewMetrics(r) }), ccharness.ListedMetrics(page))
 }
--- a/io/ccpeer/cell.go
+++ b/io/ccpeer/cell.go
@@ -45,6 +45,9 @@
 	ReceivedMs int64 `cbor:"8,keyasint,omitempty"`
 	// SlowTenths is how many times slower than normally the sender runs, in tenths, 0 while that is not worth reporting.
 	SlowTenths int64 `cbor:"9,keyasint,omitempty"`
+	// JobMemory is what the sender has for accepted jobs that are large, in bytes, 0 for no bound. Processes of earlier
+	// releases leave it out.
+	JobMemory int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Check implements Message.
@@ -94,6 +97,9 @@
 	PriorEnded bool `cbor:"18,keyasint,omitempty"`
 	// RunsUnstored is true while the leader, or one before it whose runs are not all known, may run jobs that are not stored.
 	RunsUnstored bool `cbor:"19,keyasint,omitempty"`
+	// JobLimit is the least SyncRequest.JobMemory of the processes, 0 for no bound, and JobBytes what jobs occupy of it.
+	JobLimit int64 `cbor:"20,keyasint,omitempty"`
+	JobBytes int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Check implements Message.
