A new connection has a quarter of a second before it makes room for others

Beside 600 clients that connected again whenever they were closed, some 10,000 times a second, ordinary callers were served in 2 of 30 tries: their connections were closed, as the oldest ones, before their requests had been read.

Change: a connection makes room once its client has owed a request for 250 ms. Until then new connections wait in the queue of the listener, in the order in which they have come, as they do for 250 ms while all connections serve whole requests. The queue is as long as the bound of the connections, and what it may hold unread counts in the 64 KB of a connection.

--- a/core/ccintake/account.go
+++ b/core/ccintake/account.go
@@ -88,18 +88,27 @@
 	l.maxConns = n
 }
 
+// GraceMs is the time that a client has for its request before its connection makes room for others. Without it, clients
+// that come again and again would close the connections of all others before their requests are read.
+const GraceMs ms = 250
+
 // Open counts a new connection. If the listener has as many as it may, victim is the connection to be closed for it: the
-// one whose client has owed a whole request for the longest. If all serve whole requests, Open returns no connection.
-func (l *Listener) Open(now ms) (c, victim *Conn) {
+// one whose client has owed a whole request for the longest, and for GraceMs at least. If there is none, Open returns no
+// connection, and is called again when one was closed, or after wait; wait is 0 if all serve whole requests.
+func (l *Listener) Open(now ms) (c, victim *Conn, wait ms) {
 	if l.Full() {
-		if victim = oldest(l.open, func(c *Conn) bool { return !c.serving }); victim == nil {
-			return nil, nil
+		victim = oldest(l.open, func(c *Conn) bool { return !c.serving })
+		if victim == nil {
+			return nil, nil, 0
+		}
+		if wait = victim.since + GraceMs - now; wait > 0 {
+			return nil, nil, wait
 		}
 		delete(l.open, victim)
 	}
 	c = &Conn{listener: l, since: now}
 	l.open[c] = struct{}{}
-	return c, victim
+	return c, victim, 0
 }
 
 // Full reports whether there is no room for another connection. Connections are closed after their responses then, so that
--- a/core/ccintake/limits.go
+++ b/core/ccintake/limits.go
@@ -17,8 +17,8 @@
 	// the settings say otherwise.
 	JobMemoryShare = 0.25
 	// ConnBytes is what one connection occupies besides bodies: buffers, stacks, a header, and what is unread in the
-	// socket.
-	ConnBytes = 48 << 10
+	// sockets of this one and of one that waits to be accepted.
+	ConnBytes = 64 << 10
 	// connMemoryShare bounds the part of the memory for requests that the connections of callers may occupy.
 	connMemoryShare = 0.5
 	// callerSocketShare is the share of a process's sockets that callers get. Workers have half of them.
--- a/io/ccserver/intake.go
+++ b/io/ccserver/intake.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"coriandercross/core/ccclock"
 	"coriandercross/core/ccintake"
@@ -32,6 +33,8 @@
 	account   *ccintake.Account
 	listeners map[Kind]*ccintake.Listener
 	gauges    map[Kind]prometheus.Gauge
+	// freed receives a value when a connection of a listener was closed.
+	freed map[Kind]chan struct{}
 	// open has the sockets of the connections.
 	open map[*ccintake.Conn]*conn
 }
@@ -52,10 +55,11 @@
 
 // NewIntake returns an intake without connections.
 func NewIntake(cfg Config) *Intake {
-	in := &Intake{cfg: cfg, account: ccintake.NewAccount(cfg.Limits.BodyBytes), listeners: map[Kind]*ccintake.Listener{}, gauges: map[Kind]prometheus.Gauge{}, open: map[*ccintake.Conn]*conn{}}
+	in := &Intake{cfg: cfg, account: ccintake.NewAccount(cfg.Limits.BodyBytes), listeners: map[Kind]*ccintake.Listener{}, gauges: map[Kind]prometheus.Gauge{}, freed: map[Kind]chan struct{}{}, open: map[*ccintake.Conn]*conn{}}
 	in.released = sync.NewCond(&in.mu)
 	for _, k := range kinds {
 		in.listeners[k] = ccintake.NewListener(maxConns(&cfg.Limits, k))
+		in.freed[k] = make(chan struct{}, 1)
 		in.gauges[k] = cfg.Metrics.connections.WithLabelValues(string(k))
 	}
 	return in
@@ -76,23 +80,43 @@
 	}
 }
 
-// admit counts a new connection. It returns nil if there is no room for it; the caller closes nc then.
+// admit counts a new connection. It blocks while there is no room for it, and returns nil if there is none for
+// ccintake.GraceMs since all connections are being served; the caller closes nc then.
 func (in *Intake) admit(k Kind, nc net.Conn) *conn {
-	in.mu.Lock()
-	c, victim := in.listeners[k].Open(in.cfg.Clock.Now())
-	closing := in.open[victim]
-	var out *conn
-	if c != nil {
-		out = &conn{Conn: nc, intake: in, kind: k, account: c}
-		in.open[c] = out
-	}
-	in.observe(k)
-	in.mu.Unlock()
-	if out == nil {
-		in.report(k, noConnection)
+	var servedSince ccclock.Millis
+	for {
+		now := in.cfg.Clock.Now()
+		in.mu.Lock()
+		c, victim, wait := in.listeners[k].Open(now)
+		closing := in.open[victim]
+		var out *conn
+		if c != nil {
+			out = &conn{Conn: nc, intake: in, kind: k, account: c}
+			in.open[c] = out
+		}
+		in.observe(k)
+		in.mu.Unlock()
+		in.evict(closing, connectionClosed)
+		if out != nil {
+			return out
+		}
+		switch {
+		case wait > 0:
+			servedSince = 0
+		case servedSince == 0:
+			servedSince, wait = now, ccintake.GraceMs
+		default:
+			wait = servedSince + ccintake.GraceMs - now
+		}
+		if wait <= 0 {
+			in.report(k, noConnection)
+			return nil
+		}
+		select {
+		case <-in.freed[k]:
+		case <-time.After(wait.Duration()):
+		}
 	}
-	in.evict(closing, connectionClosed)
-	return out
 }
 
 // evict closes a connection to make room, unless it is nil.
@@ -110,6 +134,10 @@
 	in.listeners[c.kind].Close(c.account)
 	delete(in.open, c.account)
 	in.released.Broadcast()
+	select {
+	case in.freed[c.kind] <- struct{}{}:
+	default:
+	}
 	in.observe(c.kind)
 }
 
--- a/io/ccserver/listener.go
+++ b/io/ccserver/listener.go
@@ -40,9 +40,28 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", address)
 	}
+	if k != Peers {
+		if err := setBacklog(l, maxConns(&in.cfg.Limits, k)); err != nil {
+			in.cfg.Log.Warn("queue of new connections keeps the size of the system", "Listener", k, "Error", err)
+		}
+	}
 	return &listener{Listener: l, intake: in, kind: k}, nil
 }
 
+// setBacklog bounds the connections that wait to be accepted. What they have sent counts as memory of the process.
+func setBacklog(l net.Listener, n int) error {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return errors.New("listener has no socket")
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "reaching the socket")
+	}
+	controlErr := rc.Control(func(fd uintptr) { err = syscall.Listen(int(fd), n) })
+	return errors.CombineErrors(err, controlErr)
+}
+
 // listener is a listener whose connections are bounded.
 type listener struct {
 	net.Listener
