The leader is told of accepted jobs in parts

A process that had accepted 100 jobs of 250 KB told the leader of all of them in one message. It was above the 16 MB that a message may have, so the leader refused it 15 times and was told of none, nor of the ordinary job among them, whose tasks started only when the leader looked through the store.

Change: a notification carries up to 64 KB of jobs, ordinary ones first, and its timeout allows for what its jobs take on the VM's link: a legal job of 262,144 bytes takes a second at 2 Mbit/s, and would have been sent 15 times in vain while others waited behind it.

TestManyLargeJobsAreNotified: 0 of 101 jobs in 20 s before, all after.

--- a/core/cccell/memory.go
+++ b/core/cccell/memory.go
@@ -11,14 +11,19 @@
 	runMemoryShare = 0.5
 )
 
-// LargeBytes returns what the job occupies at a leader with one run beyond what an ordinary job does, in bytes.
+// LargeBytes returns what the job occupies at a leader beyond what an ordinary job does, in bytes.
 func (j *Job) LargeBytes() int64 {
+	return max(j.MemoryBytes()-ordinaryJobBytes, 0)
+}
+
+// MemoryBytes returns what the job occupies at a leader with one run, in bytes.
+func (j *Job) MemoryBytes() int64 {
 	n := int64(len(j.Spec)) + j.runBytes()
 	for i := range j.Stages {
 		s := &j.Stages[i]
 		n += int64(len(s.Label) + len(s.DataRack) + len(s.Image))
 	}
-	return max(n-ordinaryJobBytes, 0)
+	return n
 }
 
 // runBytes returns what one run of the job occupies, in bytes.
--- a/io/cccontrol/notify.go
+++ b/io/cccontrol/notify.go
@@ -1,6 +1,7 @@
 package cccontrol
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -15,8 +16,10 @@
 	// unstoredKeptMs is the time for which new leaders are told of a job after this process has given up writing it: tasks of it
 	// may run until their leases end.
 	unstoredKeptMs ms = 15_000
-	// notifyTimeout is the timeout of one call to the leader.
+	// notifyTimeout is the timeout of one call to the leader, besides the time that its jobs take on the link.
 	notifyTimeout = 300 * time.Millisecond
+	// maxNotifyBytes bounds the jobs of one notification, unless a job alone is larger.
+	maxNotifyBytes = 64 << 10
 	// maxNotifyCalls is the number of calls after which a notification is dropped. By then a lost leader has been
 	// replaced, and the leader finds jobs and requests to cancel in the store.
 	maxNotifyCalls = 15
@@ -59,6 +62,33 @@
 	adviceReplies []cccell.AdviceReply
 }
 
+// takePart removes a part of the notifications that fits into one call: up to maxNotifyBytes of jobs, ordinary ones before
+// large ones, which take long on a narrow link, and everything else. It reports whether jobs are left.
+func (out *outbox) takePart() (part outbox, more bool) {
+	part, *out = *out, outbox{}
+	slices.SortStableFunc(part.jobs, func(a, b sentJob) int { return cmp.Compare(a.job.LargeBytes(), b.job.LargeBytes()) })
+	bytes := int64(0)
+	for i := range part.jobs {
+		if bytes += part.jobs[i].job.MemoryBytes(); i > 0 && bytes > maxNotifyBytes {
+			part.jobs, out.jobs = part.jobs[:i:i], part.jobs[i:]
+			return part, true
+		}
+	}
+	return part, false
+}
+
+// callTimeout returns the timeout of the call with these notifications: longer if the VM's link takes long for the jobs.
+func (out *outbox) callTimeout(linkBytesPerMs float64) time.Duration {
+	var bytes int64
+	for i := range out.jobs {
+		bytes += out.jobs[i].job.MemoryBytes()
+	}
+	if linkBytesPerMs <= 0 {
+		return notifyTimeout
+	}
+	return notifyTimeout + ms(float64(bytes)/linkBytesPerMs).Duration()
+}
+
 func newNotifier(p *Process) *notifier {
 	return &notifier{p: p, wake: make(chan struct{}, 1), unstored: map[string]ms{}}
 }
@@ -119,6 +149,11 @@
 	n.mu.Lock()
 	add(&n.outbox)
 	n.mu.Unlock()
+	n.wakeUp()
+}
+
+// wakeUp makes run send what is in the outbox.
+func (n *notifier) wakeUp() {
 	select {
 	case n.wake <- struct{}{}:
 	default:
@@ -135,9 +170,11 @@
 		case <-n.wake:
 		}
 		n.mu.Lock()
-		out := n.outbox
-		n.outbox = outbox{}
+		out, more := n.outbox.takePart()
 		n.mu.Unlock()
+		if more {
+			n.wakeUp()
+		}
 		if !out.ranUnstored && len(out.jobs)+len(out.unstored)+len(out.cancels)+len(out.withdrawn)+len(out.adviceReplies) == 0 {
 			continue
 		}
@@ -173,7 +210,7 @@
 		}
 		leader, _ := n.p.currentLeader()
 		if leader.Token > 0 && leader.VM != n.p.cfg.VM {
-			callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, out.callTimeout(n.p.cfg.LinkBytesPerMs))
 			reply, err := n.p.cfg.Peers.Notify(callCtx, leader.Address, out.request(n.p.cfg.VM, leader.Token))
 			cancel()
 			if err == nil && reply.Leading {
--- a/io/cccontrol/notify_test.go
+++ b/io/cccontrol/notify_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +43,44 @@
 	return out
 }
 
+// A process that had accepted many large jobs told the leader of all of them in one message, which was above the limit of a
+// message, and so also not of the ordinary job among them.
+func TestManyLargeJobsAreNotified(t *testing.T) {
+	const large, bytes = 100, 250 << 10
+	p := newFollower(t, &outageStore{items: map[string][]byte{}})
+	l := &runningLeader{}
+	setLeader(t, p, l, "vm-0", 1)
+	want := []string{"ordinary"}
+	for i := range large {
+		j := oneTaskJob()
+		j.ID, j.Stages[0].Image = fmt.Sprintf("large-%d", i), strings.Repeat("x", bytes)
+		p.notifier.job(j, 1)
+		want = append(want, j.ID)
+	}
+	ordinary := oneTaskJob()
+	ordinary.ID = "ordinary"
+	p.notifier.job(ordinary, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.notifier.run(ctx)
+	var got []string
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got = nil
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, in := range l.stored {
+			for _, j := range in.Jobs {
+				got = append(got, j.ID)
+			}
+		}
+		if len(got) < len(want) {
+			return poll.Continue("the leader was told of %d of %d jobs", len(got), len(want))
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(4*notifiedWithin))
+	assert.DeepEqual(t, got, want)
+}
+
 // A leader was lost after it had begun a job, and after the caller had been told that the outcome is unknown. The next leader
 // learned of the job from its caller alone, who had come to another process, and took it for new.
 func TestNextLeaderLearnsOfBegunJobWhoseCallerHasLeft(t *testing.T) {
