--- a/io/cccontrol/begin.go
+++ b/io/cccontrol/begin.go
@@ -100,7 +100,7 @@
 	case err != nil:
 		// The leader may run the job all the same: a refusal could be untrue.
 		s.InDoubt, s.AskedInVain = true, true
-		p.cfg.Log.Info("begin not confirmed", "Job", j.ID, "Leader", leader.VM, "Error", err)
+		p.logLimited("begin not confirmed", "Job", j.ID, "Leader", leader.VM, "Error", err)
 	case out.Begun:
 		s.BegunBy = leader.Token
 		sub.persistent.Store(true)
@@ -127,7 +127,7 @@
 			return
 		}
 		p.stored(j, sub.newFor)
-		p.cfg.Log.Info("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
+		p.logLimited("hand-in stored after its answer", "Job", j.ID, "AfterMs", p.now()-s.ArrivedAt)
 	}()
 }
 
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -88,7 +88,7 @@
 	}
 	if err != nil {
 		// "hand-in" is the name of a submission in the log.
-		p.cfg.Log.Info("hand-in "+outcome, "Job", j.ID, "Queue", j.Queue.Name, "Team", j.Team, "TookMs", p.now()-began, "BudgetMs", budgetMs, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+		p.logLimited("hand-in "+outcome, "Job", j.ID, "Queue", j.Queue.Name, "Team", j.Team, "TookMs", p.now()-began, "BudgetMs", budgetMs, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
 	}
 	return err
 }
@@ -327,11 +327,11 @@
 		}
 	}
 	if err := p.storeCancel(ctx, id); err != nil {
-		p.cfg.Log.Info("cancellation not persisted", "Job", id, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+		p.logLimited("cancellation not persisted", "Job", id, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
 		return errors.Mark(err, ErrStateUnknown)
 	}
 	p.notifier.cancel(id)
-	p.cfg.Log.Info("cancellation accepted", "Job", id)
+	p.logLimited("cancellation accepted", "Job", id)
 	return nil
 }
 
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -198,10 +198,15 @@
 	go l.watchDirectory(directory)
 }
 
-// decision counts a decision of the scheduler and logs it, subject to the sampler's rate limit. LeftOut in a line is
-// the number of lines of the same kind that were dropped since the last one.
+// decision counts a decision of the scheduler and logs it like logLimited.
 func (p *Process) decision(kind string, kv ...any) {
 	p.cfg.Metrics.decisions.WithLabelValues(kind).Inc()
+	p.logLimited(kind, kv...)
+}
+
+// logLimited logs a line, subject to the sampler's rate limit: callers decide how often it comes. LeftOut in a line is the
+// number of lines of the same kind that were dropped since the last one.
+func (p *Process) logLimited(kind string, kv ...any) {
 	if p.cfg.Sampler != nil {
 		ok, leftOut := p.cfg.Sampler.Allow(kind)
 		if !ok {
--- a/io/cccontrol/withdraw.go
+++ b/io/cccontrol/withdraw.go
@@ -45,12 +45,12 @@
 		switch {
 		case err == nil:
 			p.notifier.withdraw(id, caller.Team)
-			p.cfg.Log.Info("job withdrawn before it was stored", "Job", id, "Team", caller.Team)
+			p.logLimited("job withdrawn before it was stored", "Job", id, "Team", caller.Team)
 			return ErrNoJob
 		case conflict != nil:
 			return err
 		case !sleep(ctx, jitter(retryDelayMs)):
-			p.cfg.Log.Info("cancellation not persisted", "Job", id, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
+			p.logLimited("cancellation not persisted", "Job", id, "StoreAgeMs", p.cfg.Store.AgeMs(), "Error", err)
 			return errors.Mark(err, ErrStateUnknown)
 		}
 	}
