Own deployment: memory for requests follows the machine

With a fixed default of 512 MB, connections of 64 KB each allowed 4,096 callers, fewer than the 5,000 requests that may wait, and a machine of 512 MB was not protected at all. Left out, RequestMemoryMB is now a quarter of the machine's memory, as on the platform it is a quarter of memory_mb.

--- a/io/cccmds/serve.go
+++ b/io/cccmds/serve.go
@@ -27,6 +27,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sys/unix"
 )
 
 // serveCommand runs the process of an entry VM.
@@ -45,7 +46,9 @@
 	peerConnections   = 32
 	workerConnections = 64
 	bytesPerKB        = 1024
-	settingsTimeUnit  = time.Millisecond
+	// defaultRequestMemoryMB is the memory for requests on a machine whose memory is not known.
+	defaultRequestMemoryMB = 32
+	settingsTimeUnit       = time.Millisecond
 )
 
 // run implements runner.
@@ -99,7 +102,7 @@
 	p.node = ccnode.New(nodeConfig(s, p.peers, metrics, nodeLog))
 	clock := ccclock.NewSystem()
 	p.intake = ccserver.NewIntake(ccserver.Config{
-		Limits: ccintake.NewLimits(s.Limits.RequestMemoryMB*bytesPerMB, s.Limits.MaxConnections),
+		Limits: ccintake.NewLimits(requestMemory(&s.Limits), s.Limits.MaxConnections),
 		Clock:  clock, Log: nodeLog, Sampler: cclog.NewSampler(clock), Metrics: ccserver.NewMetrics(reg),
 	})
 	p.callers = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Callers, Handler: cccaller.Handler(cccaller.Config{
@@ -111,6 +114,18 @@
 	return p, nil
 }
 
+// requestMemory returns the memory that connections and requests may occupy, in bytes.
+func requestMemory(l *ccnode.Limits) int64 {
+	if l.RequestMemoryMB > 0 {
+		return l.RequestMemoryMB * bytesPerMB
+	}
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return defaultRequestMemoryMB * bytesPerMB // The machine does not tell its memory.
+	}
+	return int64(float64(info.Totalram) * float64(info.Unit) * ccintake.RequestMemoryShare)
+}
+
 // nodeConfig builds the configuration of the node from the settings, with clients of the store, the workers and the VM
 // list.
 func nodeConfig(s *ccsettings.Settings, peers *ccpeer.Client, m *ccnode.Metrics, l *log.Logger) ccnode.Config {
--- a/io/ccnode/config.go
+++ b/io/ccnode/config.go
@@ -68,7 +68,7 @@
 	MaxBodyKB   int64 `yaml:"MaxBodyKB"`
 	MaxAnswerKB int64 `yaml:"MaxAnswerKB"`
 	// RequestMemoryMB bounds the memory that connections and requests in progress occupy, MaxConnections the connections of
-	// callers.
+	// callers. With 0, RequestMemoryMB is a quarter of the machine's memory.
 	RequestMemoryMB int64 `yaml:"RequestMemoryMB"`
 	MaxConnections  int   `yaml:"MaxConnections"`
 	// Fanout is the number of peers that one round of gossip is sent to.
@@ -96,7 +96,7 @@
 // DefaultLimits returns the values used where the settings give none.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxWaiting: 5_000, MaxBodyKB: 1_024, MaxAnswerKB: 4_096, RequestMemoryMB: 512, MaxConnections: 6_000, Fanout: 2, JobBuckets: 4,
+		MaxWaiting: 5_000, MaxBodyKB: 1_024, MaxAnswerKB: 4_096, MaxConnections: 6_000, Fanout: 2, JobBuckets: 4,
 		IntentBuckets: 16, RetentionHours: 24, CrossRegionMs: 40, ReservePercent: 10,
 		QuarantinePercent: 20, QuarantineFailures: 5, QuarantineMs: 5_000,
 	}
--- a/io/ccsettings/settings.go
+++ b/io/ccsettings/settings.go
@@ -198,13 +198,13 @@
 }
 
 // numbersInRange checks that every field of a struct of integers is above 0, and that percentages are at most 100.
-// ReservePercent, QuarantinePercent and PromiseMs may also be 0. Paths and exceptions use the Go names of the fields,
+// ReservePercent, QuarantinePercent, PromiseMs and RequestMemoryMB may also be 0. Paths and exceptions use the Go names of the fields,
 // which are also their YAML keys.
 func (c *validator) numbersInRange(path string, v reflect.Value) {
 	for i := range v.NumField() {
 		name := v.Type().Field(i).Name
 		n := v.Field(i).Int()
-		if n < 0 || n == 0 && name != "ReservePercent" && name != "QuarantinePercent" && name != "PromiseMs" {
+		if n < 0 || n == 0 && !slices.Contains([]string{"ReservePercent", "QuarantinePercent", "PromiseMs", "RequestMemoryMB"}, name) {
 			c.add(path+"."+name, "must be above 0")
 		}
 		if n > 100 && (name == "ReservePercent" || name == "QuarantinePercent") {
