A full listener refuses at once after a quarter of a second

While all connections of a listener served whole requests, each new one was kept for 250 ms before it was closed, one after the other, so that callers at the end of the queue were refused only when their time had passed. The listener now remembers since when all have been served: the first waits, the next ones are refused at once until one is answered.

--- a/core/ccintake/account.go
+++ b/core/ccintake/account.go
@@ -35,6 +35,8 @@
 type Listener struct {
 	maxConns int
 	open     map[*Conn]struct{}
+	// servedSince is when all connections were first found to serve whole requests, 0 if one does not.
+	servedSince ms
 }
 
 // Conn is one open connection.
@@ -94,18 +96,24 @@
 
 // Open counts a new connection. If the listener has as many as it may, victim is the connection to be closed for it: the
 // one whose client has owed a whole request for the longest, and for GraceMs at least. If there is none, Open returns no
-// connection, and is called again when one was closed, or after wait; wait is 0 if all serve whole requests.
+// connection: it is called again when one was closed, or after wait. The new connection is refused if wait is 0, since
+// all have served whole requests for GraceMs.
 func (l *Listener) Open(now ms) (c, victim *Conn, wait ms) {
 	if l.Full() {
 		victim = oldest(l.open, func(c *Conn) bool { return !c.serving })
 		if victim == nil {
-			return nil, nil, 0
+			if l.servedSince == 0 {
+				l.servedSince = now
+			}
+			return nil, nil, max(l.servedSince+GraceMs-now, 0)
 		}
+		l.servedSince = 0
 		if wait = victim.since + GraceMs - now; wait > 0 {
 			return nil, nil, wait
 		}
 		delete(l.open, victim)
 	}
+	l.servedSince = 0
 	c = &Conn{listener: l, since: now}
 	l.open[c] = struct{}{}
 	return c, victim, 0
--- a/core/ccintake/account_test.go
+++ b/core/ccintake/account_test.go
@@ -34,11 +34,14 @@
 			test.events(a, conns)
 			c, victim, wait := l.Open(GraceMs)
 			assert.Assert(t, c == nil && victim == nil, "the clients have had no time for their requests")
-			assert.Equal(t, wait > 0, test.victim >= 0)
-			c, victim, wait = l.Open(GraceMs + 5)
+			assert.Assert(t, wait > 0)
+			c, victim, wait = l.Open(2*GraceMs + 5)
 			assert.Equal(t, wait, ms(0))
 			if test.victim < 0 {
 				assert.Assert(t, c == nil && victim == nil)
+				conns[1].Await(2*GraceMs + 5)
+				_, _, wait = l.Open(2*GraceMs + 6)
+				assert.Assert(t, wait > 0, "the next connection is refused although one has been answered")
 				return
 			}
 			assert.Assert(t, c != nil && victim == conns[test.victim])
--- a/io/ccserver/intake.go
+++ b/io/ccserver/intake.go
@@ -80,14 +80,12 @@
 	}
 }
 
-// admit counts a new connection. It blocks while there is no room for it, and returns nil if there is none for
-// ccintake.GraceMs since all connections are being served; the caller closes nc then.
+// admit counts a new connection. It blocks while there may soon be room for it, and returns nil if not; the caller closes
+// nc then.
 func (in *Intake) admit(k Kind, nc net.Conn) *conn {
-	var servedSince ccclock.Millis
 	for {
-		now := in.cfg.Clock.Now()
 		in.mu.Lock()
-		c, victim, wait := in.listeners[k].Open(now)
+		c, victim, wait := in.listeners[k].Open(in.cfg.Clock.Now())
 		closing := in.open[victim]
 		var out *conn
 		if c != nil {
@@ -100,15 +98,7 @@
 		if out != nil {
 			return out
 		}
-		switch {
-		case wait > 0:
-			servedSince = 0
-		case servedSince == 0:
-			servedSince, wait = now, ccintake.GraceMs
-		default:
-			wait = servedSince + ccintake.GraceMs - now
-		}
-		if wait <= 0 {
+		if wait == 0 {
 			in.report(k, noConnection)
 			return nil
 		}
