Tasks that ask for no capacity are started in part

Three submissions of 3 KB with 64 stages of 4,096 tasks that ask for no capacity took 158 MB of 128 within two seconds, and rising: all tasks fit on any worker, so that the leader started 262,144 of each job at once, each an attempt and a call in progress.

A gang is started whole.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -118,6 +118,9 @@
 	stats Stats
 	// jobBytes is the result of JobBytes.
 	jobBytes int64
+	// liveAttempts is the number of live attempts at the begin of the round and of starts since. startsPending is the number
+	// of starts without a reply.
+	liveAttempts, startsPending int64
 }
 
 // Stats counts decisions since the start of the leader.
--- a/core/cccell/memory.go
+++ b/core/cccell/memory.go
@@ -1,5 +1,7 @@
 package cccell
 
+import "math"
+
 const (
 	// stageBytes is what a stage of a run occupies besides its tasks, taskBits what a task that waits does.
 	stageBytes = 1536
@@ -11,6 +13,29 @@
 	runMemoryShare = 0.5
 )
 
+const (
+	// attemptBytes is what a live attempt occupies at the leader, startBytes what a start does until its reply is there.
+	attemptBytes = 1 << 10
+	startBytes   = 32 << 10
+)
+
+// countAttempts counts the live attempts at the begin of a round.
+func (c *Cell) countAttempts() {
+	c.liveAttempts = 0
+	for _, w := range c.workers {
+		c.liveAttempts += int64(len(w.attempts))
+	}
+}
+
+// startRoom returns how many tasks may be started now: live attempts and starts without a reply have to fit into the memory
+// for jobs each, and a task may ask for no capacity of a worker at all.
+func (c *Cell) startRoom() int {
+	if c.cfg.JobMemory == 0 {
+		return math.MaxInt
+	}
+	return int(max(min(c.cfg.JobMemory/attemptBytes-c.liveAttempts, c.cfg.JobMemory/startBytes-c.startsPending), 0))
+}
+
 // LargeBytes returns what the job occupies at a leader beyond what an ordinary job does, in bytes.
 func (j *Job) LargeBytes() int64 {
 	return max(j.MemoryBytes()-ordinaryJobBytes, 0)
--- a/core/cccell/memory_test.go
+++ b/core/cccell/memory_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"coriandercross/core/ccwork"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -125,3 +127,44 @@
 		})
 	}
 }
+
+// TestTasksWithoutSizeAreStartedInPart checks that tasks that ask for no capacity are not all started at once: live attempts and
+// starts without a reply are bounded by the memory for jobs, and a start follows for each that has ended or was answered.
+func TestTasksWithoutSizeAreStartedInPart(t *testing.T) {
+	const memory = 256 * attemptBytes
+	const pending = memory / startBytes
+	c := readyCell(t, testWorker("w"))
+	c.cfg.JobMemory = memory
+	j := testJob("a", 1000)
+	j.Stages[0].Size = ccwork.Size{}
+	c.AddJob(j, 1100, 1100)
+	c.Schedule(1200, 1200)
+	first := c.TakeOrders().Starts
+	assert.Equal(t, len(first), pending)
+	c.Schedule(1210, 1210)
+	assert.Equal(t, len(c.TakeOrders().Starts), 0, "no start has been answered")
+	started := 0
+	for now, starts := ms(1300), first; len(starts) > 0; now += 10 {
+		for i := range starts {
+			c.OnStartReply(&starts[i], executedReply(now), now)
+		}
+		started += len(starts)
+		c.Schedule(now, now)
+		starts = c.TakeOrders().Starts
+	}
+	assert.Equal(t, started, memory/attemptBytes)
+	c.endAttempt(c.stageOf(first[0].Task).tasks[0][0], EndDone, "", 9000)
+	c.Schedule(9000, 9000)
+	assert.Equal(t, len(c.TakeOrders().Starts), 1)
+}
+
+// TestGangIsStartedWhole checks that a gang that is larger than the bound of starts is started, and whole.
+func TestGangIsStartedWhole(t *testing.T) {
+	c := readyCell(t, testWorker("w"))
+	c.cfg.JobMemory = 2 * startBytes
+	j := testJob("a", 12)
+	j.Stages[0].Gang = true
+	c.AddJob(j, 1100, 1100)
+	c.Schedule(1200, 1200)
+	assert.Equal(t, len(c.TakeOrders().Starts), 12)
+}
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -28,6 +28,7 @@
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
 		c.unknownRunning = c.boundUnknownRunning(now)
+		c.countAttempts()
 		for _, w := range c.workers {
 			w.heldFor, w.heldMs = nil, 0
 			if c.usableWorker(w, now) {
@@ -242,6 +243,10 @@
 		number = c.nextAttempt()
 	}
 	left := s.unplaced
+	if room := c.startRoom(); room < left && !(s.spec.Gang && room > 0) { // A gang starts whole, or not at all.
+		left = room
+		s.placementDelay.add(now, delayRound)
+	}
 	for i := 0; i < s.spec.Count && left > 0 && len(list) > 0; i++ {
 		if !s.needsStart(i) || s.onTrial(i, now) {
 			continue
@@ -409,6 +414,8 @@
 	a.resumed = checkpoint != ""
 	ticket, _ := s.tickets.valid(w, now)
 	c.stats.Starts++
+	c.liveAttempts++
+	c.startsPending++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		OrderHeader: c.header(w), Task: a.task, Attempt: number, Spec: s.job.spec.Spec, Checkpoint: checkpoint, Ticket: ticket, LeaseUntilMs: w.giveLease(now, c.cfg.LeaseMs), attempt: a,
 	})
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -20,6 +20,7 @@
 
 // OnStartReply handles the reply to a start.
 func (c *Cell) OnStartReply(o *StartOrder, r Reply, now ms) {
+	c.startsPending--
 	a := o.attempt
 	w := a.worker
 	c.correctFenced(&o.OrderHeader, w, &r)
