--- a/core/cccell/memory.go
+++ b/core/cccell/memory.go
@@ -3,17 +3,14 @@
 import "math"
 
 const (
-	// stageBytes is what a stage of a run occupies besides its tasks, taskBits what a task that waits does.
-	stageBytes = 1536
-	taskBits   = 1
+	// stageBytes is what a stage of a run occupies besides its tasks. A task that waits occupies one bit.
+	stageBytes   = 1536
+	tasksPerByte = 8
 	// ordinaryJobBytes is the part of a job that is not counted: ordinary jobs are smaller, and are bounded by the rate at
 	// which the store takes them.
 	ordinaryJobBytes = 16 << 10
 	// runMemoryShare is the share of Config.JobMemory up to which runs are started beyond the first one of a job.
 	runMemoryShare = 0.5
-)
-
-const (
 	// attemptBytes is what a live attempt occupies at the leader, startBytes what a start does until its reply is there.
 	attemptBytes = 1 << 10
 	startBytes   = 32 << 10
@@ -53,10 +50,9 @@
 
 // runBytes returns what one run of the job occupies, in bytes.
 func (j *Job) runBytes() int64 {
-	const bitsPerByte = 8
 	var n int64
 	for i := range j.Stages {
-		n += stageBytes + int64(j.Stages[i].Count)*taskBits/bitsPerByte
+		n += stageBytes + int64(j.Stages[i].Count)/tasksPerByte
 	}
 	return n
 }
--- a/core/ccintake/account.go
+++ b/core/ccintake/account.go
@@ -41,7 +41,6 @@
 
 // Conn is one open connection.
 type Conn struct {
-	listener *Listener
 	// serving is true while a whole request is being served. Such a connection is never closed to make room.
 	serving bool
 	// since is the time from which on the client owes a whole request: that of the connection, of the last response, or of
@@ -114,7 +113,7 @@
 		delete(l.open, victim)
 	}
 	l.servedSince = 0
-	c = &Conn{listener: l, since: now}
+	c = &Conn{since: now}
 	l.open[c] = struct{}{}
 	return c, victim, 0
 }
--- a/io/cccmds/entry.go
+++ b/io/cccmds/entry.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.check(); err != nil {
+		return err
+	}
 	limitRuntime(s)
 	out := cclog.NewAsyncWriter(o.out)
 	defer out.Close()
@@ -90,6 +93,14 @@
 	return p.serve()
 }
 
+// check returns ErrBadSettings for options that are out of range.
+func (c *entryCommand) check() error {
+	if c.RequestMemoryMB < 0 || c.MaxConnections < 0 || c.JobMemoryMB < 0 {
+		return errors.Wrapf(ccplatform.ErrBadSettings, "--request-memory-mb %d, --max-connections %d and --job-memory-mb %d must not be negative", c.RequestMemoryMB, c.MaxConnections, c.JobMemoryMB)
+	}
+	return nil
+}
+
 // limitRuntime sets the limits of the Go runtime according to the settings.
 func limitRuntime(s *ccplatform.Settings) {
 	runtime.GOMAXPROCS(max(s.Limits.Cores, 1))
@@ -251,9 +262,9 @@
 	p.log.Info("stopped", "Requests", p.ingress.Active())
 }
 
-// reload reads the settings again. It changes GOMAXPROCS, the memory limit, the limits of the intake, the grace period and the seeds; all other
-// settings stay as they were at the start of the process. If why is "poll", it does nothing unless a limit, a bound or
-// a seed has changed.
+// reload reads the settings again. It changes GOMAXPROCS, the memory limit, the limits of what clients may occupy, the
+// grace period and the seeds; all other settings stay as they were at the start of the process. If why is "poll", it does
+// nothing unless a limit, a bound or a seed has changed.
 func (p *entryProcess) reload(why string) {
 	s, err := ccplatform.LoadSettings(p.path)
 	if err != nil {
