Own deployment: an edit of the configuration counts what it decodes to

A crowd of whole edits of 1 MB with 100,000 teams each took 140 MB of 128 at one process: a byte of an edit counted as one of a job, 4 bytes, and takes some 60 decoded.

Change: the operators' server counts 64 bytes for each. A large edit is decoded by itself, another one is refused meanwhile (429); a single one is served as before.

--- a/io/cccmds/serve.go
+++ b/io/cccmds/serve.go
@@ -46,6 +46,9 @@
 	peerConnections   = 32
 	workerConnections = 64
 	bytesPerKB        = 1024
+	// editBodyFactor is what a byte of an edit of the configuration occupies: a team takes a few bytes as text, and many times
+	// that decoded, checked and compared.
+	editBodyFactor = 64
 	// defaultRequestMemoryMB is the memory for requests on a machine whose memory is not known.
 	defaultRequestMemoryMB = 32
 	settingsTimeUnit       = time.Millisecond
@@ -108,7 +111,7 @@
 	p.callers = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Callers, Handler: cccaller.Handler(cccaller.Config{
 		Backend: p.node, MaxBody: s.Limits.MaxBodyKB * bytesPerKB, Log: callerLog,
 	})})
-	p.operator = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Operators, Handler: ccoperator.Handler(ccoperator.Config{
+	p.operator = p.intake.NewServer(ccserver.ServerConfig{Kind: ccserver.Operators, BodyFactor: editBodyFactor, Handler: ccoperator.Handler(ccoperator.Config{
 		Backend: p.node, Metrics: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), Drain: p.beginDrain,
 	})})
 	return p, nil
--- a/io/ccharness/crowd_test.go
+++ b/io/ccharness/crowd_test.go
@@ -46,6 +46,15 @@
 		"EditsStoppedShort": {operators, func(c net.Conn, _ int) {
 			SendAll(c, "PUT /v1/config HTTP/1.1\r\nHost: x\r\n"+ContentLength(crowdBodyBytes)+"\r\n\r\n{"+strings.Repeat(" ", crowdBodyBytes-2))
 		}},
+		"WholeEditsOfManyTeams": {operators, func(c net.Conn, _ int) {
+			body := strings.Builder{}
+			body.WriteString(`{"By":"x","Base":0,"Document":{"Teams":{`)
+			for i := 0; body.Len() < crowdBodyBytes-100; i++ {
+				fmt.Fprintf(&body, `"%x":{},`, i)
+			}
+			body.WriteString(`"x":{}}}}`)
+			SendAll(c, "PUT /v1/config HTTP/1.1\r\nHost: x\r\n"+ContentLength(body.Len())+"\r\n\r\n"+body.String())
+		}},
 		"PeerConnections": {peers, func(net.Conn, int) {}},
 	}
 	program := filepath.Join(t.TempDir(), "coriandercross")
--- a/io/ccserver/server.go
+++ b/io/ccserver/server.go
@@ -1,6 +1,7 @@
 package ccserver
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -19,9 +20,9 @@
 	maxHeaderBytes    = 16 << 10
 	// bodyTimeout is the time in which the body of a request has to be complete unless SetBodyTimeout says less.
 	bodyTimeout = 30 * time.Second
-	// bodyFactor is how often a byte of a body is held at a time: as it was read, decoded, encoded for the store, and on its
-	// way to the leader.
-	bodyFactor = 4
+	// defaultBodyFactor is ServerConfig.BodyFactor of requests and jobs: a byte is held as it was read, decoded, encoded for
+	// the store, and on its way to the leader.
+	defaultBodyFactor = 4
 	// reserveBytes is the part of a body for which room is taken at a time. Ordinary bodies are smaller.
 	reserveBytes = 4 << 10
 	// drainBytes and drainTimeout bound what is read of a body that its handler has left unread, so that the connection can
@@ -37,6 +38,9 @@
 type ServerConfig struct {
 	Kind    Kind
 	Handler http.Handler
+	// BodyFactor is what a byte of a body occupies in all forms in which it is held at a time, in bytes; 0 for
+	// defaultBodyFactor.
+	BodyFactor int64
 }
 
 // NewServer returns an HTTP server for a listener of the intake.
@@ -85,7 +89,7 @@
 	h.intake.read(c)
 	defer h.intake.release(c)
 	control := http.NewResponseController(w)
-	body := &body{ReadCloser: r.Body, conn: c, control: control}
+	body := &body{ReadCloser: r.Body, conn: c, control: control, factor: cmp.Or(h.cfg.BodyFactor, defaultBodyFactor)}
 	body.setDeadline(bodyTimeout)
 	rw := &replyWriter{ResponseWriter: w, body: body}
 	if r.Header.Get("Expect") == "" {
@@ -103,6 +107,8 @@
 	io.ReadCloser
 	conn    *conn
 	control *http.ResponseController
+	// factor is ServerConfig.BodyFactor.
+	factor int64
 	// read and reserved are in bytes of the body.
 	read, reserved int64
 	complete       bool
@@ -122,7 +128,7 @@
 		return 0, b.err
 	}
 	if b.read == b.reserved {
-		if b.err = b.conn.intake.reserve(b.conn, reserveBytes*bodyFactor); b.err != nil {
+		if b.err = b.conn.intake.reserve(b.conn, reserveBytes*b.factor); b.err != nil {
 			b.conn.intake.report(b.conn.kind, bodyRefused)
 			return 0, b.err
 		}
--- a/io/ccserver/server_test.go
+++ b/io/ccserver/server_test.go
@@ -119,7 +119,7 @@
 }
 
 // block is what one reservation holds.
-const block = reserveBytes * bodyFactor
+const block = reserveBytes * defaultBodyFactor
 
 // wide are limits that a test does not meet.
 var wide = ccintake.Limits{CallerConns: 100, OperatorConns: 8, ReadinessConns: 8, PeerConns: 8, BodyBytes: 1 << 30}
