A response that a client takes slowly is not cut off

Found in reading the diff: the 10 s for which a client may leave a response unread bounded each write as a whole. Each 16 KB have their own 10 s now, and peers none: their calls have bounds of their own. TestLargeResponseToSlowClient: one deadline for four parts before, four now.

--- a/io/ccserver/listener.go
+++ b/io/ccserver/listener.go
@@ -16,8 +16,10 @@
 	// receiveBufferBytes is the size of the receive buffer of a client's connection. The kernel keeps twice as much for its
 	// own use.
 	receiveBufferBytes = 16 << 10
-	// writeTimeout is the time for which a client may leave a response unread.
+	// writeTimeout is the time for which a client may take nothing of a response.
 	writeTimeout = 10 * time.Second
+	// writePartBytes is the part of a response for which writeTimeout begins anew: a large one takes long on a narrow link.
+	writePartBytes = 16 << 10
 )
 
 // Listen listens for connections of a kind. Those that it accepts are bounded by the intake. Peers send whole documents
@@ -105,14 +107,25 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the client takes nothing for writeTimeout. A client that is being answered owes
-// the next request.
+// Write implements net.Conn. It fails if a client, but for a peer, takes nothing for writeTimeout. A client that is being
+// answered owes the next request.
 func (c *conn) Write(p []byte) (int, error) {
 	c.intake.await(c)
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	if c.kind == Peers {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	for written < len(p) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(written+writePartBytes, len(p))])
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
+	return written, nil
 }
 
 // CloseWrite shuts down the writing side, as net/http does before it closes a connection.
--- a/io/ccserver/server_test.go
+++ b/io/ccserver/server_test.go
@@ -272,3 +272,34 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Assert(t, !open)
 }
+
+// TestLargeResponseToSlowClient checks that a response that takes longer than writeTimeout arrives whole as long as its client
+// takes some of it: each part has its own deadline.
+func TestLargeResponseToSlowClient(t *testing.T) {
+	s := startServer(t, wide)
+	server, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	c := s.intake.admit(Callers, &pipeConn{Conn: server})
+	data := []byte(strings.Repeat("x", 4*writePartBytes))
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(data)
+		done <- err
+	}()
+	got, err := io.ReadAll(io.LimitReader(far, int64(len(data))))
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(data))
+	assert.NilError(t, <-done)
+	assert.Equal(t, c.Conn.(*pipeConn).deadlines, len(data)/writePartBytes, "one deadline for each part")
+}
+
+// pipeConn counts the write deadlines that are set.
+type pipeConn struct {
+	net.Conn
+	deadlines int
+}
+
+func (c *pipeConn) SetWriteDeadline(t time.Time) error {
+	c.deadlines++
+	return c.Conn.SetWriteDeadline(t)
+}
