--- a/core/cccell/memory.go
+++ b/core/cccell/memory.go
@@ -16,14 +16,6 @@
 	startBytes   = 32 << 10
 )
 
-// countAttempts counts the live attempts at the begin of a round.
-func (c *Cell) countAttempts() {
-	c.liveAttempts = 0
-	for _, w := range c.workers {
-		c.liveAttempts += int64(len(w.attempts))
-	}
-}
-
 // startRoom returns how many tasks may be started now: live attempts and starts without a reply have to fit into the memory
 // for jobs each, and a task may ask for no capacity of a worker at all.
 func (c *Cell) startRoom() int {
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -28,9 +28,10 @@
 		c.usable = c.usable[:0]
 		c.held = map[string]int{}
 		c.unknownRunning = c.boundUnknownRunning(now)
-		c.countAttempts()
+		c.liveAttempts = 0
 		for _, w := range c.workers {
 			w.heldFor, w.heldMs = nil, 0
+			c.liveAttempts += int64(len(w.attempts))
 			if c.usableWorker(w, now) {
 				c.usable = append(c.usable, w)
 			}
--- a/io/ccserver/intake.go
+++ b/io/ccserver/intake.go
@@ -138,10 +138,16 @@
 	c.account.Await(in.cfg.Clock.Now())
 }
 
-// full reports whether there is no room for another connection at the listener of c.
-func (in *Intake) full(c *conn) bool {
+// begin records that the header of a request was received, and whether that is all of it. It reports whether there is no
+// room for another connection at the listener.
+func (in *Intake) begin(c *conn, whole bool) (full bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if whole {
+		in.account.Serve(c.account)
+	} else {
+		in.account.Read(c.account, in.cfg.Clock.Now())
+	}
 	return in.listeners[c.kind].Full()
 }
 
@@ -152,13 +158,6 @@
 	in.account.Serve(c.account)
 }
 
-// read records that the header of a request with a body was received.
-func (in *Intake) read(c *conn) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.account.Read(c.account, in.cfg.Clock.Now())
-}
-
 // reserve takes n more bytes for the body of a request. It blocks while connections that it has closed let go of theirs,
 // and fails with ccintake.ErrNoRoom.
 func (in *Intake) reserve(c *conn, n int64) error {
--- a/io/ccserver/server.go
+++ b/io/ccserver/server.go
@@ -78,15 +78,14 @@
 		h.cfg.Handler.ServeHTTP(w, r) // The listener is not one of the intake.
 		return
 	}
-	if h.intake.full(c) {
+	whole := r.ContentLength == 0
+	if h.intake.begin(c, whole) {
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength == 0 {
-		h.intake.serve(c)
+	if whole {
 		h.cfg.Handler.ServeHTTP(w, r)
 		return
 	}
-	h.intake.read(c)
 	defer h.intake.release(c)
 	control := http.NewResponseController(w)
 	body := &body{ReadCloser: r.Body, conn: c, control: control, factor: cmp.Or(h.cfg.BodyFactor, defaultBodyFactor)}
