Add review case 12: an unstored job runs twice after the loss of all processes

Cause: a job that began before it was stored waits for the leases of a silent worker only if a process or a worker tells of unstored work; after the loss of all processes only the cut-off worker could.

--- a/review/standin3/crashes.go
+++ b/review/standin3/crashes.go
@@ -5,13 +5,14 @@
 	"time"
 )
 
-// playCrashes runs a job of one task of 25 s, which one worker of four may run. That worker crashes four times, each time 4 s
-// after the task has begun there, and is back 1.5 s later. It checks that the job is not shown as failed (LOST).
+// playCrashes runs a job of one task that one worker of four may run. That worker is idle and has crashed each time that the
+// start arrives, so that the task never begins; another one is at its address 1 s later. After four such crashes the address
+// stays up. It checks that the job is not shown as failed (LOST).
 func playCrashes(s *system, trouble bool) error {
 	const (
-		lasts   = 25 * time.Second
-		runs    = 4 * time.Second
-		down    = 1500 * time.Millisecond
+		up      = 2700 * time.Millisecond
+		down    = 1 * time.Second
+		longest = 5 * time.Second
 		crashes = 4
 	)
 	s.configure(1)
@@ -26,38 +27,41 @@
 	}
 	time.Sleep(6 * time.Second) // The machines are in touch.
 	w := s.workers[3]
-	j := s.submit(1, fmt.Sprintf(`{"spec":"done=%d","job_stages":[{"count":1,"cpu":2700,"mem_mb":7800,"estimate_ms":%d,"required_label":"b"}]}`, lasts.Milliseconds(), lasts.Milliseconds()))
+	if trouble {
+		w.goDark()
+	}
+	j := s.submit(1, `{"spec":"done=5100","job_stages":[{"count":1,"cpu":2700,"mem_mb":7800,"estimate_ms":5100,"required_label":"b"}]}`)
 	if j.accepted.IsZero() {
 		return fmt.Errorf("job was answered %v", j.statuses)
 	}
 	task := j.id + ".0.0.0"
-	if err := s.awaitBegun(1, 5*time.Second); err != nil {
-		return err
-	}
-	for n := range crashes {
-		if !trouble {
-			break
-		}
-		for deadline := time.Now().Add(20 * time.Second); s.record.begun(task) <= n; time.Sleep(10 * time.Millisecond) {
+	for n := 1; trouble; n++ {
+		for deadline := time.Now().Add(longest); w.startsUnanswered() == 0; time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("run %d has not begun", n+1)
+				return fmt.Errorf("no start has arrived %s after crash %d", longest, n)
 			}
 		}
-		time.Sleep(runs)
-		w.crash()
 		time.Sleep(down)
-		if err := w.replace(fmt.Sprintf("i-b%03d", n+2)); err != nil {
+		if err := w.replace(fmt.Sprintf("i-b%03d", n+1)); err != nil {
 			return err
 		}
+		if n == crashes {
+			break
+		}
+		time.Sleep(up)
+		if !w.wasHeld() || s.record.begun(task) > 0 {
+			return fmt.Errorf("worker %d was not looked at, or the task has begun there", n+1)
+		}
+		w.goDark()
 	}
-	for deadline := time.Now().Add(lasts + 20*time.Second); time.Now().Before(deadline); time.Sleep(time.Second) {
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(time.Second) {
 		switch state, _ := s.state(j); state {
 		case "completed":
 			s.record.checkTwice()
 			return nil
 		case "failed":
 			if n := s.record.ended(task, "failed"); n == 0 {
-				s.record.breaks("LOST: %s is shown as failed, and no run of its task has ended failed; %d were lost with their worker", j.id, s.record.ended(task, "gone"))
+				s.record.breaks("LOST: %s is shown as failed, and no run of its task has ended failed; %d have begun", j.id, s.record.begun(task))
 				return nil
 			}
 		}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 	"ends":     playEnds,
 	"lasts":    playLasts,
 	"replaced": playReplaced,
+	"unstored": playUnstored,
 }
 
 // maxPlay bounds a case.
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -186,3 +186,13 @@
 	}
 	return n
 }
+
+// workerOf returns the worker of the first run of a task, "" if none has begun.
+func (r *record) workerOf(task string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if runs := r.runs[task]; len(runs) > 0 {
+		return runs[0].worker
+	}
+	return ""
+}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -21,6 +23,8 @@
 	events   []storeEvent
 	leases   map[int64]*storeLease
 	changed  chan struct{}
+	// down is true during an outage: no call is answered or carried out.
+	down bool
 }
 
 // storeItem is a key with its value.
@@ -55,6 +59,24 @@
 	return &store{revision: 1, items: map[string]*storeItem{}, leases: map[int64]*storeLease{}, changed: make(chan struct{})}
 }
 
+// setDown begins or ends an outage. The calls that arrive in it are never answered.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// hang waits until the connection of a call is closed, if there is an outage. It reports whether it has waited.
+func (s *store) hang(r *http.Request) bool {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		<-r.Context().Done()
+	}
+	return down
+}
+
 // put writes a key on behalf of the operator or a worker.
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
@@ -116,7 +138,7 @@
 		case now := <-t.C:
 			s.mu.Lock()
 			for id, l := range s.leases {
-				if now.After(l.ends) {
+				if !s.down && now.After(l.ends) {
 					s.endLease(id)
 				}
 			}
@@ -147,6 +169,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The server notices that a connection was closed only once the body has been read.
+	body, err := io.ReadAll(r.Body)
+	if err != nil || s.hang(r) {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	time.Sleep(storeAnswer)
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
@@ -225,6 +253,9 @@
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if s.hang(r) {
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at_rev": at})
 			return
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,8 +56,9 @@
 }
 
 const (
-	host   = "queue.example"
-	prefix = "/jobs/"
+	host    = "queue.example"
+	prefix  = "/jobs/"
+	firstID = int64(0x5c0e000000000000)
 )
 
 // newSystem starts the stand-in for the store. It starts no process yet.
@@ -127,10 +130,10 @@
 			return err
 		}
 	}
-	deadline := time.Now().Add(10 * time.Second)
+	readyBy := time.Now().Add(10 * time.Second)
 	for _, e := range s.entries {
 		for !s.isReady(e) {
-			if time.Now().After(deadline) {
+			if time.Now().After(readyBy) {
 				return fmt.Errorf("%s is not ready", e.name)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -252,16 +255,21 @@
 }
 
 // client calls the entry processes.
-var client = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
-// call makes a call of a client, and returns the status, 0 for none, and the body.
-func (s *system) call(e *entry, method, path string, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+e.callers+path, strings.NewReader(body))
+// deadline is the time that a client has for a call.
+const deadline = 3 * time.Second
+
+// call makes a call of a client that has some time left, and returns the status, 0 for none, and the body.
+func (s *system) call(e *entry, method, path, body string, left time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = host
-	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
@@ -275,12 +283,19 @@
 	return resp.StatusCode, strings.TrimSpace(out.String())
 }
 
-// submit hands a job in, at the machines in turn, until it is answered with 200, 404 or 429, four times at most.
+// A client hands a job in again after a pause, up to retries times and within its deadline.
+const (
+	retries = 4
+	pause   = 200 * time.Millisecond
+)
+
+// submit hands a job in, at the machines in turn, until it is answered with 200, 404 or 429.
 func (s *system) submit(n int, body string) *jobRecord {
-	j := &jobRecord{id: fmt.Sprintf("%016x", 0x5c0e000000000000+int64(n)), path: fmt.Sprintf("%s%016x", prefix, 0x5c0e000000000000+int64(n))}
-	for try := range 4 {
+	j := &jobRecord{id: fmt.Sprintf("%016x", firstID+int64(n)), path: fmt.Sprintf("%s%016x", prefix, firstID+int64(n))}
+	until := time.Now().Add(deadline)
+	for try := 0; try <= retries && time.Now().Before(until); try++ {
 		e := s.entries[(n+try)%len(s.entries)]
-		status, _ := s.call(e, http.MethodPost, j.path, body)
+		status, _ := s.call(e, http.MethodPost, j.path, body, time.Until(until))
 		j.statuses = append(j.statuses, status)
 		s.record.add("submit", "%s at %s: %d", j.id, e.name, status)
 		if status == http.StatusOK {
@@ -289,7 +304,7 @@
 		if status == http.StatusOK || status == http.StatusNotFound || status == http.StatusTooManyRequests {
 			break
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(pause)
 	}
 	s.mu.Lock()
 	s.answers[j.id] = j
@@ -300,7 +315,7 @@
 // state asks for the state of a job at the machines in turn, and returns the first that one gives, "" for none.
 func (s *system) state(j *jobRecord) (state string, status int) {
 	for _, e := range s.entries {
-		code, body := s.call(e, http.MethodGet, j.path, "")
+		code, body := s.call(e, http.MethodGet, j.path, "", deadline)
 		status = code
 		if code == http.StatusOK {
 			var out struct {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -35,6 +35,13 @@
 	ended    int64
 	seen     int64
 	change   chan struct{}
+	// isDark is true once the incarnation has crashed and does not respond; startsInDark counts the starts that have arrived since.
+	isDark       bool
+	startsInDark int
+	// isCut is true while the worker is cut off from the machines.
+	isCut bool
+	// held is true once the incarnation has answered a look.
+	held bool
 	// stopped ends the goroutines of the incarnation.
 	stopped context.CancelFunc
 }
@@ -91,6 +98,7 @@
 	w.born, w.seq, w.token, w.lease = time.Now(), 0, 0, 0
 	w.runs, w.top, w.ends, w.ended, w.seen = map[runKey]*taskRun{}, map[string]int64{}, nil, 0, 0
 	w.change = make(chan struct{})
+	w.isDark, w.startsInDark, w.held = false, 0, false
 	w.stopped = cancel
 	w.server = &http.Server{Handler: w}
 	server := w.server
@@ -102,9 +110,17 @@
 	return nil
 }
 
-// crash ends the incarnation with everything that runs.
+// crash ends the incarnation with everything that runs. Its connections are reset.
 func (w *worker) crash() {
+	w.goDark()
+	_ = w.server.Close()
+}
+
+// goDark ends the incarnation with everything that runs. It does not respond any more, and its connections hang until the next
+// one begins at its address.
+func (w *worker) goDark() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.stopped()
 	for _, r := range w.runs {
 		if r.timer != nil {
@@ -113,14 +129,50 @@
 		w.record.runEnded(w.cfg.ID, r.key, "gone", false)
 	}
 	w.runs = map[runKey]*taskRun{}
-	server := w.server
-	w.mu.Unlock()
-	_ = server.Close()
+	w.isDark = true
 	w.record.add("worker", "%s crashes", w.cfg.ID)
 }
 
+// setCut cuts the worker off from the machines, or ends that. What runs there runs on.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isCut = cut
+	w.record.add("worker", "%s is cut off: %t", w.cfg.ID, cut)
+}
+
+// hang waits until the connection of a request is closed, if the worker does not respond. It reports whether it has waited. The
+// caller holds mu, which hang releases then.
+func (w *worker) hang(r *http.Request) bool {
+	if !w.isDark && !w.isCut {
+		return false
+	}
+	if w.isDark && r.URL.Path == "/api/run-start" {
+		w.startsInDark++
+		w.record.add("worker", "%s does not respond to a start", w.cfg.ID)
+	}
+	w.mu.Unlock()
+	<-r.Context().Done()
+	return true
+}
+
+// startsUnanswered returns how many starts have arrived at the incarnation since it crashed.
+func (w *worker) startsUnanswered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.startsInDark
+}
+
+// wasHeld reports whether the incarnation has answered a look.
+func (w *worker) wasHeld() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held
+}
+
 // replace begins a worker at the address of one that has crashed, as its registration has expired.
 func (w *worker) replace(id string) error {
+	_ = w.server.Close()
 	w.store.remove("servers/" + w.cfg.ID)
 	w.cfg.ID = id
 	return w.start()
@@ -217,6 +269,9 @@
 		return
 	}
 	w.mu.Lock()
+	if w.hang(r) {
+		return
+	}
 	if o.Token < w.token {
 		defer w.mu.Unlock()
 		w.refuse(rw, "fence")
@@ -334,7 +389,11 @@
 			w.mu.Unlock()
 			return
 		}
+		if w.hang(r) {
+			return
+		}
 	}
+	w.held = true
 	running, finished := [][]any{}, [][]any{}
 	for key, run := range w.runs {
 		percent := 100
