--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -30,7 +30,9 @@
 	entries []*entry
 	named   int // The number of machines so far.
 	bounds  map[string]any
-	stop    chan struct{}
+	// pause is the time after which clients hand a job in again.
+	pause time.Duration
+	stop  chan struct{}
 
 	mu      sync.Mutex
 	answers map[string]*jobRecord
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, program: program, record: rec, store: newStore(), address: l.Addr().String(), stop: make(chan struct{}), answers: map[string]*jobRecord{}}
+	s := &system{dir: dir, program: program, record: rec, store: newStore(), address: l.Addr().String(), pause: usualPause, stop: make(chan struct{}), answers: map[string]*jobRecord{}}
 	s.bounds = map[string]any{
 		"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": 2500, "grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 2500,
 		"rollback_slack_ms": 250, "max_stretch_ms": 6000, "recovery_s": 12, "hold_max_ms": 10000, "stop_timeout_ms": 200, "gang_timeout_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000,
@@ -285,8 +287,8 @@
 
 // A client hands a job in again after a pause, up to retries times and within its deadline.
 const (
-	retries = 4
-	pause   = 200 * time.Millisecond
+	retries    = 4
+	usualPause = 200 * time.Millisecond
 )
 
 // submit hands a job in, at the machines in turn, until it is answered with 200, 404 or 429.
@@ -304,7 +306,7 @@
 		if status == http.StatusOK || status == http.StatusNotFound || status == http.StatusTooManyRequests {
 			break
 		}
-		time.Sleep(pause)
+		time.Sleep(s.pause)
 	}
 	s.mu.Lock()
 	s.answers[j.id] = j
--- a/review/standin3/unstored.go
+++ b/review/standin3/unstored.go
@@ -16,6 +16,7 @@
 		killAt = 2 * time.Second         // From the begin of the outage.
 		cut    = 5500 * time.Millisecond
 	)
+	s.pause = 800 * time.Millisecond // The client comes back when a new leader has read the store.
 	s.configure(1)
 	if err := s.addWorkers(8, workerConfig{CPU: 16000, MemoryMB: 65536, Labels: []string{"a", "r1-1"}}); err != nil {
 		return err
