A caller from before the handover has its job counted as begun

Its job began before it was stored, all processes were lost, the worker that ran it was cut off, and the client came back.

Cause: whether a prior leader may have begun a job was told by when the submission arrived at the present process (submission.newFor). For a caller that had submitted it before, to a process that is lost, that says nothing.

Ruled out: leases of the silent worker that are reckoned too short (the task started 40 ms after the worker fell silent, not at the end of any lease); a second submission (the store has one).

Change: a process takes the time that the caller has used, and a second for the way, from the arrival (Caller.UsedMs, soleLeader). The job is new only if the process has known the sole leader for longer. "job accepted" says Source and MayHaveBegun. The model of the cell does the same.

Conclusion: jobs of callers that were there before the handover wait for silent workers, all others don't.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -238,28 +238,28 @@
 
 // AddJob adds an accepted job that was found in the store, or marks it as stored when the cell has it already.
 func (c *Cell) AddJob(spec *Job, now, nowUnix ms) {
-	c.addStored(spec, foundJob, now, nowUnix)
+	c.addStored(spec, foundJob, false, now, nowUnix)
 }
 
 // AddReportedJob adds an accepted job of which the process that accepted it has told, or marks it as stored. begun is
 // true if a prior leader may have started tasks of it.
 func (c *Cell) AddReportedJob(spec *Job, begun bool, now, nowUnix ms) {
-	c.addStored(spec, reportedJob, now, nowUnix)
-	j := c.jobs[spec.ID]
-	if j.source == foundJob {
+	c.addStored(spec, reportedJob, begun, now, nowUnix)
+	if j := c.jobs[spec.ID]; j.source == foundJob {
 		j.source = reportedJob
 	}
-	j.adopted = j.adopted || begun
 }
 
-// addStored adds an accepted job, or marks it as stored.
-func (c *Cell) addStored(spec *Job, source jobSource, now, nowUnix ms) {
+// addStored adds an accepted job, or marks it as stored. begun is true if a prior leader may have started tasks of it.
+func (c *Cell) addStored(spec *Job, source jobSource, begun bool, now, nowUnix ms) {
 	if j := c.jobs[spec.ID]; j != nil {
+		j.adopted = j.adopted || begun
 		c.markStored(j, now)
 		return
 	}
 	j := c.insert(spec, source, now, nowUnix)
-	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning()}, teamField(spec)...)...)
+	j.adopted = j.adopted || begun
+	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning(), "Source", source, "MayHaveBegun", j.adopted}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
 	c.attachOrphans(j, now)
--- a/core/cccell/modelreports_test.go
+++ b/core/cccell/modelreports_test.go
@@ -43,20 +43,20 @@
 // holder is a process that has got a job from its caller.
 type holder struct {
 	spec *cccell.Job
-	// newFor is the token of the leader of which the process knew, when the job arrived, that no prior one had authority; 0 for
-	// none. For any other leader the job may have begun.
+	// newFor is the token of the leader of which the process knew, when the caller first submitted the job as far as it says, that
+	// no prior one had authority; 0 for none. For any other leader the job may have begun.
 	newFor int64
 	// begunBy is the token of the last leader that has confirmed to run the job; askedInVain is true if one may run it.
 	begunBy     int64
 	askedInVain bool
 }
 
-// newHolder returns a process that gets a job now.
-func (sim *simulation) newHolder(j *cccell.Job, returning bool) *holder {
+// newHolder returns a process that gets a job now, whose caller says that it has submitted it first at a time.
+func (sim *simulation) newHolder(j *cccell.Job, firstAt ms) *holder {
 	spec := *j
-	spec.AcceptedMs, spec.Returning = int64(sim.now), returning
+	spec.AcceptedMs, spec.Returning = int64(sim.now), firstAt < sim.now
 	h := &holder{spec: &spec}
-	if n := len(sim.leaders); n > 0 && sim.now >= sim.leaders[n-1].aloneFrom && sim.draw(3, "knowsLeader") > 0 {
+	if n := len(sim.leaders); n > 0 && firstAt >= sim.leaders[n-1].aloneFrom && sim.draw(3, "knowsLeader") > 0 {
 		h.newFor = sim.leaders[n-1].token
 	}
 	return h
@@ -68,7 +68,7 @@
 		return
 	}
 	j := sim.newUnstored("h")
-	sim.held[j.ID] = &heldJob{submittedAt: sim.now, holders: []*holder{sim.newHolder(j, false)}}
+	sim.held[j.ID] = &heldJob{submittedAt: sim.now, holders: []*holder{sim.newHolder(j, sim.now)}}
 }
 
 // moveHeld lets the caller or a process of each held job do something.
@@ -78,7 +78,11 @@
 		action := sim.draw(10, "heldAction")
 		if action == 0 && !h.returned && sim.now-h.submittedAt < modelCallerMs {
 			h.returned = true
-			h.holders = append(h.holders, sim.newHolder(sim.jobs[id], sim.draw(2, "returning") == 0))
+			firstAt := sim.now
+			if sim.draw(2, "returning") == 0 {
+				firstAt = h.submittedAt
+			}
+			h.holders = append(h.holders, sim.newHolder(sim.jobs[id], firstAt))
 		}
 		if action == 1 && h.stored {
 			sim.find(id)
--- a/core/ccworkersim/checker.go
+++ b/core/ccworkersim/checker.go
@@ -149,6 +149,14 @@
 	return len(c.live[t])
 }
 
+// WorkerOf returns the ID of a worker that runs a task, "" for none.
+func (c *Checker) WorkerOf(t cccell.TaskID) string {
+	for _, w := range c.live[t] {
+		return w.Info.ID
+	}
+	return ""
+}
+
 // Started reports whether any attempt at a task was started.
 func (c *Checker) Started(t cccell.TaskID) bool {
 	return len(c.startedAt[t]) > 0
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -161,7 +161,7 @@
 func (l *leadership) logAuthority(now ms) {
 	p := l.p
 	if now >= l.handover.EndsAt() && !l.handedOver.Swap(true) {
-		p.soleToken.Store(l.token)
+		p.soleLeader.learn(l.token, now)
 		reached, workers := l.handover.Reached()
 		p.cfg.Log.Info("handover complete", "Token", l.token, "TookMs", now-l.beganAt, "Voters", len(l.record.Voters), "WorkersReached", reached, "Workers", workers)
 	}
--- a/io/cccontrol/begin_test.go
+++ b/io/cccontrol/begin_test.go
@@ -78,14 +78,14 @@
 	tests := map[string]struct {
 		backAfter time.Duration
 		refuses   bool // The leader does not run the job.
-		returning bool
+		used      ms
 		want      error
 		atLeast   time.Duration
 	}{
 		"BackInTime":        {backAfter: 400 * time.Millisecond, atLeast: 350 * time.Millisecond},
 		"BackTooLate":       {backAfter: 1200 * time.Millisecond, want: ccstore.ErrInDoubt, atLeast: 800 * time.Millisecond},
 		"NotRun":            {backAfter: 1200 * time.Millisecond, refuses: true, want: ccstore.ErrInDoubt},
-		"NotRunButReturned": {backAfter: 1200 * time.Millisecond, refuses: true, returning: true, want: ccstore.ErrInDoubt},
+		"NotRunButReturned": {backAfter: 1200 * time.Millisecond, refuses: true, used: 500, want: ccstore.ErrInDoubt},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,7 +109,7 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 			}()
-			err := p.Submit(ctx, Caller{Returning: test.returning}, job, 1000)
+			err := p.Submit(ctx, Caller{UsedMs: test.used}, job, 1000)
 			if test.want == nil {
 				assert.NilError(t, err)
 			} else {
@@ -121,7 +121,7 @@
 			leader.mu.Lock()
 			defer leader.mu.Unlock()
 			assert.Assert(t, len(leader.begun) >= 1)
-			assert.Equal(t, leader.begun[0].Job.Returning, test.returning)
+			assert.Equal(t, leader.begun[0].Job.Returning, test.used > 0)
 			if !test.refuses {
 				assert.Equal(t, len(store.items), 1)
 				assert.Equal(t, len(leader.stored), 1)
@@ -158,14 +158,14 @@
 // TestReturningCallerIsNotRefused checks that a process that reaches neither store nor leader refuses only a caller that
 // no other process has seen: another one may have started or written the job.
 func TestReturningCallerIsNotRefused(t *testing.T) {
-	for name, returning := range map[string]bool{"First": false, "Returning": true} {
+	for name, used := range map[string]ms{"First": 0, "Returning": 500} {
 		t.Run(name, func(t *testing.T) {
 			p := newFollower(t, &refusingStore{})
 			job := oneTaskJob()
-			err := p.Submit(context.Background(), Caller{Returning: returning}, job, 1000)
+			err := p.Submit(context.Background(), Caller{UsedMs: used}, job, 1000)
 			var refusal *Refusal
-			assert.Equal(t, errors.As(err, &refusal), !returning)
-			assert.Equal(t, errors.Is(err, ccstore.ErrInDoubt), returning)
+			assert.Equal(t, errors.As(err, &refusal), used == 0)
+			assert.Equal(t, errors.Is(err, ccstore.ErrInDoubt), used > 0)
 		})
 	}
 }
--- a/io/cccontrol/callers.go
+++ b/io/cccontrol/callers.go
@@ -69,10 +69,10 @@
 // accepted, or may still be. budgetMs is the caller's time budget. The job becomes one of the caller's team.
 func (p *Process) Submit(ctx context.Context, caller Caller, j *cccell.Job, budgetMs ms) error {
 	began := p.now()
-	j.Team, j.Key, j.Returning = caller.Team, caller.Key, caller.Returning
+	j.Team, j.Key, j.Returning = caller.Team, caller.Key, caller.UsedMs > 0
 	err := p.checkCap(ctx, j)
 	if err == nil {
-		err = p.submit(ctx, &caller, j, &ccadmit.Submission{ArrivedAt: began, BudgetMs: budgetMs, Returning: caller.Returning})
+		err = p.submit(ctx, &caller, j, &ccadmit.Submission{ArrivedAt: began, BudgetMs: budgetMs, Returning: j.Returning})
 	}
 	outcome := "accepted"
 	var refusal *Refusal
@@ -148,7 +148,7 @@
 func (p *Process) store(ctx context.Context, caller *Caller, j *cccell.Job, s *ccadmit.Submission) error {
 	j.AcceptedMs = int64(unixNow())
 	sub := newSubmission(j, s.AnswerAt())
-	sub.newFor = p.soleToken.Load()
+	sub.newFor = p.soleLeader.newFor(caller.UsedMs, s.ArrivedAt)
 	if err := p.waitStored(ctx, j, s, sub); err != nil {
 		var stored *alreadyStored
 		if errors.As(err, &stored) {
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -173,7 +173,7 @@
 	}
 	p.mu.Unlock()
 	if out.PriorEnded {
-		p.soleToken.Store(out.Token)
+		p.soleLeader.learn(out.Token, now)
 	}
 	p.succession.learnSlow(out.Slow, now)
 	if out.Loading {
--- a/io/cccontrol/jobroom_test.go
+++ b/io/cccontrol/jobroom_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"coriandercross/core/ccclock"
 	"coriandercross/core/ccwork"
 	"coriandercross/io/cccontrol"
 	"coriandercross/io/ccstandin"
@@ -19,28 +20,28 @@
 func TestLargeJobsAreRefusedWithoutRoom(t *testing.T) {
 	const memory, large = 100 << 10, 60 << 10
 	tests := map[string]struct {
-		id        string
-		bytes     int
-		returning bool
-		want      error
-		stored    bool
+		id     string
+		bytes  int
+		used   ccclock.Millis
+		want   error
+		stored bool
 	}{
-		"Large":     {"new", large, false, ccwork.ErrOverload, false},
-		"Returning": {"new", large, true, ccstore.ErrInDoubt, false},
-		"Known":     {"first", large, true, nil, true},
-		"Ordinary":  {"new", 1000, false, nil, true},
+		"Large":     {"new", large, 0, ccwork.ErrOverload, false},
+		"Returning": {"new", large, 500, ccstore.ErrInDoubt, false},
+		"Known":     {"first", large, 500, nil, true},
+		"Ordinary":  {"new", 1000, 0, nil, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			p, store := newProcess(t)
 			p.SetJobMemory(memory)
-			submit := func(id string, bytes int, returning bool) error {
+			submit := func(id string, bytes int, used ccclock.Millis) error {
 				j := testJob(id)
 				j.Stages[0].Image = strings.Repeat("x", bytes)
-				return p.Submit(context.Background(), cccontrol.Caller{Returning: returning}, j, 3000)
+				return p.Submit(context.Background(), cccontrol.Caller{UsedMs: used}, j, 3000)
 			}
-			assert.NilError(t, submit("first", large, false))
-			err := submit(test.id, test.bytes, test.returning)
+			assert.NilError(t, submit("first", large, 0))
+			err := submit(test.id, test.bytes, test.used)
 			assert.Equal(t, err == nil, test.want == nil, "%v", err)
 			assert.Assert(t, test.want == nil || errors.Is(err, test.want), "%v", err)
 			var refusal *cccontrol.Refusal
--- a/io/cccontrol/keys.go
+++ b/io/cccontrol/keys.go
@@ -27,9 +27,9 @@
 	Key cckey.ID
 	// Queue is the name of the queue of the request's route.
 	Queue string
-	// Returning is true if the caller has used a part of its time before this request: another process may have got the
-	// same submission.
-	Returning bool
+	// UsedMs is the part of its time that the caller has used before this request, 0 for none. If it has used some, another
+	// process may have got the same submission.
+	UsedMs ms
 	// keys are the keys of all teams, nil if the configuration has no teams.
 	keys *cckey.Table
 }
--- a/io/cccontrol/notify_test.go
+++ b/io/cccontrol/notify_test.go
@@ -87,7 +87,7 @@
 	store := &outageStore{items: map[string][]byte{}}
 	p := newFollower(t, store)
 	first, second := &runningLeader{}, &runningLeader{}
-	p.soleToken.Store(1)
+	p.soleLeader.learn(1, p.now())
 	setLeader(t, p, first, "vm-0", 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -163,17 +163,22 @@
 }
 
 // A job that had arrived before the authority of the prior leaders ended, or that was meant for another leader, was reported as
-// one that nobody had begun.
+// one that nobody had begun. So was one that its caller had first submitted before that, to a process that was lost.
 func TestJobThatAnotherLeaderMayHaveBegunIsReportedSo(t *testing.T) {
 	const leader = 2
 	tests := map[string]struct {
 		sole int64 // The leader of which the process knew by then that no leader before it had authority.
-		want []string
+		// known is the time for which the process has known it, used that since the caller first submitted the job elsewhere.
+		known, used ms
+		want        []string
 	}{
-		"Unknown":         {0, []string{"j"}},
-		"PriorLeader":     {leader - 1, []string{"j"}},
-		"ThisLeader":      {leader, nil},
-		"LaterLeaderOnly": {leader + 1, []string{"j"}},
+		"Unknown":                 {sole: 0, want: []string{"j"}},
+		"PriorLeader":             {sole: leader - 1, want: []string{"j"}},
+		"ThisLeader":              {sole: leader},
+		"LaterLeaderOnly":         {sole: leader + 1, want: []string{"j"}},
+		"CallerFromBefore":        {sole: leader, known: 2000, used: 2500, want: []string{"j"}},
+		"CallerFromShortlyBefore": {sole: leader, known: 2000, used: 1990, want: []string{"j"}},
+		"CallerFromAfterwards":    {sole: leader, known: 4000, used: 2500},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -185,8 +190,8 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go p.notifier.run(ctx)
-			p.soleToken.Store(test.sole)
-			assert.NilError(t, p.Submit(ctx, Caller{}, oneTaskJob(), 3000))
+			p.soleLeader.learn(test.sole, p.now()-test.known)
+			assert.NilError(t, p.Submit(ctx, Caller{UsedMs: test.used}, oneTaskJob(), 3000))
 			assert.DeepEqual(t, l.notified(t, notifiedWithin).Begun, test.want)
 			assert.Equal(t, l.notified(t, notifiedWithin).Token, int64(leader))
 		})
@@ -244,7 +249,7 @@
 	store := &outageStore{items: map[string][]byte{}}
 	p := newFollower(t, store)
 	first, second := &deafLeader{}, &runningLeader{}
-	p.soleToken.Store(1)
+	p.soleLeader.learn(1, p.now())
 	setLeader(t, p, first, "vm-0", 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/io/cccontrol/process.go
+++ b/io/cccontrol/process.go
@@ -103,9 +103,7 @@
 	// for none.
 	loadingToken atomic.Int64
 	draining     atomic.Bool
-	// soleToken is the token of the last leader of which this process knows that no leader before it has authority any more,
-	// 0 for none.
-	soleToken atomic.Int64
+	soleLeader   soleLeader
 	// runsUnstored is whether the leader that this process followed last, or was, runs jobs that are not stored.
 	runsUnstored atomic.Bool
 	// handedOver is the token of the last term of this process that ended because it was slow and chose a successor, 0 for
--- a/io/cccontrol/submission.go
+++ b/io/cccontrol/submission.go
@@ -28,7 +28,7 @@
 	// deadline is the time after which the write is not retried, so that the caller gets a reply in time.
 	deadline ms
 	// newFor is the token of the only leader that can have started tasks of the job: its prior leaders had lost their
-	// authority before the submission arrived. It is 0 if that is not known.
+	// authority before the caller first submitted it. It is 0 if that is not known.
 	newFor int64
 	// inDoubt is true once a write of the job has failed with an unknown outcome.
 	inDoubt bool
--- a/io/cccontrol/withdraw_test.go
+++ b/io/cccontrol/withdraw_test.go
@@ -26,7 +26,7 @@
 	}{
 		"NoTeams":        {[]cccontrol.Caller{noCaller}, noCaller, cccontrol.ErrWithdrawn},
 		"Twice":          {[]cccontrol.Caller{noCaller, noCaller}, noCaller, cccontrol.ErrWithdrawn},
-		"Returning":      {[]cccontrol.Caller{noCaller}, cccontrol.Caller{Returning: true}, ccstore.ErrInDoubt},
+		"Returning":      {[]cccontrol.Caller{noCaller}, cccontrol.Caller{UsedMs: 500}, ccstore.ErrInDoubt},
 		"SameTeam":       {[]cccontrol.Caller{teamA}, teamA, cccontrol.ErrWithdrawn},
 		"OtherTeam":      {[]cccontrol.Caller{teamA}, teamB, nil},
 		"OtherTeamFirst": {[]cccontrol.Caller{teamA, teamB}, teamB, cccontrol.ErrWithdrawn},
