A handover awaits all ends of a worker, not only those of its first reply

Cause: a worker lists 500 ends in a reply, and the next ones once it has forgotten these. The leader took each reply for the whole list when it decided whether the handover was complete. The simulated workers and the emulator had no such bound, so no test met it.

Ruled out: ends that are acknowledged before they are stored (exactly the tasks beyond the first 500 rows start again, and the worker lists their ends later); a lease that has lapsed (it has not, by the case's record).

Change: the stand-ins cut the list off, with the number as a setting. A worker is awaited until a reply to a poll sent after the handover had all ends, or, if it falls silent, until the leases that this leader renewed have ended. The next part is asked for as soon as the part before is stored, instead of 0.4 s later; ends of unknown jobs are stored at once while the worker has more. Log line "ends of a worker are read in parts".

Conclusion: a part of a list is no longer taken for the whole in the decision that starts tasks.

--- a/core/cccell/caps.go
+++ b/core/cccell/caps.go
@@ -86,7 +86,7 @@
 	// A prior leader gives no lease that ends later, also not at a worker that this leader learned of later.
 	lapsed := now >= c.handoverAt+maxLeaseDuration(c.longestPriorLease())
 	for _, w := range c.workers {
-		if w.orphans > 0 || (!lapsed && c.needsFreshPoll(w) && now < w.priorLeasesEndAt) {
+		if w.orphans > 0 || (!lapsed && c.mayRunUnknown(w) && now < w.priorLeasesEndAt) {
 			out = out.Plus(w.mayRunMore())
 		}
 	}
--- a/core/cccell/model_test.go
+++ b/core/cccell/model_test.go
@@ -599,9 +599,20 @@
 	rapid.Check(t, modelRun(modelOptions{lateReplies: true, sameID: true}))
 }
 
+// TestCellModelPages is TestCellModel with workers that list one to three ends in a reply. Tasks whose ends were not listed yet were
+// started again after a takeover.
+func TestCellModelPages(t *testing.T) {
+	rapid.Check(t, modelRun(modelOptions{pages: true}))
+}
+
+// TestCellModelUnstoredPages is TestCellModelPages with jobs that run before they are stored, and late replies.
+func TestCellModelUnstoredPages(t *testing.T) {
+	rapid.Check(t, modelRun(modelOptions{pages: true, unstored: true, lateReplies: true}))
+}
+
 // modelOptions selects what a simulation has beside its faults.
 type modelOptions struct {
-	resizes, teams, learns, unstored, sameID, lateReplies, reports, lapses bool
+	resizes, teams, learns, unstored, sameID, lateReplies, reports, lapses, pages bool
 }
 
 // modelRun returns a function that runs one simulation and checks the invariants.
@@ -618,6 +629,9 @@
 			sim.joinLate()
 		}
 		for _, x := range sim.workers {
+			if opts.pages {
+				x.EndsPerReply = 1 + sim.draw(3, "endsPerReply")
+			}
 			if x.SameID = opts.sameID; x.SameID {
 				x.MaxLeaseMs = modelLeaseMs
 			}
--- a/core/cccell/orders.go
+++ b/core/cccell/orders.go
@@ -189,4 +189,6 @@
 type TaskLists struct {
 	Running []RunningTask
 	Ended   []EndedTask
+	// EndsCutOff is true if the worker may list further ends once it has forgotten those in Ended.
+	EndsCutOff bool
 }
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -24,12 +24,29 @@
 	stopRetryIntervalMs ms = 400
 )
 
-// needsFreshPoll reports whether a worker is not admitted, or has not answered a poll that was sent after the end of
-// the prior leader's authority. Such a worker may run tasks that this leader does not know.
-func (c *Cell) needsFreshPoll(w *worker) bool {
+// mayRunUnknown reports whether a worker is not admitted, or has not answered a poll that was sent after the end of the
+// prior leader's authority. Such a worker may run tasks that this leader does not know.
+func (c *Cell) mayRunUnknown(w *worker) bool {
 	return !w.admitted || w.answeredPollSentAt < c.handoverAt
 }
 
+// needsFreshPoll reports whether a worker may run tasks that this leader does not know, or have ends of such tasks.
+func (c *Cell) needsFreshPoll(w *worker) bool {
+	return c.mayRunUnknown(w) || w.readPollSentAt < c.handoverAt
+}
+
+// awaited reports whether a worker may run tasks of prior leaders, or have ends of them, that this leader does not know and that do
+// not count as lost. They count as lost once the leases at the worker have ended, which the leader renews while it reads the ends.
+func (c *Cell) awaited(w *worker, now ms) bool {
+	switch {
+	case !c.needsFreshPoll(w):
+		return false
+	case w.moreEnds && w.readPollSentAt < c.handoverAt:
+		return !w.leasesExpired(now)
+	}
+	return now < w.priorLeasesEndAt
+}
+
 // schedulePolls orders the polls that are due.
 func (c *Cell) schedulePolls(now ms) {
 	firstPolls, idleNeeded := 0, c.idleNeeded()
@@ -134,7 +151,12 @@
 		return since >= quickPollIntervalMs
 	case w.silentSince != 0:
 		return since >= silentPollIntervalMs
-	case !w.admitted || (c.needsFreshPoll(w) && now >= c.handoverAt):
+	case !w.admitted:
+		return true
+	case w.moreEnds:
+		// The same ends are listed again until they are written and acknowledged.
+		return since >= unackedPollIntervalMs || (len(w.unackedEnds) == 0 && !c.ackWithheld(w, now))
+	case c.needsFreshPoll(w) && now >= c.handoverAt:
 		return true
 	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
 		return since >= unackedPollIntervalMs || w.stopConfirmedDuringPoll()
--- a/core/cccell/registry.go
+++ b/core/cccell/registry.go
@@ -164,7 +164,7 @@
 	for _, w := range c.workers {
 		// A poll before handoverAt does not count: the worker may have restarted since and executed orders of the prior
 		// leader.
-		if c.needsFreshPoll(w) && now < w.priorLeasesEndAt {
+		if c.awaited(w, now) {
 			return false
 		}
 	}
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -227,6 +227,12 @@
 	w := o.worker
 	w.confirmedAck = max(w.confirmedAck, o.AckedEnd)
 	w.answeredPollSentAt = max(w.answeredPollSentAt, r.Sent)
+	if !lists.EndsCutOff {
+		w.readPollSentAt = max(w.readPollSentAt, r.Sent)
+	}
+	if r.ClockMs >= w.listsClock {
+		c.setMoreEnds(w, lists)
+	}
 	for i := range lists.Ended {
 		e := &lists.Ended[i]
 		if e.Number <= w.readEnd {
@@ -246,7 +252,7 @@
 		present[attemptKey{t.Task, t.Attempt}] = true
 		c.recordRunning(w, t, now)
 	}
-	if len(lists.Ended) < maxEndsListed {
+	if !lists.EndsCutOff {
 		c.endMissing(w, present, *r, now)
 	}
 	// A poll that was sent to an earlier incarnation acknowledges end numbers of that incarnation. When a restarted
@@ -262,8 +268,13 @@
 	w.advanceAck(now)
 }
 
-// maxEndsListed is the number of ends in one reply; a reply with that many ends may leave some out.
-const maxEndsListed = 500
+// setMoreEnds records whether a worker may have ends that it has not listed.
+func (c *Cell) setMoreEnds(w *worker, lists *TaskLists) {
+	if lists.EndsCutOff && !w.moreEnds && w.readPollSentAt < c.handoverAt {
+		c.cfg.Log("ends of a worker are read in parts", "Worker", w.info.ID, "Listed", len(lists.Ended), "Running", len(lists.Running))
+	}
+	w.moreEnds = lists.EndsCutOff
+}
 
 // outlived reports whether a reply comes from an earlier incarnation than the present one. The call was sent before the
 // present one was known; the clock of a machine can be set back between two incarnations, so that a lower number alone
@@ -320,7 +331,7 @@
 		c.countRestart(w)
 	}
 	w.incarnation, w.incarnationAt = r.IncarnationMs, now
-	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds = 0, 0, 0, nil
+	w.ackedEnd, w.readEnd, w.confirmedAck, w.unackedEnds, w.moreEnds = 0, 0, 0, nil, false
 	w.clockAt, w.listsClock = 0, 0
 	w.health = health{score: 1}
 	w.admitted = false
--- a/core/cccell/takeover_test.go
+++ b/core/cccell/takeover_test.go
@@ -470,7 +470,7 @@
 			c.SetWorker(testWorker("w"), 1000)
 			pollAll(t, c, 1000, nil)
 			c.workers["w"].ackedEnd = 7
-			c.workers["w"].answeredPollSentAt = test.now
+			c.workers["w"].answeredPollSentAt, c.workers["w"].readPollSentAt = test.now, test.now
 			c.Schedule(test.now, test.now)
 			out := c.TakeOrders()
 			assert.Equal(t, len(out.Polls), 1)
--- a/core/cccell/unknown.go
+++ b/core/cccell/unknown.go
@@ -10,7 +10,8 @@
 // at any later time, and its leader must not start these tasks again. So the ends are stored under the ID of the job, as
 // the progress of a job would be, before the workers forget them; whoever learns of the job applies them.
 
-// unknownWriteAfterMs is the time after which the ends of an unknown job are stored. Most jobs become known before that.
+// unknownWriteAfterMs is the time after which the ends of an unknown job are stored, unless a worker has more ends to list. Most jobs
+// become known before that.
 const unknownWriteAfterMs ms = 1000
 
 // unknownJob holds the ends of the tasks of an unknown job.
@@ -22,6 +23,8 @@
 	seenAt ms
 	// revision is the store revision of the record, 0 when there is none.
 	revision int64
+	// urgent is true if a worker lists further ends only once these are stored.
+	urgent bool
 	// version counts the changes to be written; persisted is the newest version that the store has. writing is true while a
 	// write is in flight.
 	version, persisted int64
@@ -43,6 +46,7 @@
 	if u.progress.addEnd(e) {
 		u.version++
 	}
+	u.urgent = u.urgent || w.moreEnds
 	return u
 }
 
@@ -164,7 +168,7 @@
 
 // writeDue reports whether the ends of an unknown job have to be stored.
 func (u *unknownJob) writeDue(now ms) bool {
-	return !u.writing && u.persisted < u.version && now-u.seenAt >= unknownWriteAfterMs
+	return !u.writing && u.persisted < u.version && (u.urgent || now-u.seenAt >= unknownWriteAfterMs)
 }
 
 // dueUnknownWrites returns the number of records of unknown jobs that are due.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -147,8 +147,12 @@
 	// urgentPollInFlight is true while a second poll, which the worker answers at once, is in flight. It is sent when a
 	// stop was confirmed during a long poll, whose reply can't be trusted to show the effect of the stop.
 	urgentPollInFlight bool
-	// answeredPollSentAt is the time at which the newest answered poll was sent.
-	answeredPollSentAt ms
+	// answeredPollSentAt is the time at which the newest answered poll was sent, readPollSentAt that of the newest one whose reply
+	// had all ends.
+	answeredPollSentAt, readPollSentAt ms
+	// moreEnds is true if the worker may have ends that it has not listed: it lists the next ones once it has forgotten those
+	// before.
+	moreEnds bool
 	// listsClock is the worker's clock at the newest lists that were read. Replies with older lists may arrive later.
 	listsClock int64
 	pollSentAt ms
--- a/core/ccworkersim/worker.go
+++ b/core/ccworkersim/worker.go
@@ -46,6 +46,8 @@
 	// SameID is true if the incarnations share an identifier, as those of the platform may: the next one executes orders
 	// that were meant for an earlier one. Its clock begins at 0 then.
 	SameID bool
+	// EndsPerReply bounds the ends in the reply to a poll; 0 means no bound.
+	EndsPerReply int
 	// Checker receives the events of the worker; it may be nil.
 	Checker *Checker
 
@@ -262,7 +264,11 @@
 		}
 		w.ended = w.ended[1:]
 	}
-	lists := &cccell.TaskLists{Ended: append([]cccell.EndedTask(nil), w.ended...)}
+	ended := w.ended
+	if n := w.EndsPerReply; n > 0 && len(ended) > n {
+		ended = ended[:n]
+	}
+	lists := &cccell.TaskLists{Ended: append([]cccell.EndedTask(nil), ended...), EndsCutOff: w.EndsPerReply > 0 && len(ended) == w.EndsPerReply}
 	for _, a := range w.sortedAttempts() {
 		t := cccell.RunningTask{Task: a.Task, Attempt: a.Attempt, Percent: 100}
 		if a.EndsAt > 0 {
