A leader without the store needs two thirds of the workers after 3 s

All entry VMs and half of the workers were lost at once, and others were in their places.

Cause: without voters a new leader needs more than half of the roster's workers to know that the prior leader has lost its authority, since that one needs half of them. Lost workers never counted, so that it waited for the hour for which a leader may act without the store.

Ruled out: a wait for leases at the lost workers (4.7 s), workers that are not recorded or not reached (all 16 were taken). "handover complete" was missing; the log now has "handover waits" with what was reached.

Change, on both sides: a worker that answers at the address of another one shows that the other one has ended. A leader that the store does not confirm needs two thirds of the workers from 3 s on, so that a successor which has reached more than a third waits for 3 s. The leader record says so (MostWorkers), for the time in which releases run side by side.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -111,6 +111,8 @@
 	usable []*worker
 	// restarts counts the restarts of workers that this leader has found, by the IDs of the workers.
 	restarts map[string]int64
+	// answering holds the ID of the last worker that has answered a poll of this leader at an address, by the address.
+	answering map[string]string
 	// suspects refers to the crashes that are not confirmed, by the address of the worker.
 	suspects map[string][]suspect
 	// held counts the workers that are held in the current round, by service.
@@ -161,7 +163,7 @@
 	}
 	return &Cell{
 		cfg: cfg, roundAt: now, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*Queue{},
-		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{},
+		open: map[*stage]struct{}{}, scheduled: map[*job]struct{}{}, inDirty: map[*job]bool{}, suspects: map[string][]suspect{}, restarts: map[string]int64{}, answering: map[string]string{},
 		unknownJobs: map[string]*unknownJob{}, begunBefore: map[string]bool{}, unclaimed: map[string]bool{},
 		book: ccquota.NewBook(), capWaits: map[*ccquota.Account]*capWait{},
 		workerTypes: newWorkerTypeTable(), shares: ccfair.New(), excessLoggedAt: map[string]ms{}, handoverAt: now + cfg.PriorAuthorityMs, authorityUntil: now + cfg.AuthorityMs,
--- a/core/cccell/confirm.go
+++ b/core/cccell/confirm.go
@@ -7,8 +7,9 @@
 const (
 	// idlePollIntervalMs is the interval between polls of workers that run nothing, while they are needed.
 	idlePollIntervalMs ms = 800
-	// busyShare is the share of workers with attempts from which the idle ones are not needed: more than half.
-	busyShare = 0.6
+	// busyShare is the share of workers with attempts from which the idle ones are not needed: more than the two thirds that confirm a
+	// leader for long.
+	busyShare = 0.8
 )
 
 // PollIdle sets whether workers that run nothing are polled as well.
@@ -39,6 +40,17 @@
 	return w.answeredPollSentAt
 }
 
+// hasEnded reports whether a worker of the prior leader's roster is known to have ended, since another one has answered this leader at
+// its address. Load: many workers are lost together with the entry VMs, and others take their places.
+func (c *Cell) hasEnded(w *worker) bool {
+	prior := &w.priorInfo
+	if prior.ID == "" || w.newestIncarnation() != prior.IncarnationMs {
+		return false
+	}
+	id, answered := c.answering[prior.Address]
+	return answered && id != prior.ID
+}
+
 // WorkerReached reports whether an incarnation of a worker has executed a poll of this leader, or has ended.
 func (c *Cell) WorkerReached(id string, incarnation int64) bool {
 	w := c.workers[id]
@@ -48,5 +60,5 @@
 	if w.listed && w.info.IncarnationMs != incarnation {
 		return true
 	}
-	return w.answeredPollSentAt > 0 // By this incarnation, or by one that shows that this one has ended.
+	return w.answeredPollSentAt > 0 || c.hasEnded(w) // By this incarnation, or by one that shows that this one has ended.
 }
--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -39,7 +39,7 @@
 // not count as lost. They count as lost once the leases at the worker have ended, which the leader renews while it reads the ends.
 func (c *Cell) awaited(w *worker, now ms) bool {
 	switch {
-	case !c.needsFreshPoll(w):
+	case !c.needsFreshPoll(w), c.hasEnded(w):
 		return false
 	case w.moreEnds && w.readPollSentAt < c.handoverAt:
 		return !w.leasesExpired(now)
--- a/core/cccell/replies.go
+++ b/core/cccell/replies.go
@@ -227,6 +227,7 @@
 	w := o.worker
 	w.confirmedAck = max(w.confirmedAck, o.AckedEnd)
 	w.answeredPollSentAt = max(w.answeredPollSentAt, r.Sent)
+	c.answering[o.Address] = w.info.ID
 	if !lists.EndsCutOff {
 		w.readPollSentAt = max(w.readPollSentAt, r.Sent)
 	}
--- a/core/ccquorum/model_test.go
+++ b/core/ccquorum/model_test.go
@@ -8,7 +8,7 @@
 
 const (
 	modelProcesses       = 5
-	modelWorkers         = 3
+	modelWorkers         = 4
 	modelAuthorityMs  ms = 700
 	maxMessageDelayMs    = 2500
 )
@@ -25,11 +25,12 @@
 	rosterRevision int
 }
 
-// modelWorker is a worker, which keeps the highest token that it has seen until it restarts.
+// modelWorker is a worker, which keeps the highest token that it has seen until it restarts. Another one may take its place.
 type modelWorker struct {
-	id      string
-	startMs int64
-	token   int
+	// place names the worker in links that are cut. Only one worker has an address at a time.
+	place, id, address string
+	startMs            int64
+	token              int
 }
 
 // modelReply is the last reply of a worker to a leader: its incarnation, and when the call was sent.
@@ -70,6 +71,8 @@
 	rosterRevision int
 	writingRoster  bool
 	replies        map[string]modelReply
+	// answering has the ID of the worker that has replied last at an address.
+	answering map[string]string
 }
 
 // modelEvent is something that happens later, such as the arrival of a message.
@@ -91,6 +94,8 @@
 	blocked map[[2]string]bool
 	events  []modelEvent
 	starts  int64
+	// addresses has the addresses of all workers that there have been, by ID.
+	addresses map[string]string
 }
 
 func (m *model) draw(n int, what string) int {
@@ -246,11 +251,11 @@
 			p.lead = &modelLead{
 				p: p, token: won.token, revision: won.revision, prior: read.leader, term: NewTerm(id, modelAuthorityMs, won.voters, sent),
 				handover:       NewHandover(won.voters, read.votersToken == read.token, modelAuthorityMs, now),
-				rosterRevision: won.rosterRevision, replies: map[string]modelReply{},
+				rosterRevision: won.rosterRevision, replies: map[string]modelReply{}, answering: map[string]string{},
 			}
 			// The prior leader may have written a roster between the read and the write of the record, but none since.
 			p.lead.term.RecordedWorkers(won.roster)
-			p.lead.handover.AwaitWorkers(won.roster)
+			p.lead.handover.AwaitWorkers(won.roster, true)
 			p.lead.handover.Follows(id, now)
 			if ended {
 				p.lead.handover.PriorLeaderEnded(now)
@@ -327,7 +332,7 @@
 
 // poll is a call of a leader to a worker, and the reply.
 func (m *model) poll(l *modelLead, w *modelWorker) {
-	blocked := func() bool { return m.blocked[[2]string{l.p.id.VM, w.id}] }
+	blocked := func() bool { return m.blocked[[2]string{l.p.id.VM, w.place}] }
 	if blocked() {
 		return
 	}
@@ -344,14 +349,15 @@
 			return
 		}
 		w.token = l.token
-		startMs := w.startMs
+		startMs, worker, address := w.startMs, w.id, w.address
 		m.laterAt(l.p, func() {
 			if !m.running(l.p, id) || l.p.lead != l {
 				return
 			}
-			if last := l.replies[w.id]; startMs >= last.startMs {
-				l.replies[w.id] = modelReply{startMs, max(sent, last.at)}
+			if last := l.replies[worker]; startMs >= last.startMs {
+				l.replies[worker] = modelReply{startMs, max(sent, last.at)}
 			}
+			l.answering[address] = worker
 		})
 	})
 }
@@ -364,7 +370,10 @@
 		}
 		return 0
 	})
-	l.handover.ReachWorkers(func(id string, _ int64) bool { return l.replies[id].at > 0 }, m.clock(l.p))
+	l.handover.ReachWorkers(func(id string, _ int64) bool {
+		other, answered := l.answering[m.addresses[id]]
+		return l.replies[id].at > 0 || (answered && other != id)
+	}, m.clock(l.p))
 }
 
 // recordRoster is a write of the roster by a leader whose handover is complete. Its reply may be lost, and it may be carried
--- a/core/ccquorum/oneleader_test.go
+++ b/core/ccquorum/oneleader_test.go
@@ -12,7 +12,7 @@
 	p := m.processes[m.draw(modelProcesses, "process")]
 	other := m.processes[m.draw(modelProcesses, "other")]
 	w := m.workers[m.draw(modelWorkers, "worker")]
-	switch m.draw(13, "fault") {
+	switch m.draw(15, "fault") {
 	case 0:
 		p.up, p.lead, p.suspended = false, nil, false
 	case 1:
@@ -52,8 +52,12 @@
 		m.starts++
 		w.startMs, w.token = m.starts, 0
 	case 11:
-		key := [2]string{p.id.VM, w.id}
+		key := [2]string{p.id.VM, w.place}
 		m.blocked[key] = !m.blocked[key]
+	case 13:
+		m.replaceWorker(w, w.address)
+	case 14:
+		m.replaceWorker(w, fmt.Sprintf("a%d", modelWorkers+m.starts))
 	case 12:
 		// All VMs but one or two are lost, and none comes back soon.
 		for i, x := range m.processes {
@@ -64,6 +68,13 @@
 	}
 }
 
+// replaceWorker lets another worker take the place of one, at an address.
+func (m *model) replaceWorker(w *modelWorker, address string) {
+	m.starts++
+	w.id, w.address, w.startMs, w.token = fmt.Sprintf("w%d", m.starts), address, m.starts, 0
+	m.addresses[w.id] = address
+}
+
 // partition cuts the processes into two groups, the larger of which may be cut off from the store. It lasts for longer than
 // MaxWithoutStoreMs.
 func (m *model) partition() {
@@ -76,7 +87,7 @@
 		m.cut[p.id.VM] = !inMinority(i) && !storeForAll
 		for k, w := range m.workers {
 			if (k < modelWorkers/2) != inMinority(i) && m.draw(3, "workersToo") > 0 {
-				m.blocked[[2]string{p.id.VM, w.id}] = true
+				m.blocked[[2]string{p.id.VM, w.place}] = true
 			}
 		}
 		for k, other := range m.processes {
@@ -93,12 +104,14 @@
 // two leaders have authority at the same time.
 func TestOneLeaderActs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, now: 10_000, cut: map[string]bool{}, blocked: map[[2]string]bool{}}
+		m := &model{t: t, now: 10_000, cut: map[string]bool{}, blocked: map[[2]string]bool{}, addresses: map[string]string{}}
 		for i := range modelProcesses {
 			m.processes = append(m.processes, &modelProcess{id: Voter{VM: fmt.Sprintf("vm%d", i)}, up: true})
 		}
 		for i := range modelWorkers {
-			m.workers = append(m.workers, &modelWorker{id: fmt.Sprintf("w%d", i)})
+			w := &modelWorker{place: fmt.Sprintf("w%d", i), address: fmt.Sprintf("a%d", i)}
+			m.workers = append(m.workers, w)
+			m.replaceWorker(w, w.address)
 		}
 		stableRounds := 0
 		for range 130 {
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -1,5 +1,5 @@
 // Package ccquorum decides how long a leader may give orders, and when its successor may begin. A leader keeps its
-// authority while the store confirms it, or a majority of the voters and half of the workers do; the voters are processes that
+// authority while the store confirms it, or a majority of the voters and half of the workers do (most of them after a while); the voters are processes that
 // are recorded in the store. The successor waits until the prior leader can't have such a majority any more, or not so many
 // workers (workers.go).
 //
@@ -55,10 +55,10 @@
 	// voterSets holds the voters in the store, and those of writes whose outcome is not known. The leader needs a
 	// majority of each.
 	voterSets [][]Voter
-	// rosters holds the workers in the store, and those of writes whose outcome is not known, as voterSets does. workersAt is
-	// when half of each roster followed the leader for certain, 0 for never.
-	rosters   []Incarnations
-	workersAt ms
+	// rosters holds the workers in the store, and those of writes whose outcome is not known, as voterSets does. halfAt and mostAt
+	// are when half and most of each roster followed the leader for certain, 0 for never.
+	rosters        []Incarnations
+	halfAt, mostAt ms
 	// storeAt is when the last call was sent by which the store has confirmed the leader.
 	storeAt ms
 	// confirmedAt holds the time at which each voter followed the leader for certain.
@@ -90,7 +90,7 @@
 // Invalidate voids all confirmations from before a time. It is called after the process was suspended, as the clock did
 // not count the suspension.
 func (t *Term) Invalidate(now ms) {
-	t.validFrom, t.storeAt, t.workersAt = now, 0, 0
+	t.validFrom, t.storeAt, t.halfAt, t.mostAt = now, 0, 0, 0
 	t.confirmedAt = map[Voter]ms{}
 }
 
@@ -167,10 +167,12 @@
 	authorityMs ms
 	wonAt       ms
 	released    map[Voter]bool
-	// roster has the workers that the prior leaders need half of, reached those that no longer confirm them.
-	roster  Incarnations
-	reached map[string]bool
-	endsAt  ms
+	// roster has the workers that the prior leaders need half of, or most if needMost is set and the store does not confirm them for
+	// some time. reached has those that no longer confirm them.
+	roster   Incarnations
+	reached  map[string]bool
+	needMost bool
+	endsAt   ms
 }
 
 // NewHandover returns the handover to a leader that won the leader record at a time. voters are those of the record that
@@ -221,6 +223,11 @@
 	}
 }
 
+// VotersLeft returns the number of voters that may still confirm the prior leader.
+func (h *Handover) VotersLeft() int {
+	return len(h.voters) - len(h.released)
+}
+
 // EndsAt returns the time at which the authority of all prior leaders has ended, as far as is known. It becomes earlier
 // when the remaining voters are no majority.
 func (h *Handover) EndsAt() ms {
--- a/core/ccquorum/workers.go
+++ b/core/ccquorum/workers.go
@@ -6,9 +6,11 @@
 )
 
 // Workers confirm a leader as well, since each refuses the orders of a leader once it has seen the token of a later one. A
-// leader that the store does not confirm needs half of the workers besides the voters. The roster in the store names the
-// workers that count, so that a successor knows them: once it has reached more than half of them with its token, the prior
-// leader has lost its authority, even if none of the voters can be reached because all their VMs were replaced.
+// leader that the store does not confirm needs half of the workers besides the voters, and most of them after
+// MaxWithHalfMs. The roster in the store names the workers that count, so that a successor knows them: once it has reached more than
+// half of them with its token, the prior leader has lost its authority, even if none of the voters can be reached because all their VMs
+// were replaced. If it has reached so many that the others are not most of them, the prior leader loses it after MaxWithHalfMs: half of
+// the workers may have been lost together with the VMs, and nothing shows that they don't confirm a leader behind a partition.
 //
 // A worker that has restarted has forgotten the tokens, so it is not the worker that it was: neither for the prior leader,
 // which needs the incarnations of the roster, nor for the successor, to which the restart shows that the earlier
@@ -19,6 +21,9 @@
 // have confirmed it. It covers a long poll and the interval between two polls.
 const WorkerAuthorityMs ms = 2000
 
+// MaxWithHalfMs bounds the time since the last confirmation by the store for which half of the workers confirm a leader.
+const MaxWithHalfMs ms = 3000
+
 // Incarnations holds the start times of workers' processes, in Unix milliseconds, by the IDs of the workers.
 type Incarnations map[string]int64
 
@@ -28,6 +33,11 @@
 	return (len(w) + 1) / 2
 }
 
+// most returns the number of workers whose confirmation a leader needs after MaxWithHalfMs: two thirds.
+func (w Incarnations) most() int {
+	return len(w) - len(w)/3
+}
+
 // ProposeWorkers adds a roster that is about to be written to the store.
 func (t *Term) ProposeWorkers(roster Incarnations) {
 	if n := len(t.rosters); n > 0 && maps.Equal(t.rosters[n-1], roster) {
@@ -62,7 +72,7 @@
 // ConfirmByWorkers records the confirmations by the workers. confirmedAt returns the time on the leader's clock at which the
 // newest call was sent that an incarnation of a worker has executed, 0 for none.
 func (t *Term) ConfirmByWorkers(confirmedAt func(id string, startMs int64) ms) {
-	workersAt, found := ms(0), false
+	halfAt, mostAt, found := ms(0), ms(0), false
 	for _, roster := range t.rosters {
 		if len(roster) == 0 {
 			continue
@@ -76,11 +86,13 @@
 			times = append(times, at)
 		}
 		slices.Sort(times)
-		if at := times[len(times)-roster.needed()]; !found || at < workersAt {
-			workersAt, found = at, true
+		half, most := times[len(times)-roster.needed()], times[len(times)-roster.most()]
+		if !found {
+			halfAt, mostAt, found = half, most, true
 		}
+		halfAt, mostAt = min(halfAt, half), min(mostAt, most)
 	}
-	t.workersAt = workersAt
+	t.halfAt, t.mostAt = halfAt, mostAt
 }
 
 // authorityByWorkers returns the time up to which the workers' confirmations allow a leader to rely on the voters.
@@ -88,21 +100,25 @@
 	for _, roster := range t.rosters {
 		needed = needed || len(roster) > 0
 	}
-	if t.workersAt == 0 {
-		return 0, needed
+	if t.halfAt > 0 && t.storeAt > 0 {
+		until = min(t.halfAt+WorkerAuthorityMs, t.storeAt+MaxWithHalfMs)
+	}
+	if t.mostAt > 0 {
+		until = max(until, t.mostAt+WorkerAuthorityMs)
 	}
-	return t.workersAt + WorkerAuthorityMs, needed
+	return until, needed
 }
 
-// AwaitWorkers names the workers of which each leader that may still have authority needs half.
-func (h *Handover) AwaitWorkers(roster Incarnations) {
-	h.roster, h.reached = roster, map[string]bool{}
+// AwaitWorkers names the workers of which each leader that may still have authority needs half. needMost is true if it needs most of
+// them after MaxWithHalfMs; leaders of earlier releases don't.
+func (h *Handover) AwaitWorkers(roster Incarnations, needMost bool) {
+	h.roster, h.reached, h.needMost = roster, map[string]bool{}, needMost
 }
 
 // ReachWorkers looks for workers that no longer confirm any prior leader. reached reports whether the given incarnation of a
 // worker has executed a call with the new leader's token, or is known to have ended.
 func (h *Handover) ReachWorkers(reached func(id string, startMs int64) bool, now ms) {
-	if len(h.roster) == 0 || h.workersReached() {
+	if len(h.roster) == 0 || h.left() < h.roster.needed() {
 		return
 	}
 	for id, startMs := range h.roster {
@@ -110,14 +126,18 @@
 			h.reached[id] = true
 		}
 	}
-	if h.workersReached() {
-		h.endsAt = min(h.endsAt, max(h.wonAt+h.authorityMs, now+WorkerAuthorityMs))
+	byStoreUntil := h.wonAt + h.authorityMs
+	switch left := h.left(); {
+	case left < h.roster.needed():
+		h.endsAt = min(h.endsAt, max(byStoreUntil, now+WorkerAuthorityMs))
+	case h.needMost && left < h.roster.most():
+		h.endsAt = min(h.endsAt, max(byStoreUntil, h.wonAt+MaxWithHalfMs, now+WorkerAuthorityMs))
 	}
 }
 
-// workersReached reports whether the workers that are left are too few to confirm a prior leader.
-func (h *Handover) workersReached() bool {
-	return len(h.roster)-len(h.reached) < h.roster.needed()
+// left returns the number of workers that may still confirm a prior leader.
+func (h *Handover) left() int {
+	return len(h.roster) - len(h.reached)
 }
 
 // Reached returns the number of workers that no longer confirm any prior leader, of how many in the roster.
--- a/io/cccontrol/authority.go
+++ b/io/cccontrol/authority.go
@@ -37,6 +37,8 @@
 	maxAnnounceIntervalMs ms = 1000
 	// announceTimeoutMs is the timeout of such a call.
 	announceTimeoutMs ms = 300
+	// slowHandoverMs is the duration of a handover from which it is logged before it is complete.
+	slowHandoverMs ms = 1500
 	// votersIntervalMs is the least interval between writes of the voters.
 	votersIntervalMs ms = 1000
 )
@@ -165,6 +167,11 @@
 		reached, workers := l.handover.Reached()
 		p.cfg.Log.Info("handover complete", "Token", l.token, "TookMs", now-l.beganAt, "Voters", len(l.record.Voters), "WorkersReached", reached, "Workers", workers)
 	}
+	if !l.handedOver.Load() && !l.loggedHandover && now-l.beganAt >= slowHandoverMs {
+		l.loggedHandover = true
+		reached, workers := l.handover.Reached()
+		p.cfg.Log.Warn("handover waits", "Token", l.token, "EndsInMs", l.handover.EndsAt()-now, "VotersLeft", l.handover.VotersLeft(), "Voters", len(l.record.Voters), "WorkersReached", reached, "Workers", workers)
+	}
 	if has := now < l.cell.Authority(); has != l.hadAuthority {
 		l.hadAuthority = has
 		event := "authority lost: no starts and renewals"
@@ -212,7 +219,7 @@
 		return
 	}
 	r := l.record
-	r.Voters, r.VotersToken, r.ByWorkers, r.Demoted = voters, l.token, true, p.succession.demotions(now)
+	r.Voters, r.VotersToken, r.ByWorkers, r.MostWorkers, r.Demoted = voters, l.token, true, true, p.succession.demotions(now)
 	l.recordingVoters, l.votersAt = true, now
 	l.quorum.Propose(voters)
 	go func() {
--- a/io/cccontrol/follow.go
+++ b/io/cccontrol/follow.go
@@ -330,9 +330,9 @@
 func (p *Process) successorRecord(failure *leaderFailure, stored *leaderRecord) leaderRecord {
 	prior := failure.leader
 	r := leaderRecord{VM: p.cfg.VM, Address: p.cfg.Address, StartMs: p.cfg.StartMs, Token: prior.Token + 1 + restartTokens, LeaseMs: p.cfg.LeaseMs, AuthorityMs: termAuthorityMs(p.memberCount())}
-	r.Voters, r.VotersToken, r.ByWorkers = stored.Voters, stored.VotersToken, stored.ByWorkers
+	r.Voters, r.VotersToken, r.ByWorkers, r.MostWorkers = stored.Voters, stored.VotersToken, stored.ByWorkers, stored.MostWorkers
 	if stored.Token == 0 {
-		r.VotersToken, r.ByWorkers = r.Token, true // There is no prior leader.
+		r.VotersToken, r.ByWorkers, r.MostWorkers = r.Token, true, true // There is no prior leader.
 	}
 	if !stored.settled() {
 		r.LeaseMs, r.AuthorityMs = max(r.LeaseMs, stored.LeaseMs), max(r.AuthorityMs, stored.AuthorityMs)
--- a/io/cccontrol/layout.go
+++ b/io/cccontrol/layout.go
@@ -68,6 +68,9 @@
 	// ByWorkers is true if each leader that may still have authority needs the confirmation of workers as well; see
 	// ccquorum. It is false in records of earlier releases.
 	ByWorkers bool `cbor:"10,keyasint,omitempty"`
+	// MostWorkers is true if each such leader needs most of the workers when the store has not confirmed it for a while; see
+	// ccquorum.MaxWithHalfMs. It is false in records of earlier releases.
+	MostWorkers bool `cbor:"11,keyasint,omitempty"`
 
 	// Demoted are the VMs that rank behind the others; see ccsuccession.
 	Demoted []ccsuccession.Demotion `cbor:"9,keyasint,omitempty"`
--- a/io/cccontrol/leadership.go
+++ b/io/cccontrol/leadership.go
@@ -68,9 +68,11 @@
 	// announcement is sent to the peers at the start of the term.
 	announcement ccpeer.AnnounceRequest
 	beganAt      ms
-	// handedOver is true once the handover is complete, hadAuthority while the leader has authority.
-	handedOver   atomic.Bool
-	hadAuthority bool
+	// handedOver is true once the handover is complete, hadAuthority while the leader has authority. loggedHandover is true once a slow
+	// handover was logged.
+	handedOver     atomic.Bool
+	hadAuthority   bool
+	loggedHandover bool
 	// quorum holds the confirmations of this leader, handover what is known of the end of the prior leader's authority.
 	quorum   *ccquorum.Term
 	handover *ccquorum.Handover
@@ -177,7 +179,7 @@
 	l.quorum.RecordedWorkers(l.priorRoster)
 	l.cell.SetRecorded(l.quorum.InEachRoster())
 	if prior.ByWorkers {
-		l.handover.AwaitWorkers(l.priorRoster)
+		l.handover.AwaitWorkers(l.priorRoster, prior.MostWorkers)
 	}
 	p.stateCache.beginTerm(r.Token, l.cell.States(), p.now()) // Before peers can sync: Sync replies from this cache.
 	p.mu.Lock()
