A worker in quarantine runs tasks that no other worker may run

Cause: its own failures put the only worker that may run it into quarantine, for up to 16 s, and nothing starts there meanwhile.

Ruled out: a delay between attempts of the stage ("worker in quarantine" with 16 s stands in the log at each gap).

Change: from the end of what a first quarantine takes, 2 s, a worker in quarantine gets tasks that no other worker may run by service, label, size and tickets, and no others.

Conclusion: quarantine delays such tasks by 2 s at most.

--- a/core/cccell/health.go
+++ b/core/cccell/health.go
@@ -6,10 +6,10 @@
 type health struct {
 	// score is the moving average of the results, 1 for a completed task and 0 for a failure.
 	score float64
-	// quarantinedUntil is the end of the current quarantine. quarantines is the number of quarantines without a
-	// completed task between them.
-	quarantinedUntil ms
-	quarantines      int
+	// quarantinedFrom and quarantinedUntil are the begin and the end of the current quarantine. quarantines is the number of
+	// quarantines without a completed task between them.
+	quarantinedFrom, quarantinedUntil ms
+	quarantines                       int
 	// noStartsUntil is the end of a short delay after the worker has refused a start or did not reply to it.
 	noStartsUntil ms
 }
@@ -34,6 +34,12 @@
 	return now >= h.quarantinedUntil && now >= h.noStartsUntil
 }
 
+// lastResort reports whether the worker is in quarantine and may get tasks that no other worker may run: it has had the rest of a
+// first quarantine. Load: a task that only one worker may run fails again and again through its own fault.
+func (h *health) lastResort(now ms) bool {
+	return now < h.quarantinedUntil && now >= h.quarantinedFrom+quarantineMs && now >= h.noStartsUntil
+}
+
 // record adds a result. It returns true when a quarantine begins; mayBegin allows that.
 func (h *health) record(ok bool, now ms, mayBegin bool) bool {
 	if ok {
@@ -45,7 +51,7 @@
 	if h.score >= quarantineScore || now < h.quarantinedUntil || !mayBegin {
 		return false
 	}
-	h.quarantinedUntil = now + min(quarantineMs<<h.quarantines, quarantineMaxMs)
+	h.quarantinedFrom, h.quarantinedUntil = now, now+min(quarantineMs<<h.quarantines, quarantineMaxMs)
 	h.quarantines = min(h.quarantines+1, 4)
 	// The first failure after the quarantine begins the next one.
 	h.score = quarantineScore / (1 - healthWeight) * 0.99
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -168,8 +168,22 @@
 // eligible reports whether a worker may run tasks of a stage, accepts tasks now, is not held for another stage unless the
 // tasks end before it is needed, and is large enough for one task when empty. Tickets are not checked.
 func (c *Cell) eligible(s *stage, w *worker, now ms) bool {
-	return w.info.Service == c.queue(s.job).Service && c.usableWorker(w, now) && (w.heldFor == nil || w.heldFor == s || c.endsInTime(s, w, now)) && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) &&
-		s.need.Fits(&w.info.Capacity)
+	return c.suits(s, w) && c.usableWorker(w, now) && (w.heldFor == nil || w.heldFor == s || c.endsInTime(s, w, now)) && (w.health.usable(now) || c.onlyWorker(s, w, now))
+}
+
+// suits reports whether a worker may run tasks of a stage, and is large enough for one of them when empty.
+func (c *Cell) suits(s *stage, w *worker) bool {
+	return w.info.Service == c.queue(s.job).Service && (s.spec.Label == "" || w.info.hasLabel(s.spec.Label)) && s.need.Fits(&w.info.Capacity)
+}
+
+// onlyWorker reports whether no worker but one, and others in quarantine, may run tasks of a stage as far as is known.
+func (c *Cell) onlyWorker(s *stage, w *worker, now ms) bool {
+	for _, other := range c.workers {
+		if other != w && now >= other.health.quarantinedUntil && other.listed && other.admitted && other.drainSince == 0 && other.silentSince == 0 && !s.tickets.denied[other.info.ID] && c.suits(s, other) {
+			return false
+		}
+	}
+	return true
 }
 
 // fitting returns how many more tasks of a stage fit on a worker now.
--- a/core/cccell/worker.go
+++ b/core/cccell/worker.go
@@ -213,10 +213,10 @@
 	return w.info.Capacity.Minus(w.used)
 }
 
-// usable reports whether tasks may be started on the worker. On a worker without cores even best-effort tasks would
-// make no progress.
+// usable reports whether tasks may be started on the worker, in quarantine only those that no other may run. On a worker without
+// cores even best-effort tasks would make no progress.
 func (w *worker) usable(now ms) bool {
-	return w.listed && w.recorded && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && w.health.usable(now)
+	return w.listed && w.recorded && w.admitted && w.drainSince == 0 && w.silentSince == 0 && !w.repliesLate() && w.orphans == 0 && w.info.Capacity.MilliCores > 0 && (w.health.usable(now) || w.health.lastResort(now))
 }
 
 // usableWorker reports whether tasks may be started on a worker as far as its earlier incarnations are concerned, too.
