A worker with more ends is polled in one order of cases

Cause: found in reading the diff: the case for workers whose ends are read in parts hid that a stop confirmed during a poll makes the next one due. Change: the case keeps only what is new; the others apply as before. No other change of behaviour is meant.

--- a/core/cccell/polls.go
+++ b/core/cccell/polls.go
@@ -153,10 +153,9 @@
 		return since >= silentPollIntervalMs
 	case !w.admitted:
 		return true
-	case w.moreEnds:
-		// The same ends are listed again until they are written and acknowledged.
-		return since >= unackedPollIntervalMs || (len(w.unackedEnds) == 0 && !c.ackWithheld(w, now))
-	case c.needsFreshPoll(w) && now >= c.handoverAt:
+	case w.moreEnds && len(w.unackedEnds) == 0 && !c.ackWithheld(w, now):
+		return true // It lists the next ends once it has forgotten those before.
+	case !w.moreEnds && c.needsFreshPoll(w) && now >= c.handoverAt:
 		return true
 	case len(w.unackedEnds) > 0 || c.ackWithheld(w, now):
 		return since >= unackedPollIntervalMs || w.stopConfirmedDuringPoll()
--- a/core/ccquorum/quorum.go
+++ b/core/ccquorum/quorum.go
@@ -1,7 +1,7 @@
 // Package ccquorum decides how long a leader may give orders, and when its successor may begin. A leader keeps its
-// authority while the store confirms it, or a majority of the voters and half of the workers do (most of them after a while); the voters are processes that
-// are recorded in the store. The successor waits until the prior leader can't have such a majority any more, or not so many
-// workers (workers.go).
+// authority while the store confirms it, or a majority of the voters and half of the workers do, and most of these after a
+// while; the voters are processes that are recorded in the store. The successor waits until the prior leader can't have such a
+// majority any more, or not so many workers (workers.go).
 //
 // Why two leaders never have authority at the same time: the leader record in the store names the leader and the voters,
 // and is changed only by a conditional write. A successor therefore knows all voters that the prior leader can count. A
