--- a/core/cccell/adopt.go
+++ b/core/cccell/adopt.go
@@ -23,8 +23,7 @@
 	if c.jobs[s.Job.ID] != nil {
 		return
 	}
-	j := c.insert(s.Job, loadedJob, now, nowUnix)
-	j.adopted = true
+	j := c.insert(s.Job, loadedJob, true, now, nowUnix)
 	// Waiting jobs are ordered by age. A new leader knows the age of a job only by the time of day at which it was
 	// accepted.
 	j.arrivedAt = j.acceptedAt
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -259,8 +259,7 @@
 		c.markStored(j, now)
 		return
 	}
-	j := c.insert(spec, source, now, nowUnix)
-	j.adopted = j.adopted || begun
+	j := c.insert(spec, source, begun, now, nowUnix)
 	c.cfg.Log("job accepted", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Tasks", spec.Stages[0].Count, "ChainMs", j.criticalPathMs, "Lasting", spec.LongRunning(), "Source", source, "MayHaveBegun", j.adopted}, teamField(spec)...)...)
 	c.publishState(j)
 	c.startDueRuns(j, now, nowUnix)
@@ -273,11 +272,11 @@
 	return j != nil && !j.unstored
 }
 
-// insert adds a job to memory, without runs.
-func (c *Cell) insert(spec *Job, source jobSource, now, nowUnix ms) *job {
+// insert adds a job to memory, without runs. begun is true if a prior leader may have started tasks of it.
+func (c *Cell) insert(spec *Job, source jobSource, begun bool, now, nowUnix ms) *job {
 	j := &job{
 		spec: spec, source: source, queue: &spec.Queue, account: c.book.Account(spec.Team), team: c.shares.Team(spec.Team), runs: map[int]*run{},
-		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(), adopted: now < c.handoverAt || c.begunBefore[spec.ID],
+		arrivedAt: now, acceptedAt: now - spec.age(nowUnix), criticalPathMs: spec.CriticalPathMs(), adopted: begun || now < c.handoverAt || c.begunBefore[spec.ID],
 	}
 	delete(c.unclaimed, spec.ID)
 	c.jobs[spec.ID] = j
--- a/core/cccell/ends.go
+++ b/core/cccell/ends.go
@@ -212,7 +212,7 @@
 func (c *Cell) mayQuarantine(now ms) bool {
 	n := 0
 	for _, w := range c.workers {
-		if now < w.health.quarantinedUntil {
+		if w.health.inQuarantine(now) {
 			n++
 		}
 	}
--- a/core/cccell/health.go
+++ b/core/cccell/health.go
@@ -31,13 +31,18 @@
 
 // usable reports whether the worker may get tasks.
 func (h *health) usable(now ms) bool {
-	return now >= h.quarantinedUntil && now >= h.noStartsUntil
+	return !h.inQuarantine(now) && now >= h.noStartsUntil
+}
+
+// inQuarantine reports whether the worker is in quarantine.
+func (h *health) inQuarantine(now ms) bool {
+	return now < h.quarantinedUntil
 }
 
 // lastResort reports whether the worker is in quarantine and may get tasks that no other worker may run: it has had the rest of a
 // first quarantine. Load: a task that only one worker may run fails again and again through its own fault.
 func (h *health) lastResort(now ms) bool {
-	return now < h.quarantinedUntil && now >= h.quarantinedFrom+quarantineMs && now >= h.noStartsUntil
+	return h.inQuarantine(now) && now >= h.quarantinedFrom+quarantineMs && now >= h.noStartsUntil
 }
 
 // record adds a result. It returns true when a quarantine begins; mayBegin allows that.
@@ -48,7 +53,7 @@
 		return false
 	}
 	h.score -= h.score * healthWeight
-	if h.score >= quarantineScore || now < h.quarantinedUntil || !mayBegin {
+	if h.score >= quarantineScore || h.inQuarantine(now) || !mayBegin {
 		return false
 	}
 	h.quarantinedFrom, h.quarantinedUntil = now, now+min(quarantineMs<<h.quarantines, quarantineMaxMs)
--- a/core/cccell/pagedends_test.go
+++ b/core/cccell/pagedends_test.go
@@ -8,8 +8,8 @@
 
 // pagedWorker is a worker that ends the tasks of "j" one after the other, and lists one end in a reply.
 type pagedWorker struct {
-	ends  int // The ends that it has not forgotten.
-	acked int64
+	ends  int   // The number of its ends.
+	acked int64 // The last end that it has forgotten.
 	// silentFrom is when it falls silent, 0 for never.
 	silentFrom ms
 }
--- a/core/cccell/place.go
+++ b/core/cccell/place.go
@@ -179,7 +179,7 @@
 // onlyWorker reports whether no worker but one, and others in quarantine, may run tasks of a stage as far as is known.
 func (c *Cell) onlyWorker(s *stage, w *worker, now ms) bool {
 	for _, other := range c.workers {
-		if other != w && now >= other.health.quarantinedUntil && other.listed && other.admitted && other.drainSince == 0 && other.silentSince == 0 && !s.tickets.denied[other.info.ID] && c.suits(s, other) {
+		if other != w && !other.health.inQuarantine(now) && other.listed && other.admitted && other.drainSince == 0 && other.silentSince == 0 && !s.tickets.denied[other.info.ID] && c.suits(s, other) {
 			return false
 		}
 	}
--- a/core/cccell/summary.go
+++ b/core/cccell/summary.go
@@ -49,7 +49,7 @@
 		free := w.free()
 		ws := WorkerSummary{
 			ID: id, Listed: w.listed, Admitted: w.admitted, Draining: w.drainSince != 0, Attempts: len(w.attempts),
-			FreeCores: free.MilliCores, FreeMB: free.MemoryMB, Health: w.health.score, Quarantined: now < w.health.quarantinedUntil, UnackedEnds: len(w.unackedEnds),
+			FreeCores: free.MilliCores, FreeMB: free.MemoryMB, Health: w.health.score, Quarantined: w.health.inQuarantine(now), UnackedEnds: len(w.unackedEnds),
 		}
 		ws.SilentMs = int64(w.silentMs(now))
 		s.Workers = append(s.Workers, ws)
--- a/core/cccell/unstored.go
+++ b/core/cccell/unstored.go
@@ -27,8 +27,7 @@
 	if c.unstoredCount >= maxUnstored {
 		return false
 	}
-	j := c.insert(spec, unstoredJob, now, nowUnix)
-	j.adopted = j.adopted || begun
+	j := c.insert(spec, unstoredJob, begun, now, nowUnix)
 	j.unstored = true
 	c.unstoredCount++
 	c.cfg.Log("job begun before it is stored", append([]any{"Job", spec.ID, "Queue", spec.Queue.Name, "Stages", len(spec.Stages), "Begun", begun}, teamField(spec)...)...)
